--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The commands of the README. Each installs what it needs and builds first.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' | grep -v '\.pb\.')
+export CCACHE_BASEDIR = $(CURDIR)
+export CCACHE_NOHASHDIR = 1
+
+.PHONY: help packages build test run bench capacity scenario format lint check-format
+
+help: ## this list
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
+
+packages: ## install the Debian packages
+	@src/cmake/install-packages.sh
+
+$(BUILD)/build.ninja:
+	cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS)
+
+build: packages $(BUILD)/build.ninja ## compile everything
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build ## run all tests
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+format: ## format the sources
+	clang-format -i $(SOURCES)
+
+check-format:
+	clang-format --dry-run --Werror $(SOURCES)
+
+lint: $(BUILD)/build.ninja ## run the linter on every source file
+	@echo $(filter %.cpp,$(SOURCES)) | tr ' ' '\n' | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
--- /dev/null
+++ b/src/cmake/Dependencies.cmake
@@ -0,0 +1,13 @@
+# The libraries that the project links, all from the distribution.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(GTest REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(benchmark REQUIRED)
+pkg_check_modules(ProtobufLite REQUIRED IMPORTED_TARGET protobuf-lite)
+pkg_check_modules(ZeroMq REQUIRED IMPORTED_TARGET libzmq)
+pkg_check_modules(Log4cplus REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(Httplib REQUIRED IMPORTED_TARGET cpp-httplib)
+pkg_check_modules(XxHash REQUIRED IMPORTED_TARGET libxxhash)
+find_library(DOCOPT_LIBRARY docopt REQUIRED)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
