--- /dev/null
+++ b/src/liblycheestep/placer.h
@@ -0,0 +1,61 @@
+#ifndef LYCHEESTEP_PLACER_H
+#define LYCHEESTEP_PLACER_H
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "core_context.h"
+#include "fleet.h"
+#include "lycheestep/catalogue.h"
+#include "lycheestep/resources.h"
+#include "lycheestep/time_types.h"
+#include "placement.h"
+
+namespace lycheestep {
+
+// Chooses targets for tasks out of this host's shares. Looks at a bounded
+// sample of candidates, so that a placement costs about the same in a small
+// and in a large fleet.
+class Placer
+{
+public:
+  // Rejected candidates that a Placement names at most.
+  static constexpr std::size_t kMaxRejected = 4;
+
+  // aSample: candidates that are compared for one task.
+  explicit Placer(std::size_t aSample);
+
+  // The target for one task, or none and why. Takes nothing: the caller calls
+  // Fleet::Take. A greater packing weight prefers targets that are nearly
+  // full, a greater waiting weight those that are nearly idle.
+  Placement Choose(const Fleet& aFleet,
+                   const WorkKind& aKind,
+                   const Resources& aDemand,
+                   const CellWeights& aWeights,
+                   TimePoint aNow,
+                   RandomGenerator& aRandom) const;
+
+  // Targets for aTasks tasks that start together, one entry a task, spread
+  // over racks as the waiting weight asks; empty when they don't all fit.
+  std::vector<TargetId> ChooseGang(const Fleet& aFleet,
+                                   const WorkKind& aKind,
+                                   const Resources& aDemand,
+                                   int aTasks,
+                                   const CellWeights& aWeights,
+                                   TimePoint aNow,
+                                   RandomGenerator& aRandom) const;
+
+  // Why aTasks tasks of that demand can never run on the listed targets,
+  // however idle they are; empty when they can.
+  static std::string NeverRunnable(const Fleet& aFleet,
+                                   const Resources& aDemand,
+                                   int aTasks);
+
+private:
+  std::size_t m_sample;
+};
+
+} // namespace lycheestep
+
+#endif
