Find free room through an index, place gangs in one pass

Cause: a random sample misses the last target with room in a large fleet, and a full scan costs in proportion to the fleet.

Change: Fleet keeps RoomIndex, a tree of the largest free room, refreshed for targets that were found for change. Placer compares random targets and the first ones in the list that have room, split by the cell's weights. Gangs fill the fewest targets, or go to racks in turn; replicas of a service always do.

Conclusion: the only room among 1,200 targets is found with fewer than 100 candidates and index nodes compared.

--- a/src/liblycheestep/fleet.cpp
+++ b/src/liblycheestep/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace lycheestep {
@@ -60,12 +61,25 @@
   }
   m_targets = std::move(next);
   m_index = std::move(nextIndex);
+  m_room.Reset(m_targets.size());
+  m_changed.resize(m_targets.size());
+  std::iota(m_changed.begin(), m_changed.end(), 0);
 }
 
 FleetTarget* Fleet::Find(const TargetId& aTarget)
 {
   auto found = m_index.find(aTarget);
-  return found == m_index.end() ? nullptr : &m_targets[found->second];
+  if (found == m_index.end()) {
+    return nullptr;
+  }
+  if (m_changed.empty() || m_changed.back() != found->second) {
+    m_changed.push_back(found->second);
+  }
+  if (m_changed.size() > 2 * m_targets.size()) {
+    RefreshRoom();
+    m_changed.push_back(found->second);
+  }
+  return &m_targets[found->second];
 }
 
 const FleetTarget* Fleet::Find(const TargetId& aTarget) const
@@ -90,6 +104,27 @@
   }
 }
 
+std::size_t Fleet::FindRoom(std::size_t aFrom,
+                            const Resources& aDemand,
+                            std::size_t& aVisits) const
+{
+  RefreshRoom();
+  return m_room.Find(aFrom, aDemand, aVisits);
+}
+
+void Fleet::RefreshRoom() const
+{
+  for (const std::size_t position : m_changed) {
+    const FleetTarget& target = m_targets[position];
+    const Grant& grant = target.m_grant;
+    m_room.Set(position,
+               target.TakesWork()
+                 ? grant.m_main + grant.m_reserve - target.m_used
+                 : Resources(-1, -1, -1, -1, -1));
+  }
+  m_changed.clear();
+}
+
 Resources Fleet::TotalCapacity() const
 {
   Resources total;
--- a/src/liblycheestep/fleet.h
+++ b/src/liblycheestep/fleet.h
@@ -9,6 +9,7 @@
 #include "lycheestep/resources.h"
 #include "lycheestep/target_protocol.h"
 #include "lycheestep/time_types.h"
+#include "room_index.h"
 
 namespace lycheestep {
 
@@ -61,12 +62,20 @@
   // forgets those that are gone and hold no task.
   void Replace(const std::vector<TargetListing>& aListings);
 
-  // The target of that name, or null.
+  // The target of that name, or null. A target found for change is entered
+  // anew in the index of free room before the next search.
   FleetTarget* Find(const TargetId& aTarget);
   const FleetTarget* Find(const TargetId& aTarget) const;
 
   const std::vector<FleetTarget>& Targets() const { return m_targets; }
 
+  // The first position in Targets() from aFrom on whose target may have
+  // aDemand free, or RoomIndex::kNone. Does not look at the time: the caller
+  // checks FreeAt. aVisits counts the nodes of the index that were compared.
+  std::size_t FindRoom(std::size_t aFrom,
+                       const Resources& aDemand,
+                       std::size_t& aVisits) const;
+
   // Takes and gives back a task's demand.
   void Take(const TargetId& aTarget, const Resources& aDemand);
   void GiveBack(const TargetId& aTarget, const Resources& aDemand);
@@ -80,8 +89,13 @@
   Resources LargestFree(TimePoint aNow) const;
 
 private:
+  void RefreshRoom() const;
+
   std::vector<FleetTarget> m_targets;
   std::unordered_map<TargetId, std::size_t> m_index;
+  // Positions that may have changed since they were entered in m_room.
+  mutable std::vector<std::size_t> m_changed;
+  mutable RoomIndex m_room;
 };
 
 } // namespace lycheestep
--- a/src/liblycheestep/fleet_test.cpp
+++ b/src/liblycheestep/fleet_test.cpp
@@ -48,5 +48,29 @@
   EXPECT_EQ(fleet.Find(TargetId("a")), nullptr);
 }
 
+TEST(Fleet, FindsRoomThatChanged)
+{
+  Fleet fleet;
+  std::vector<TargetListing> listings;
+  for (int i = 0; i < 5; ++i) {
+    listings.push_back(Listing(("t" + std::to_string(i)).c_str()));
+  }
+  fleet.Replace(listings);
+  const Resources demand(1000, 1, 0, 1, 1);
+  std::size_t visits = 0;
+  EXPECT_EQ(fleet.FindRoom(0, demand, visits), RoomIndex::kNone);
+  fleet.Find(TargetId("t1"))->m_grant.m_main = demand;
+  fleet.Find(TargetId("t4"))->m_grant.m_reserve = demand;
+  EXPECT_EQ(fleet.FindRoom(0, demand, visits), 1U);
+  EXPECT_EQ(fleet.FindRoom(2, demand, visits), 4U);
+  EXPECT_EQ(fleet.FindRoom(5, demand, visits), RoomIndex::kNone);
+  fleet.Take(TargetId("t1"), demand);
+  EXPECT_EQ(fleet.FindRoom(0, demand, visits), 4U);
+  fleet.Find(TargetId("t4"))->m_leaving = true;
+  EXPECT_EQ(fleet.FindRoom(0, demand, visits), RoomIndex::kNone);
+  fleet.GiveBack(TargetId("t1"), demand);
+  EXPECT_EQ(fleet.FindRoom(0, demand, visits), 1U);
+}
+
 } // namespace
 } // namespace lycheestep
--- a/src/liblycheestep/placement.h
+++ b/src/liblycheestep/placement.h
@@ -22,8 +22,9 @@
 {
   // Empty when no target was found.
   TargetId m_target;
-  // Targets that were compared.
+  // Targets that were compared, and nodes of the index of free room.
   std::size_t m_candidates = 0;
+  std::size_t m_visits = 0;
   // One sentence for the log and for explain.
   std::string m_why;
   // The first few candidates that were passed over.
--- a/src/liblycheestep/placer.cpp
+++ b/src/liblycheestep/placer.cpp
@@ -1,7 +1,13 @@
 #include "placer.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <iterator>
 #include <map>
+#include <numeric>
+#include <set>
 #include <utility>
 
 namespace lycheestep {
@@ -30,21 +36,6 @@
   return {};
 }
 
-void AddRejected(Placement& aPlacement,
-                 const FleetTarget& aTarget,
-                 const Resources& aDemand,
-                 const Resources& aFree)
-{
-  if (aPlacement.m_rejected.size() >= Placer::kMaxRejected) {
-    return;
-  }
-  std::string lacks = WhyClosed(aTarget);
-  if (lacks.empty()) {
-    lacks = Missing(aDemand, aFree);
-  }
-  aPlacement.m_rejected.push_back({ aTarget.m_listing.m_id, std::move(lacks) });
-}
-
 // How well a demand lies along what is free: 1 when a target has left exactly
 // what is asked for in the same proportions, near 0 when it would strand one
 // resource.
@@ -84,8 +75,159 @@
          aligned / 4;
 }
 
+// How many tasks of a demand a target has room for, at most aMost.
+int Fitting(const FleetTarget& aTarget,
+            const Resources& aDemand,
+            TimePoint aNow,
+            int aMost)
+{
+  if (!aTarget.TakesWork()) {
+    return 0;
+  }
+  const Resources free = aTarget.FreeAt(aNow);
+  if (!aDemand.FitsIn(free)) {
+    return 0;
+  }
+  std::int64_t fitting = aMost;
+  for (std::size_t i = 0; i < kResourceKinds; ++i) {
+    const auto kind = static_cast<ResourceKind>(i);
+    if (aDemand.Get(kind) > 0) {
+      fitting = std::min(fitting, free.Get(kind) / aDemand.Get(kind));
+    }
+  }
+  return static_cast<int>(fitting);
+}
+
+// A target with room for some tasks of a gang.
+struct GangTarget
+{
+  const FleetTarget* m_target = nullptr;
+  int m_room = 0;
+};
+
+// Tasks that all targets together have room for.
+int RoomOf(const std::vector<GangTarget>& aTargets)
+{
+  return std::accumulate(
+    aTargets.begin(),
+    aTargets.end(),
+    0,
+    [](int aSum, const GangTarget& aTarget) { return aSum + aTarget.m_room; });
+}
+
+// Targets with room at even distances in the list, and so in many racks.
+std::vector<GangTarget> ProbeEvenly(const Fleet& aFleet,
+                                    const Resources& aDemand,
+                                    int aTasks,
+                                    TimePoint aNow,
+                                    std::size_t aStart)
+{
+  constexpr std::size_t kProbesPerTask = 4;
+  constexpr std::size_t kLeastProbes = 16;
+  const std::size_t size = aFleet.Targets().size();
+  const std::size_t probes = std::min(
+    size, kLeastProbes + kProbesPerTask * static_cast<std::size_t>(aTasks));
+  std::set<std::size_t> seen;
+  std::vector<GangTarget> found;
+  std::size_t visits = 0;
+  for (std::size_t i = 0; i < probes; ++i) {
+    const std::size_t probe = (aStart + i * size / probes) % size;
+    const std::size_t position = aFleet.FindRoom(probe, aDemand, visits);
+    if (position == RoomIndex::kNone || !seen.insert(position).second) {
+      continue;
+    }
+    const FleetTarget& target = aFleet.Targets()[position];
+    const int room = Fitting(target, aDemand, aNow, aTasks);
+    if (room > 0) {
+      found.push_back({ &target, room });
+    }
+  }
+  return found;
+}
+
+// The first targets in the list that together have room for aWanted tasks, or
+// all that have room.
+std::vector<GangTarget> CollectInOrder(const Fleet& aFleet,
+                                       const Resources& aDemand,
+                                       int aTasks,
+                                       TimePoint aNow,
+                                       int aWanted)
+{
+  std::vector<GangTarget> found;
+  int room = 0;
+  std::size_t visits = 0;
+  std::size_t position = aFleet.FindRoom(0, aDemand, visits);
+  while (position != RoomIndex::kNone && room < aWanted) {
+    const FleetTarget& target = aFleet.Targets()[position];
+    const int fitting = Fitting(target, aDemand, aNow, aTasks);
+    if (fitting > 0) {
+      found.push_back({ &target, fitting });
+      room += fitting;
+    }
+    position = aFleet.FindRoom(position + 1, aDemand, visits);
+  }
+  return found;
+}
+
+// Fills the targets with the most room first.
+std::vector<TargetId> FillFewest(std::vector<GangTarget> aTargets, int aTasks)
+{
+  std::stable_sort(aTargets.begin(),
+                   aTargets.end(),
+                   [](const GangTarget& aLeft, const GangTarget& aRight) {
+                     return aLeft.m_room > aRight.m_room;
+                   });
+  std::vector<TargetId> chosen;
+  for (const GangTarget& target : aTargets) {
+    for (int i = 0; i < target.m_room; ++i) {
+      if (static_cast<int>(chosen.size()) == aTasks) {
+        return chosen;
+      }
+      chosen.push_back(target.m_target->m_listing.m_id);
+    }
+  }
+  return chosen;
+}
+
+// Takes racks in turn, and targets of a rack in turn.
+std::vector<TargetId> SpreadOverRacks(const std::vector<GangTarget>& aTargets,
+                                      int aTasks)
+{
+  std::map<RackName, std::deque<GangTarget>> racks;
+  for (const GangTarget& target : aTargets) {
+    racks[target.m_target->m_listing.m_rack].push_back(target);
+  }
+  std::vector<TargetId> chosen;
+  while (!racks.empty()) {
+    for (auto rack = racks.begin(); rack != racks.end();) {
+      if (static_cast<int>(chosen.size()) == aTasks) {
+        return chosen;
+      }
+      GangTarget target = rack->second.front();
+      rack->second.pop_front();
+      chosen.push_back(target.m_target->m_listing.m_id);
+      if (--target.m_room > 0) {
+        rack->second.push_back(target);
+      }
+      rack = rack->second.empty() ? racks.erase(rack) : std::next(rack);
+    }
+  }
+  return chosen;
+}
+
 } // namespace
 
+struct Placer::Search
+{
+  const Fleet& m_fleet;
+  const Resources& m_demand;
+  const CellWeights& m_weights;
+  TimePoint m_now;
+  Placement& m_placement;
+  double m_best = -1.0;
+  std::size_t m_fitting = 0;
+};
+
 Placer::Placer(std::size_t aSample)
   : m_sample(std::max<std::size_t>(1, aSample))
 {
@@ -99,35 +241,83 @@
                          RandomGenerator& aRandom) const
 {
   Placement placement;
-  const std::vector<FleetTarget>& targets = aFleet.Targets();
-  if (targets.empty()) {
+  const std::size_t size = aFleet.Targets().size();
+  if (size == 0) {
     placement.m_why = "this host knows no target";
     return placement;
   }
-  const std::size_t start = aRandom() % targets.size();
-  double best = -1.0;
-  std::size_t fitting = 0;
-  for (std::size_t i = 0; i < targets.size() && fitting < m_sample; ++i) {
-    const FleetTarget& target = targets[(start + i) % targets.size()];
-    const Resources free = target.FreeAt(aNow);
-    ++placement.m_candidates;
-    if (!target.TakesWork() || !aDemand.FitsIn(free)) {
-      AddRejected(placement, target, aDemand, free);
-      continue;
+  Search search{ aFleet, aDemand, aWeights, aNow, placement };
+  const auto random = static_cast<std::size_t>(
+    std::lround(aWeights.m_waiting * static_cast<double>(m_sample)));
+  for (std::size_t i = 0; i < random; ++i) {
+    Compare(search, aRandom() % size);
+  }
+  CompareFrom(search, 0, m_sample - std::min(random, m_sample));
+  if (search.m_fitting == 0) {
+    const std::size_t start = aRandom() % size;
+    CompareFrom(search, start, 2);
+    CompareFrom(search, 0, search.m_fitting == 0 ? 2 : 0);
+  }
+  if (placement.Found()) {
+    placement.m_rejected.clear();
+    placement.m_why = "best of " + std::to_string(search.m_fitting) +
+                      " targets with room for " + aKind.m_name.Text();
+  } else {
+    Explain(search);
+  }
+  return placement;
+}
+
+void Placer::Compare(Search& aSearch, std::size_t aPosition) const
+{
+  const FleetTarget& target = aSearch.m_fleet.Targets()[aPosition];
+  const Resources free = target.FreeAt(aSearch.m_now);
+  ++aSearch.m_placement.m_candidates;
+  if (!target.TakesWork() || !aSearch.m_demand.FitsIn(free)) {
+    return;
+  }
+  ++aSearch.m_fitting;
+  const double score = Score(target, aSearch.m_demand, free, aSearch.m_weights);
+  if (score > aSearch.m_best) {
+    aSearch.m_best = score;
+    aSearch.m_placement.m_target = target.m_listing.m_id;
+  }
+}
+
+void Placer::CompareFrom(Search& aSearch,
+                         std::size_t aFrom,
+                         std::size_t aWanted) const
+{
+  const std::size_t wanted = aSearch.m_fitting + aWanted;
+  const std::size_t most = 4 * m_sample;
+  std::size_t position = aFrom;
+  for (std::size_t i = 0; i < most && aSearch.m_fitting < wanted; ++i) {
+    position = aSearch.m_fleet.FindRoom(
+      position, aSearch.m_demand, aSearch.m_placement.m_visits);
+    if (position == RoomIndex::kNone) {
+      return;
     }
-    ++fitting;
-    const double score = Score(target, aDemand, free, aWeights);
-    if (score > best) {
-      best = score;
-      placement.m_target = target.m_listing.m_id;
+    Compare(aSearch, position);
+    ++position;
+  }
+}
+
+void Placer::Explain(Search& aSearch) const
+{
+  Placement& placement = aSearch.m_placement;
+  const std::vector<FleetTarget>& targets = aSearch.m_fleet.Targets();
+  const std::size_t shown = std::min(targets.size(), kMaxRejected);
+  for (std::size_t i = 0; i < shown; ++i) {
+    const FleetTarget& target = targets[i * targets.size() / shown];
+    std::string lacks = WhyClosed(target);
+    if (lacks.empty()) {
+      lacks = Missing(aSearch.m_demand, target.FreeAt(aSearch.m_now));
     }
+    placement.m_rejected.push_back({ target.m_listing.m_id, std::move(lacks) });
   }
-  placement.m_why = placement.Found()
-                      ? "best of " + std::to_string(fitting) +
-                          " targets with room for " + aKind.m_name.Text()
-                      : "none of " + std::to_string(placement.m_candidates) +
-                          " targets has " + aDemand.Describe() + " free";
-  return placement;
+  placement.m_why = "none of " + std::to_string(targets.size()) +
+                    " targets has " + aSearch.m_demand.Describe() +
+                    " free in this host's share";
 }
 
 std::vector<TargetId> Placer::ChooseGang(const Fleet& aFleet,
@@ -138,18 +328,25 @@
                                          TimePoint aNow,
                                          RandomGenerator& aRandom) const
 {
-  Fleet trial = aFleet;
-  std::vector<TargetId> chosen;
-  for (int i = 0; i < aTasks; ++i) {
-    const Placement placement =
-      Choose(trial, aKind, aDemand, aWeights, aNow, aRandom);
-    if (!placement.Found()) {
-      return {};
-    }
-    trial.Take(placement.m_target, aDemand);
-    chosen.push_back(placement.m_target);
+  const std::size_t size = aFleet.Targets().size();
+  if (size == 0) {
+    return {};
   }
-  return chosen;
+  const bool spread = aKind.m_form == WorkForm::kService ||
+                      aWeights.m_waiting > aWeights.m_packing;
+  std::vector<GangTarget> found;
+  if (spread) {
+    found = ProbeEvenly(aFleet, aDemand, aTasks, aNow, aRandom() % size);
+  }
+  if (RoomOf(found) < aTasks) {
+    found = CollectInOrder(
+      aFleet, aDemand, aTasks, aNow, aTasks + static_cast<int>(m_sample));
+  }
+  if (RoomOf(found) < aTasks) {
+    return {};
+  }
+  return spread ? SpreadOverRacks(found, aTasks)
+                : FillFewest(std::move(found), aTasks);
 }
 
 std::string Placer::NeverRunnable(const Fleet& aFleet,
--- a/src/liblycheestep/placer.h
+++ b/src/liblycheestep/placer.h
@@ -16,7 +16,9 @@
 
 // Chooses targets for tasks out of this host's shares. Looks at a bounded
 // sample of candidates, so that a placement costs about the same in a small
-// and in a large fleet.
+// and in a large fleet: part of the sample is random, so that load spreads,
+// and part is the first in the list with room, so that the rest of the list
+// stays free for large work. The cell's weights set the parts.
 class Placer
 {
 public:
@@ -36,8 +38,10 @@
                    TimePoint aNow,
                    RandomGenerator& aRandom) const;
 
-  // Targets for aTasks tasks that start together, one entry a task, spread
-  // over racks as the waiting weight asks; empty when they don't all fit.
+  // Targets for aTasks tasks that start together, one entry a task; empty
+  // when they don't all fit. Replicas of a service always go to different
+  // racks in turn; tasks of a gang do so when the waiting weight is the
+  // greater, else they fill as few targets as they can.
   std::vector<TargetId> ChooseGang(const Fleet& aFleet,
                                    const WorkKind& aKind,
                                    const Resources& aDemand,
@@ -53,6 +57,15 @@
                                    int aTasks);
 
 private:
+  // The best of the targets compared so far.
+  struct Search;
+
+  void Compare(Search& aSearch, std::size_t aPosition) const;
+  void CompareFrom(Search& aSearch,
+                   std::size_t aFrom,
+                   std::size_t aWanted) const;
+  void Explain(Search& aSearch) const;
+
   std::size_t m_sample;
 };
 
--- a/src/liblycheestep/placer_test.cpp
+++ b/src/liblycheestep/placer_test.cpp
@@ -86,6 +86,37 @@
   EXPECT_TRUE(gang(9).empty());
 }
 
+TEST_F(PlacerTest, ReplicasGoToDifferentRacksAndPackedGangsToFewTargets)
+{
+  const Fleet fleet = MakeFleet(24, kWhole);
+  const Resources demand(4000, 1000, 0, 1, 1);
+  m_weights = { 0.1, 0.9 };
+  const auto used = [&](WorkForm aForm) {
+    m_kind.m_form = aForm;
+    std::set<TargetId> targets;
+    for (const TargetId& target : m_placer.ChooseGang(
+           fleet, m_kind, demand, 3, m_weights, kNow, m_random)) {
+      targets.insert(target);
+    }
+    return targets;
+  };
+  EXPECT_EQ(used(WorkForm::kGang).size(), 1U);
+  std::set<RackName> racks;
+  for (const TargetId& target : used(WorkForm::kService)) {
+    racks.insert(fleet.Find(target)->m_listing.m_rack);
+  }
+  EXPECT_EQ(racks.size(), 3U);
+}
+
+TEST_F(PlacerTest, FindsTheOnlyRoomInALargeFleet)
+{
+  Fleet fleet = MakeFleet(1200, kWhole.Scaled(1, 4));
+  fleet.Find(TargetId("t777"))->m_grant.m_main = kWhole;
+  const Placement placement = Choose(fleet, kWhole.Scaled(1, 2));
+  EXPECT_EQ(placement.m_target, TargetId("t777"));
+  EXPECT_LT(placement.m_candidates + placement.m_visits, 100U);
+}
+
 TEST_F(PlacerTest, TellsWhatCanNeverRun)
 {
   const Fleet fleet = MakeFleet(4, Resources());
