Add the clients of the platform and of the targets

Cause: the decision core's actions have to reach the table, the host list and the targets over HTTP and JSON.

Change: JSON forms (src/wire), HTTP connections that are used again and have time limits (src/http), and the services platform and targets.

--- /dev/null
+++ b/src/platform.service/platform_service.h
@@ -0,0 +1,53 @@
+#ifndef LYCHEESTEP_PLATFORM_SERVICE_H
+#define LYCHEESTEP_PLATFORM_SERVICE_H
+
+#include <string>
+#include <system_error>
+
+#include "http_connections.h"
+#include "lycheestep/platform_client.h"
+#include "lycheestep/service.h"
+#include "worker_pool.h"
+
+namespace lycheestep {
+
+class EventSink;
+class MetricsSink;
+struct ProcessSettings;
+
+// The platform over HTTP: POST /v1/table/transact, POST /v1/table/read and
+// GET /v1/hosts. Reads and writes have threads of their own, so that slow
+// reads do not hold up writes.
+class PlatformService
+  : public Service
+  , public PlatformClient
+{
+public:
+  explicit PlatformService(const ProcessSettings& aSettings);
+
+  std::string Name() const override { return "platform"; }
+  std::error_code Start(Kernel& aKernel) override;
+  void Stop() override;
+
+  void Transact(TransactTable aCall) override;
+  void Read(ReadTable aCall) override;
+  void FetchHosts() override;
+
+private:
+  void DoTransact(const TransactTable& aCall);
+  void DoRead(const ReadTable& aCall);
+  void DoFetchHosts();
+  HttpReply PostRead(const std::string& aBody);
+  void CountCall(const char* aCall, const HttpReply& aReply, TimePoint aSince);
+
+  const std::string m_address;
+  HttpConnections m_connections;
+  WorkerPool m_writers;
+  WorkerPool m_readers;
+  EventSink* m_events = nullptr;
+  MetricsSink* m_metrics = nullptr;
+};
+
+} // namespace lycheestep
+
+#endif
--- /dev/null
+++ b/src/wire/table_json.cpp
@@ -0,0 +1,163 @@
+#include "table_json.h"
+
+#include <cstdint>
+
+#include "base64.h"
+#include "json_codec.h"
+
+namespace lycheestep {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Throws what nlohmann::json throws, so that ParseJson catches it.
+std::string DecodeValue(const Json& aJson)
+{
+  std::optional<std::string> bytes = DecodeBase64(aJson.get<std::string>());
+  if (!bytes) {
+    throw Json::type_error::create(302, "value is not base64", &aJson);
+  }
+  return *bytes;
+}
+
+TableWrite WriteFromJson(const Json& aJson)
+{
+  TableWrite write;
+  write.m_key = aJson.at("key").get<std::string>();
+  write.m_remove = aJson.value("remove", false);
+  if (!write.m_remove) {
+    write.m_value = DecodeValue(aJson.at("value"));
+  }
+  return write;
+}
+
+Json WriteToJson(const TableWrite& aWrite)
+{
+  if (aWrite.m_remove) {
+    return { { "key", aWrite.m_key }, { "remove", true } };
+  }
+  return { { "key", aWrite.m_key }, { "value", EncodeBase64(aWrite.m_value) } };
+}
+
+TableRow RowFromJson(const Json& aJson)
+{
+  TableRow row;
+  row.m_key = aJson.at("key").get<std::string>();
+  row.m_value = DecodeValue(aJson.at("value"));
+  row.m_version = aJson.at("version").get<std::uint64_t>();
+  return row;
+}
+
+TargetListing HostFromJson(const Json& aJson)
+{
+  TargetListing host;
+  host.m_id = TargetId(aJson.at("id").get<std::string>());
+  host.m_dataCentre =
+    DataCentreName(aJson.at("data_centre").get<std::string>());
+  host.m_rack = RackName(aJson.at("rack").get<std::string>());
+  host.m_address = aJson.at("address").get<std::string>();
+  host.m_capacity = ResourcesFromJson(aJson.at("capacity"));
+  host.m_leaving = aJson.value("leaving", false);
+  return host;
+}
+
+} // namespace
+
+std::string EncodeTransaction(const TableTransaction& aTransaction)
+{
+  Json conditions = Json::array();
+  for (const TableCondition& condition : aTransaction.m_conditions) {
+    conditions.push_back(
+      { { "key", condition.m_key }, { "version", condition.m_version } });
+  }
+  Json writes = Json::array();
+  for (const TableWrite& write : aTransaction.m_writes) {
+    writes.push_back(WriteToJson(write));
+  }
+  return DumpJson({ { "conditions", conditions }, { "writes", writes } });
+}
+
+std::optional<TableTransaction> DecodeTransaction(const std::string& aText)
+{
+  return ParseJson(aText, [](const Json& aJson) {
+    TableTransaction transaction;
+    for (const Json& condition : aJson.at("conditions")) {
+      transaction.m_conditions.push_back(
+        { condition.at("key").get<std::string>(),
+          condition.at("version").get<std::uint64_t>() });
+    }
+    for (const Json& write : aJson.at("writes")) {
+      transaction.m_writes.push_back(WriteFromJson(write));
+    }
+    return transaction;
+  });
+}
+
+std::string EncodeQuery(const TableQuery& aQuery)
+{
+  return DumpJson(
+    { { "keys", aQuery.m_keys }, { "prefixes", aQuery.m_prefixes } });
+}
+
+std::optional<TableQuery> DecodeQuery(const std::string& aText)
+{
+  return ParseJson(aText, [](const Json& aJson) {
+    TableQuery query;
+    query.m_keys = aJson.at("keys").get<std::vector<std::string>>();
+    query.m_prefixes = aJson.at("prefixes").get<std::vector<std::string>>();
+    return query;
+  });
+}
+
+std::string EncodeTableAnswer(const TableAnswer& aAnswer)
+{
+  Json rows = Json::array();
+  for (const TableRow& row : aAnswer.m_rows) {
+    rows.push_back({ { "key", row.m_key },
+                     { "value", EncodeBase64(row.m_value) },
+                     { "version", row.m_version } });
+  }
+  const bool ok = aAnswer.m_status == TableStatus::kOk;
+  return DumpJson({ { "status", ok ? "ok" : "conflict" }, { "rows", rows } });
+}
+
+std::optional<TableAnswer> DecodeTableAnswer(const std::string& aText)
+{
+  return ParseJson(aText, [](const Json& aJson) {
+    TableAnswer answer;
+    const bool ok = aJson.at("status").get<std::string>() == "ok";
+    answer.m_status = ok ? TableStatus::kOk : TableStatus::kConflict;
+    for (const Json& row : aJson.at("rows")) {
+      answer.m_rows.push_back(RowFromJson(row));
+    }
+    return answer;
+  });
+}
+
+std::string EncodeHosts(const std::vector<TargetListing>& aHosts)
+{
+  Json hosts = Json::array();
+  for (const TargetListing& host : aHosts) {
+    hosts.push_back({ { "id", host.m_id.Text() },
+                      { "data_centre", host.m_dataCentre.Text() },
+                      { "rack", host.m_rack.Text() },
+                      { "address", host.m_address },
+                      { "capacity", ResourcesToJson(host.m_capacity) },
+                      { "leaving", host.m_leaving } });
+  }
+  return DumpJson({ { "hosts", hosts } });
+}
+
+std::optional<std::vector<TargetListing>> DecodeHosts(const std::string& aText)
+{
+  return ParseJson(aText, [](const Json& aJson) {
+    std::vector<TargetListing> hosts;
+    for (const Json& host : aJson.at("hosts")) {
+      hosts.push_back(HostFromJson(host));
+    }
+    return hosts;
+  });
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/wire/table_json.h
@@ -0,0 +1,34 @@
+#ifndef LYCHEESTEP_TABLE_JSON_H
+#define LYCHEESTEP_TABLE_JSON_H
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lycheestep/table.h"
+#include "lycheestep/target_protocol.h"
+
+namespace lycheestep {
+
+// The platform's calls as JSON text. Keys are UTF-8, values are base64. A
+// Decode function returns nothing when the text is malformed.
+
+// {"conditions":[{"key","version"}],"writes":[{"key","value"|"remove"}]}
+std::string EncodeTransaction(const TableTransaction& aTransaction);
+std::optional<TableTransaction> DecodeTransaction(const std::string& aText);
+
+// {"keys":[...],"prefixes":[...]}
+std::string EncodeQuery(const TableQuery& aQuery);
+std::optional<TableQuery> DecodeQuery(const std::string& aText);
+
+// {"status":"ok"|"conflict","rows":[{"key","value","version"}]}
+std::string EncodeTableAnswer(const TableAnswer& aAnswer);
+std::optional<TableAnswer> DecodeTableAnswer(const std::string& aText);
+
+// {"hosts":[{"id","data_centre","rack","address","capacity","leaving"}]}
+std::string EncodeHosts(const std::vector<TargetListing>& aHosts);
+std::optional<std::vector<TargetListing>> DecodeHosts(const std::string& aText);
+
+} // namespace lycheestep
+
+#endif
