Let a target say how far its memory goes

Cause: a target that died and came back answers 'never started' for an attempt it ran before. Taken at its word, a request that is not repeatable would run twice.

Change: TaskReport::m_targetUpFor, the time since the target lost its memory. The target model sets it after a death. The target service and stand-in have to carry it; without it the answer is trusted as before.

--- a/src/include/lycheestep/target_protocol.h
+++ b/src/include/lycheestep/target_protocol.h
@@ -77,6 +77,11 @@
   // scheduler or its lease, and its whole answer.
   bool m_succeeded = false;
   bool m_stopped = false;
+  // For kNeverStarted: time since the target lost its memory by a restart. It
+  // knows nothing of what it ran before, so its word counts only for an
+  // attempt that was sent within this time. The greatest value: it never
+  // restarted since it joined.
+  Duration m_targetUpFor = Duration::max();
   std::string m_body;
 };
 
--- a/src/standin/target_model.cpp
+++ b/src/standin/target_model.cpp
@@ -176,6 +176,9 @@
   TaskReport never;
   never.m_attempt = aAttempt;
   never.m_state = AttemptState::kNeverStarted;
+  if (m_diedAt) {
+    never.m_targetUpFor = aNow - *m_diedAt;
+  }
   return never;
 }
 
@@ -219,6 +222,7 @@
   m_forbidden.clear();
   m_newlyEnded.clear();
   m_alive = false;
+  m_diedAt = aNow;
 }
 
 TimePoint TargetModel::EndOf(const Task& aTask)
--- a/src/standin/target_model.h
+++ b/src/standin/target_model.h
@@ -206,6 +206,8 @@
   bool m_leavingByOwnWord = false;
   bool m_failing = false;
   bool m_alive = true;
+  // When it last forgot everything.
+  std::optional<TimePoint> m_diedAt;
   TargetLedger m_ledger;
 };
 
