Implement sessions, grants, records, leases, catalogue and peers

Cause: the headers stood without code behind them.

Change: sessions renewed by conditional write and lost replies settled by reading back; silent sessions ended by peers; shares claimed by rank, taken over after both terms, given whole target by whole target to peers that ask; a write in flight counts at the smaller of before and after. Leases are renewed in one call per target; a lost task is over only after the last call that could have renewed it, lease and margin. The catalogue moves as deltas checked against a digest. Whole targets are preferred to splitting every target because a task larger than a share could never start and gangs would need room from every host.

Conclusion: the scheduler can be wired against working parts.

--- a/src/liblycheestep/catalogue_codec.h
+++ b/src/liblycheestep/catalogue_codec.h
@@ -20,6 +20,7 @@
 std::uint64_t DigestOf(const std::string& aBytes);
 
 // The parts of aTo that differ from aFrom, in a form that ApplyDelta takes.
+// Empty when only the whole catalogue can say the difference.
 std::string EncodeDelta(const Catalogue& aFrom, const Catalogue& aTo);
 
 // The catalogue that the delta makes of aFrom, or null when the bytes are
--- a/src/liblycheestep/catalogue_keeper.h
+++ b/src/liblycheestep/catalogue_keeper.h
@@ -82,25 +82,37 @@
                       const proto::CatalogueTransfer& aTransfer);
 
 private:
-  void Poll(CoreContext& aContext);
-  void HandlePolled(CoreContext& aContext, const TableAnswer& aAnswer);
+  // An operator's change on its way into the table.
+  struct Change
+  {
+    OperatorCommand m_command;
+    OperatorContinuation m_continue;
+    std::shared_ptr<const Catalogue> m_next;
+    std::string m_digested;
+    bool m_sent = false;
+    int m_triesLeft = 0;
+  };
+  using ChangePointer = std::shared_ptr<Change>;
+  using ReadDone = std::function<void(CoreContext&, bool aReached)>;
+
+  void Read(CoreContext& aContext, bool aWithBody, ReadDone aDone);
   bool TakeRows(CoreContext& aContext, const TableAnswer& aAnswer);
-  void ReadBody(CoreContext& aContext,
-                std::function<void(CoreContext&, bool)> aDone);
-  void HandleApplied(CoreContext& aContext,
-                     const OperatorCommand& aCommand,
-                     std::shared_ptr<const Catalogue> aNext,
-                     const TableAnswer& aAnswer,
-                     int aReadsLeft,
-                     const OperatorContinuation& aContinue);
-  void ReadBackApplied(CoreContext& aContext,
-                       const OperatorCommand& aCommand,
-                       std::shared_ptr<const Catalogue> aNext,
-                       int aReadsLeft,
-                       const OperatorContinuation& aContinue);
-  void PutInForce(CoreContext& aContext,
-                  std::shared_ptr<const Catalogue> aCatalogue,
-                  const std::string& aDelta);
+  bool TakeDelta(CoreContext& aContext, const std::string& aCurrentRow);
+  bool TakeBody(CoreContext& aContext, const std::string& aBodyRow);
+  void WriteChange(CoreContext& aContext, const ChangePointer& aChange);
+  TableTransaction TransactionOf(const Change& aChange) const;
+  void HandleWritten(CoreContext& aContext,
+                     const ChangePointer& aChange,
+                     TableStatus aStatus);
+  void ResolveChange(CoreContext& aContext, const ChangePointer& aChange);
+  void CheckHistory(CoreContext& aContext, const ChangePointer& aChange);
+  void Accepted(CoreContext& aContext, const Change& aChange);
+  void Conflict(CoreContext& aContext, const Change& aChange);
+  bool PutInForce(CoreContext& aContext,
+                  std::shared_ptr<const Catalogue> aCatalogue);
+  void AskPeer(CoreContext& aContext,
+               const EntryId& aPeer,
+               std::uint64_t aHaveVersion);
   OperatorReply Reply() const;
 
   TableCalls& m_table;
@@ -109,9 +121,9 @@
   std::shared_ptr<const Catalogue> m_current;
   // The table's version of catalogue/current at the last successful read.
   std::uint64_t m_rowVersion = 0;
-  // Changes to the last versions, for peers that are one or a few behind.
-  std::map<std::uint64_t, std::string> m_deltas;
-  // When each greater version was last asked for.
+  // The last few versions, for peers that are a little behind.
+  std::map<std::uint64_t, std::shared_ptr<const Catalogue>> m_past;
+  // The greatest version that a peer was asked for, and when.
   std::uint64_t m_askedVersion = 0;
   TimePoint m_askedAt;
   bool m_polling = false;
--- a/src/liblycheestep/grant_book.h
+++ b/src/liblycheestep/grant_book.h
@@ -4,8 +4,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -15,19 +13,19 @@
 #include "lycheestep/table.h"
 #include "lycheestep/target_protocol.h"
 #include "lycheestep/time_types.h"
+#include "rows.pb.h"
 
 namespace lycheestep {
 
 class Fleet;
+struct FleetTarget;
 class PeerDirectory;
 class SessionKeeper;
 class SessionWatch;
 class TableCalls;
 
 namespace proto {
-class RackRow;
 class ShareRequest;
-class TargetShares;
 }
 
 // Answers whether this process looks after an attempt, so that its room is
@@ -49,7 +47,13 @@
             PeerDirectory& aPeers,
             Fleet& aFleet,
             TracksAttempt aTracks);
-  ~GrantBook();
+
+  // Called when a target's report is needed soon; LeaseKeeper::AskSoon fits.
+  using AskTarget = std::function<void(CoreContext&, const TargetId&)>;
+  void SetAskTarget(AskTarget aAskTarget)
+  {
+    m_askTarget = std::move(aAskTarget);
+  }
 
   void Tick(CoreContext& aContext);
   TimePoint NextWakeup() const;
@@ -87,19 +91,23 @@
   // One rack row as last read or written.
   struct Rack
   {
-    std::unique_ptr<proto::RackRow> m_row;
+    proto::RackRow m_row;
     std::uint64_t m_version = 0;
-    // The row that a write not yet settled would make, sent at m_version.
-    std::unique_ptr<proto::RackRow> m_pending;
+    // What writes at m_version, not yet settled, would make of the row. A
+    // write whose answer was lost may take effect until the row's version is
+    // seen to have changed.
+    std::vector<proto::RackRow> m_pending;
     bool m_writing = false;
-    // The last write's answer was lost: the next read or write settles it.
     bool m_unsettled = false;
+    TimePoint m_notBefore;
   };
 
-  // Tasks of dead hosts on a target where a dead host's share was taken.
+  // Shares of dead hosts that were taken on a target, and the tasks of dead
+  // hosts that it still runs.
   struct Taken
   {
     TimePoint m_at;
+    Resources m_amount;
     bool m_reported = false;
     Resources m_running;
   };
@@ -112,30 +120,48 @@
     TimePoint m_until;
   };
 
+  // One rack row while its next form is planned.
+  struct Plan
+  {
+    CoreContext& m_context;
+    const FleetTarget& m_target;
+    proto::TargetShares& m_shares;
+  };
+
+  bool MayPlan(TimePoint aNow) const;
   void ReadRacks(CoreContext& aContext);
   void HandleRacks(CoreContext& aContext, const TableAnswer& aAnswer);
-  void TakeRow(const std::string& aKey,
-               const std::string& aValue,
-               std::uint64_t aVersion);
+  void TakeRow(const TableRow& aRow);
   void PlanAll(CoreContext& aContext);
-  void PlanRack(CoreContext& aContext, const std::string& aKey);
-  bool PlanTarget(CoreContext& aContext, proto::TargetShares& aTarget);
-  bool DropUnused(proto::TargetShares& aTarget) const;
-  bool MoveOwnOldShares(proto::TargetShares& aTarget) const;
-  bool TakeDeadShares(CoreContext& aContext, proto::TargetShares& aTarget);
-  bool GiveToPeers(CoreContext& aContext, proto::TargetShares& aTarget);
-  bool ClaimFree(CoreContext& aContext, proto::TargetShares& aTarget);
-  bool ReleaseIdle(CoreContext& aContext, proto::TargetShares& aTarget);
+  void PlanRack(CoreContext& aContext,
+                const std::string& aKey,
+                const std::vector<const FleetTarget*>& aTargets);
+  bool PlanTarget(const Plan& aPlan);
+  bool MoveOwnOldShares(const Plan& aPlan) const;
+  bool TakeDeadShares(const Plan& aPlan);
+  bool TakePart(const Plan& aPlan, proto::Share& aShare, bool aReserve);
+  bool GiveToPeers(const Plan& aPlan);
+  bool ClaimFree(const Plan& aPlan);
+  bool ReleaseFree(const Plan& aPlan);
+  bool DropGone(CoreContext& aContext, proto::RackRow& aRow) const;
   void WriteRack(CoreContext& aContext,
                  const std::string& aKey,
-                 std::unique_ptr<proto::RackRow> aNext);
+                 proto::RackRow aNext);
   void HandleWritten(CoreContext& aContext,
                      const std::string& aKey,
                      const TableAnswer& aAnswer);
   void AskPeers(CoreContext& aContext);
-  void UpdateFleet(CoreContext& aContext);
+  void UpdateFleet();
+  Resources FairShare() const;
+  Resources Held() const;
+  Resources Missing(TimePoint aNow) const;
+  Resources Blocked(const TargetId& aTarget) const;
+  // What may be given up of the own share, in its two parts.
+  void Spare(const Plan& aPlan, Resources* aMain, Resources* aReserve) const;
+  proto::Share* OwnShare(proto::TargetShares& aShares) const;
+  std::size_t RankOf(const TargetId& aTarget) const;
   bool HoldsNothing() const;
-  std::string KeyOf(const RackName& aRack) const;
+  void PlanSoon(TimePoint aWhen);
 
   TableCalls& m_table;
   SessionKeeper& m_session;
@@ -143,13 +169,18 @@
   PeerDirectory& m_peers;
   Fleet& m_fleet;
   TracksAttempt m_tracks;
-  DataCentreName m_dataCentre;
+  AskTarget m_askTarget;
   EntryId m_self;
   std::map<std::string, Rack> m_racks;
   std::map<TargetId, Taken> m_taken;
+  std::map<TargetId, TimePoint> m_unownedSince;
   std::map<EntryId, PeerWant> m_peerWants;
+  Resources m_givenInPlan;
   Resources m_wanted;
   Resources m_largestTask;
+  // The session's state at the last update of the fleet.
+  std::uint64_t m_epoch = 0;
+  TimePoint m_mainUntil;
   bool m_reading = false;
   bool m_known = false;
   bool m_releasing = false;
--- a/src/liblycheestep/lease_keeper.h
+++ b/src/liblycheestep/lease_keeper.h
@@ -97,6 +97,11 @@
              const TrackedTask& aTask,
              TimePoint aHolderGone);
 
+  // The record of a task went to another host, which looks after the task
+  // from now on: this host renews it no more and tells nobody of it, but
+  // counts its room until it is over.
+  void Disown(const AttemptId& aAttempt);
+
   // The answers of targets.
   void HandleStartAnswered(CoreContext& aContext, const StartAnswered& aEvent);
   void HandleTaskEnded(CoreContext& aContext, const TaskEnded& aEvent);
@@ -113,6 +118,9 @@
                const AttemptId& aAttempt,
                TaskControl aControl);
 
+  // Asks the target for a report soon.
+  void AskSoon(CoreContext& aContext, const TargetId& aTarget);
+
   // True when the attempt is looked after here.
   bool Tracks(const AttemptId& aAttempt) const;
   const TrackedTask* Find(const AttemptId& aAttempt) const;
@@ -134,12 +142,22 @@
   struct Task
   {
     TrackedTask m_task;
-    // The last moment at which a renewal, or the start, could have reached
-    // the target, counted after the call ended.
-    TimePoint m_lastContact;
-    // The task is over at this time if no contact follows.
+    // When its start was sent, or its adoption began.
+    TimePoint m_since;
+    // The task is over at this time if nothing reaches its target any more:
+    // the end of the last call that could have renewed it, lease and margin.
     TimePoint m_overAt;
+    // Never over before this time: the former holder may renew until then.
+    TimePoint m_notOverBefore;
+    // True while the answer to the start is awaited.
+    bool m_starting = false;
+    bool m_disowned = false;
+    // True when its room stands in the fleet.
+    bool m_hasRoom = false;
+    // The target has to be asked for it.
+    bool m_mustQuery = false;
     bool m_querying = false;
+    int m_failedQueries = 0;
     TimePoint m_nextQuery;
     bool m_controlled = false;
     TaskControl m_control = TaskControl::kStop;
@@ -152,8 +170,13 @@
     TimePoint m_nextCall;
     int m_failures = 0;
     std::set<AttemptId> m_tasks;
+    // Ended attempts whose results are not safe yet.
+    std::set<AttemptId> m_ended;
+    // Ended attempts to be forgotten with the next call, and those that the
+    // call under way names.
     std::set<AttemptId> m_forget;
     std::set<AttemptId> m_forgetting;
+    // Started tasks that the call under way renews.
     std::set<AttemptId> m_renewing;
     // Tasks of dead hosts to keep alive.
     std::set<AttemptId> m_orphans;
@@ -161,8 +184,10 @@
     std::map<AttemptId, TimePoint> m_unclaimed;
   };
 
+  void SyncTargets(CoreContext& aContext);
   void CallTarget(CoreContext& aContext, const TargetId& aTarget);
   void Query(CoreContext& aContext, Task& aTask);
+  void QueryDue(CoreContext& aContext);
   void CheckLapsed(CoreContext& aContext);
   void HandleReport(CoreContext& aContext,
                     const TargetId& aTarget,
@@ -170,9 +195,20 @@
   void HandleUntracked(CoreContext& aContext,
                        const TargetId& aTarget,
                        const TaskReport& aReport);
+  void HandleMissing(CoreContext& aContext,
+                     const TargetReport& aReport,
+                     const std::set<AttemptId>& aRenewed);
+  void NoteLeaving(const TargetReport& aReport);
+  void Started(CoreContext& aContext, const AttemptId& aAttempt);
+  void Ended(CoreContext& aContext, const TaskReport& aReport);
+  void NeverStarted(CoreContext& aContext,
+                    const AttemptId& aAttempt,
+                    const std::string& aWhy);
+  void Lost(CoreContext& aContext, const AttemptId& aAttempt);
   void Contact(CoreContext& aContext, Task& aTask);
-  TrackedTask Remove(const AttemptId& aAttempt);
-  void Insert(CoreContext& aContext, const TrackedTask& aTask);
+  Task Remove(const AttemptId& aAttempt);
+  Task& Insert(CoreContext& aContext, const TrackedTask& aTask);
+  void Due(TimePoint aWhen);
 
   Fleet& m_fleet;
   SessionKeeper& m_session;
@@ -180,7 +216,9 @@
   OwnerMayBeDead m_ownerMayBeDead;
   std::map<AttemptId, Task> m_tasks;
   std::map<TargetId, Target> m_targets;
-  TimePoint m_nextCheck;
+  // When Tick has something to do next.
+  TimePoint m_nextDue;
+  TimePoint m_nextSync;
   std::uint64_t m_lateAnswers = 0;
 };
 
--- a/src/liblycheestep/record_keeper.h
+++ b/src/liblycheestep/record_keeper.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <system_error>
+#include <utility>
 #include <vector>
 
 #include "core_context.h"
@@ -55,6 +56,11 @@
   // before anything else. Finished records aren't reported.
   virtual void OnAdopted(CoreContext& aContext,
                          const proto::RecordRow& aRecord) = 0;
+
+  // Another host took over a record of this one, which it held for dead. The
+  // request is that host's now: nothing more may be sent, renewed or answered
+  // for it here.
+  virtual void OnRecordLost(CoreContext& aContext, const RequestId& aId) = 0;
 };
 
 // The durable records of requests, record/<id>. Changes of many records share
@@ -118,6 +124,10 @@
   // The own record of that id, or null.
   const proto::RecordRow* FindOwn(const RequestId& aId) const;
 
+  // This process opened a new session after its former one was ended: its
+  // open records are written anew, which shows those that went to others.
+  void HandleSessionOpened(CoreContext& aContext);
+
   // A host's session ended: takes over its records, a bounded number at a
   // time. Peers may do the same; each record goes to one of them.
   void TakeOver(CoreContext& aContext,
@@ -133,13 +143,14 @@
   // One change of one record.
   struct Change
   {
-    // Makes the change; false when the record is not in a state for it.
+    // Makes the change, also when it is made already; false when the record
+    // is not in a state for it.
     std::function<bool(proto::RecordRow&)> m_apply;
     RecordContinuation m_continue;
-    // Accept: kNotSent may be reported as long as nothing was sent.
     bool m_create = false;
     bool m_remove = false;
-    bool m_maySettleNotSent = false;
+    // A write of it was sent and may have reached the table.
+    bool m_maybeSent = false;
   };
 
   struct Record
@@ -147,34 +158,61 @@
     proto::RecordRow m_row;
     std::uint64_t m_version = 0;
     std::deque<Change> m_changes;
-    bool m_queued = false;
     // The value that the change in flight writes.
     std::string m_writing;
-    bool m_known = false;
-    TimePoint m_removeAt;
+    // Finished, with the body and the answer dropped from memory.
+    bool m_trimmed = false;
   };
 
+  using Ids = std::vector<RequestId>;
+
   void AddChange(CoreContext& aContext, const RequestId& aId, Change aChange);
+  void Enqueue(CoreContext& aContext, const RequestId& aId);
   void Commit(CoreContext& aContext);
-  bool PrepareFront(CoreContext& aContext, const RequestId& aId);
+  bool Prepare(CoreContext& aContext,
+               const RequestId& aId,
+               TableTransaction* aTransaction);
   void HandleCommitted(CoreContext& aContext,
-                       const std::vector<RequestId>& aIds,
+                       const Ids& aIds,
                        const TableAnswer& aAnswer);
-  void ReadBack(CoreContext& aContext, const std::vector<RequestId>& aIds);
+  void HandleUnsent(CoreContext& aContext, const Ids& aIds);
+  void ReadBack(CoreContext& aContext, const Ids& aIds);
+  void SettleAll(CoreContext& aContext,
+                 const Ids& aIds,
+                 const TableAnswer& aAnswer);
   void Settle(CoreContext& aContext,
               const RequestId& aId,
-              const TableRow* aRow);
+              const TableRow& aRow);
+  void Complete(CoreContext& aContext, const RequestId& aId);
   void FinishFront(CoreContext& aContext,
                    const RequestId& aId,
                    RecordStatus aStatus);
-  void Enqueue(const RequestId& aId);
-  void Back(CoreContext& aContext);
-  void DropUnsent(CoreContext& aContext, const std::vector<RequestId>& aIds);
+  void Drop(CoreContext& aContext,
+            const RequestId& aId,
+            RecordStatus aStatus,
+            const proto::RecordRow* aRow);
+  bool IsHeldHere(const proto::RecordRow& aRow) const;
+  void Trim(CoreContext& aContext, const RequestId& aId, Record& aRecord);
+  void CancelElsewhere(CoreContext& aContext,
+                       const RequestId& aId,
+                       int aTriesLeft,
+                       const RecordContinuation& aContinue);
+  void WriteCancelled(CoreContext& aContext,
+                      const RequestId& aId,
+                      const TableRow& aRow,
+                      int aTriesLeft,
+                      const RecordContinuation& aContinue);
   void ListHeld(CoreContext& aContext);
   void AdoptSome(CoreContext& aContext);
-  void HandleAdoptable(CoreContext& aContext, const TableAnswer& aAnswer);
+  void TakeRows(CoreContext& aContext,
+                const Ids& aIds,
+                const TableAnswer& aAnswer);
+  void Adopted(CoreContext& aContext,
+               const std::map<RequestId, proto::RecordRow>& aRows,
+               const TableAnswer& aAnswer);
+  void RetryAdoption(CoreContext& aContext, const Ids& aIds);
   void RemoveOld(CoreContext& aContext);
-  std::string HeldKey(const EntryId& aEntry, const RequestId& aId) const;
+  std::string HeldKey(const std::string& aEntry, const RequestId& aId) const;
 
   TableCalls& m_table;
   SessionKeeper& m_session;
@@ -182,18 +220,25 @@
   EntryId m_self;
   DataCentreName m_dataCentre;
   std::map<RequestId, Record> m_records;
-  // Records with a change that waits to be committed.
+  // Records whose first change waits to be committed.
   std::deque<RequestId> m_queue;
   std::size_t m_inFlight = 0;
-  TimePoint m_nextCommit;
+  int m_transactionsInFlight = 0;
+  TimePoint m_nextCommit = TimePoint::max();
   TimePoint m_lastCommit;
   int m_failures = 0;
+  // Batches to be read back.
+  std::deque<Ids> m_toReadBack;
+  TimePoint m_nextReadBack = TimePoint::max();
   std::deque<std::pair<TimePoint, RequestId>> m_finished;
-  // Epochs whose records are to be taken over, and ids found of them.
-  std::map<EntryId, std::uint64_t> m_deadEpochs;
-  std::set<EntryId> m_toList;
+  TimePoint m_nextRemove;
+  // The latest ended epoch of each dead host, hosts whose records have to be
+  // listed, and ids that were found and may be taken over.
+  std::map<std::string, std::uint64_t> m_deadEpochs;
+  std::set<std::string> m_toList;
   std::deque<RequestId> m_toAdopt;
   bool m_adopting = false;
+  int m_adoptFailures = 0;
   TimePoint m_nextAdopt;
   std::uint64_t m_transactionsSent = 0;
 };
--- a/src/liblycheestep/session_keeper.h
+++ b/src/liblycheestep/session_keeper.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "core_context.h"
@@ -83,6 +84,8 @@
   void Renewed(CoreContext& aContext, std::uint64_t aSequence);
   void Lose(CoreContext& aContext);
   void Retry(CoreContext& aContext);
+  void Step(CoreContext& aContext);
+  void FinishClose(CoreContext& aContext);
 
   TableCalls& m_table;
   SessionListener* m_listener = nullptr;
@@ -93,9 +96,9 @@
   bool m_closed = false;
   // What the next step has to be: reading first, or writing at m_version.
   bool m_mustRead = true;
-  // The epoch being opened or held, and the first one of this process.
+  // The epoch being opened or held, and all that this process ever held.
   std::uint64_t m_epoch = 0;
-  std::uint64_t m_firstEpoch = 0;
+  std::set<std::uint64_t> m_ownEpochs;
   // Identifies this process's writes among those of an earlier process of
   // the same name.
   std::uint64_t m_sequence = 0;
--- a/src/liblycheestep/session_watch.h
+++ b/src/liblycheestep/session_watch.h
@@ -22,8 +22,8 @@
 public:
   virtual ~SessionWatchListener() = default;
 
-  // The session is ended, by this host or another, and can't be renewed any
-  // more: its records may be taken over.
+  // The session of that epoch and all before it are ended, by this host or
+  // another, and can't be renewed any more: their records may be taken over.
   virtual void OnSessionEnded(CoreContext& aContext,
                               const EntryId& aEntry,
                               std::uint64_t aEpoch) = 0;
@@ -47,6 +47,9 @@
   // True when that very epoch was in force at the last read.
   bool IsLive(const EntryId& aEntry, std::uint64_t aEpoch) const;
 
+  // The epoch that the host had at the last read; zero when it is not live.
+  std::uint64_t LiveEpoch(const EntryId& aEntry) const;
+
   // True once the rows were read at least once.
   bool IsKnown() const { return m_known; }
 
@@ -72,9 +75,10 @@
     std::string m_value;
     // When the sequence was last seen to change, by uninterrupted reads.
     TimePoint m_since;
-    // When this host learnt that epochs below m_epoch, and with m_ended
-    // m_epoch itself, were over.
-    TimePoint m_endedSince;
+    // The epoch of the first read and its time: all below were over by then.
+    std::uint64_t m_firstEpoch = 0;
+    TimePoint m_firstSeen;
+    // When this host learnt that an epoch, and all before it, was over.
     std::map<std::uint64_t, TimePoint> m_endedEpochs;
     bool m_ending = false;
   };
