--- /dev/null
+++ b/src/gateway.service/answer_desk.cpp
@@ -0,0 +1,62 @@
+#include "answer_desk.h"
+
+#include <utility>
+
+namespace lycheestep {
+
+AnswerDesk::AnswerDesk(std::size_t aLimit)
+  : m_limit(aLimit)
+{
+}
+
+CallerTicket AnswerDesk::Open()
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  if (m_slots.size() >= m_limit) {
+    return 0;
+  }
+  ++m_lastTicket;
+  m_slots.try_emplace(m_lastTicket);
+  return m_lastTicket;
+}
+
+std::optional<DeskReply> AnswerDesk::Wait(CallerTicket aTicket,
+                                          TimePoint aUntil)
+{
+  std::unique_lock<std::mutex> lock(m_mutex);
+  const auto found = m_slots.find(aTicket);
+  if (found == m_slots.end()) {
+    return std::nullopt;
+  }
+  Slot& slot = found->second;
+  slot.m_answered.wait_until(
+    lock, aUntil, [&slot] { return slot.m_reply.has_value(); });
+  std::optional<DeskReply> reply = std::move(slot.m_reply);
+  m_slots.erase(aTicket);
+  return reply;
+}
+
+void AnswerDesk::Close(CallerTicket aTicket)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_slots.erase(aTicket);
+}
+
+void AnswerDesk::Deliver(CallerTicket aTicket, DeskReply aReply)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_slots.find(aTicket);
+  if (found == m_slots.end()) {
+    return;
+  }
+  found->second.m_reply = std::move(aReply);
+  found->second.m_answered.notify_one();
+}
+
+std::size_t AnswerDesk::Size() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_slots.size();
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/gateway.service/request_json.cpp
@@ -0,0 +1,138 @@
+#include "request_json.h"
+
+#include <chrono>
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+namespace lycheestep {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Bytes of a request id, a kind or a customer.
+constexpr std::size_t kNameLimit = 128;
+// Digits of a duration.
+constexpr std::size_t kDigitLimit = 9;
+constexpr Duration kDeadlineLimit = std::chrono::hours(24);
+
+// Sets aValue from a string member; false when it is no string or too long.
+bool ReadName(const Json& aJson, std::string& aValue)
+{
+  if (!aJson.is_string()) {
+    return false;
+  }
+  aValue = aJson.get<std::string>();
+  return !aValue.empty() && aValue.size() <= kNameLimit;
+}
+
+bool ReadDeadline(const Json& aJson, Duration& aValue)
+{
+  if (!aJson.is_string()) {
+    return false;
+  }
+  const auto duration = ReadDuration(aJson.get<std::string>());
+  aValue = duration.value_or(Duration::zero());
+  return duration && aValue > Duration::zero();
+}
+
+// Reads one member; returns what is allowed there if it is out of order.
+std::string ReadMember(const std::string& aKey,
+                       const Json& aJson,
+                       SubmitCall& aCall)
+{
+  std::string name;
+  Request& request = aCall.m_request;
+  if (aKey == "id") {
+    if (!ReadName(aJson, name) || !IsRequestId(name)) {
+      return "must be 1 to 128 letters, digits or any of -._~:";
+    }
+    request.m_id = RequestId(name);
+    return "";
+  }
+  if (aKey == "kind") {
+    const bool good = ReadName(aJson, name);
+    request.m_kind = KindName(name);
+    return good ? "" : "must be a string of 1 to 128 bytes";
+  }
+  if (aKey == "customer") {
+    const bool good = ReadName(aJson, name);
+    request.m_customer = CustomerName(name);
+    return good ? "" : "must be a string of 1 to 128 bytes";
+  }
+  if (aKey == "body") {
+    if (!aJson.is_string()) {
+      return "must be a string";
+    }
+    request.m_body = aJson.get<std::string>();
+    return "";
+  }
+  if (aKey == "deadline") {
+    return ReadDeadline(aJson, request.m_deadline)
+             ? ""
+             : "must be a duration such as \"250ms\" or \"2s\", at most 24h";
+  }
+  if (aKey == "wait") {
+    aCall.m_wait = aJson.is_boolean() && aJson.get<bool>();
+    return aJson.is_boolean() ? "" : "must be true or false";
+  }
+  return "is not a known key";
+}
+
+} // namespace
+
+SubmitCall ReadSubmitCall(const std::string& aText)
+{
+  SubmitCall call;
+  const Json json = Json::parse(aText, nullptr, false);
+  if (!json.is_object()) {
+    call.m_problem = "the body must be one JSON object";
+    return call;
+  }
+  for (const auto& [key, value] : json.items()) {
+    const std::string allowed = ReadMember(key, value, call);
+    if (!allowed.empty()) {
+      call.m_problem = "/" + key.substr(0, kNameLimit) + " " + allowed;
+      return call;
+    }
+  }
+  if (call.m_request.m_kind.Empty()) {
+    call.m_problem = "/kind is missing";
+  }
+  return call;
+}
+
+bool IsRequestId(const std::string& aText)
+{
+  constexpr std::string_view kAllowed =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~:";
+  return !aText.empty() && aText.size() <= kNameLimit &&
+         aText.find_first_not_of(kAllowed) == std::string::npos;
+}
+
+std::optional<Duration> ReadDuration(const std::string& aText)
+{
+  const std::size_t digits = aText.find_first_not_of("0123456789");
+  if (digits == 0 || digits == std::string::npos || digits > kDigitLimit) {
+    return std::nullopt;
+  }
+  const long amount = std::stol(aText.substr(0, digits));
+  const std::string unit = aText.substr(digits);
+  Duration step = Duration::zero();
+  if (unit == "ms") {
+    step = std::chrono::milliseconds(1);
+  } else if (unit == "s") {
+    step = std::chrono::seconds(1);
+  } else if (unit == "m") {
+    step = std::chrono::minutes(1);
+  } else if (unit == "h") {
+    step = std::chrono::hours(1);
+  }
+  if (step == Duration::zero() || amount > kDeadlineLimit / step) {
+    return std::nullopt;
+  }
+  return amount * step;
+}
+
+} // namespace lycheestep
--- a/src/liblycheestep/admission_queue.cpp
+++ b/src/liblycheestep/admission_queue.cpp
@@ -356,6 +356,12 @@
   });
 }
 
+bool AdmissionQueue::IsAboveFloor(WorkClass aClass) const
+{
+  const Group& group = m_classes[static_cast<std::size_t>(aClass)];
+  return group.m_share > group.m_floor;
+}
+
 AdmissionQueue::Lane* AdmissionQueue::FindLane(const KindName& aKind)
 {
   auto found = m_laneIndex.find(aKind);
--- a/src/liblycheestep/admission_queue.h
+++ b/src/liblycheestep/admission_queue.h
@@ -118,6 +118,10 @@
   // found no place: borrowed room should be given back to it.
   bool WantsRoom(WorkClass aClass) const;
 
+  // True when the class runs more than its floor: it may be asked to give
+  // room back.
+  bool IsAboveFloor(WorkClass aClass) const;
+
   // Lane heads looked at since the start; the deterministic cost of Next.
   std::uint64_t Comparisons() const { return m_comparisons; }
 
--- a/src/liblycheestep/worker_pool.cpp
+++ b/src/liblycheestep/worker_pool.cpp
@@ -39,6 +39,20 @@
     m_stopped = true;
     m_jobs.clear();
   }
+  JoinThreads();
+}
+
+void WorkerPool::Finish()
+{
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_stopped = true;
+  }
+  JoinThreads();
+}
+
+void WorkerPool::JoinThreads()
+{
   m_jobReady.notify_all();
   for (std::thread& thread : m_threads) {
     thread.join();
--- a/src/liblycheestep/worker_pool.h
+++ b/src/liblycheestep/worker_pool.h
@@ -29,7 +29,11 @@
   // Drops waiting jobs, and waits for the running ones.
   void Stop();
 
+  // Takes no new jobs, and waits until all that were taken have run.
+  void Finish();
+
 private:
+  void JoinThreads();
   void Work();
 
   const std::string m_name;
