Add the one binary with its commands

Cause: operators and callers need one program to check, apply and compare catalogues, to steer work and to submit requests.

Conclusion: entry and local join when the host library is there; until then the build says that it holds only the client commands.

--- a/src/config/catalogue_rules.cpp
+++ b/src/config/catalogue_rules.cpp
@@ -1,7 +1,9 @@
 #include "catalogue_rules.h"
 
 #include <cmath>
+#include <iomanip>
 #include <set>
+#include <sstream>
 #include <string>
 
 #include "json_access.h"
@@ -51,6 +53,15 @@
   return list.empty() ? "none" : list;
 }
 
+// A sum without the digits that rounding leaves behind.
+std::string Rounded(double aSum)
+{
+  constexpr int kDigits = 6;
+  std::ostringstream text;
+  text << std::setprecision(kDigits) << aSum;
+  return text.str();
+}
+
 void CheckWeights(const json& aDocument, ProblemList& aProblems)
 {
   const json* weights = FindMember(aDocument, "weights");
@@ -98,7 +109,8 @@
     ++index;
   }
   if (sum > 1.0 + kSumTolerance) {
-    aProblems.Add("/teams", sum, "the floors must add up to at most 1");
+    aProblems.AddText(
+      "/teams", Rounded(sum), "the floors must add up to at most 1");
   }
 }
 
@@ -107,12 +119,13 @@
                     ProblemList& aProblems)
 {
   const std::string form = TextMember(aKind, "form").value_or("request");
-  const double tasks = NumberMember(aKind, "tasks").value_or(1.0);
-  if (form == "gang" && tasks < 2.0) {
+  const std::int64_t tasks =
+    std::llround(NumberMember(aKind, "tasks").value_or(1.0));
+  if (form == "gang" && tasks < 2) {
     aProblems.Add(
       aPointer + "/tasks", tasks, "a gang must have 2 tasks or more");
   }
-  if ((form == "request" || form == "job") && tasks > 1.0) {
+  if ((form == "request" || form == "job") && tasks > 1) {
     aProblems.Add(aPointer + "/tasks",
                   tasks,
                   "must be 1 for a " + form +
--- /dev/null
+++ b/src/lycheestep/host_commands.cpp
@@ -0,0 +1,107 @@
+#include <cstdlib>
+#include <memory>
+
+#include "command_line.h"
+#include "commands.h"
+#include "embedded_catalogue.h"
+#include "lycheestep/document.h"
+#include "lycheestep/host_process.h"
+#include "lycheestep/process_settings.h"
+#include "output.h"
+#include "text_file.h"
+
+namespace lycheestep {
+
+namespace {
+
+constexpr const char* kLocalToken = "local-operator-token";
+
+ExitCode ReportProblems(const std::vector<DocumentProblem>& aProblems,
+                        Output& aOutput)
+{
+  for (const DocumentProblem& problem : aProblems) {
+    aOutput.Error(problem.Describe());
+  }
+  return ExitCode::kInvalid;
+}
+
+ExitCode ReportUnreadable(const std::string& aFile, Output& aOutput)
+{
+  aOutput.Error(aFile + ": must be a file that can be read");
+  return ExitCode::kInvalid;
+}
+
+ProcessSettings LocalSettings(const CommandLine& aCommandLine)
+{
+  const char* token = std::getenv("LYCHEESTEP_TOKEN");
+  ProcessSettings settings;
+  settings.m_scheduler.m_entry = EntryId("local");
+  settings.m_scheduler.m_dataCentre = DataCentreName("local");
+  settings.m_operatorToken = token != nullptr ? token : kLocalToken;
+  settings.m_httpPort = aCommandLine.m_port;
+  settings.m_logLevel = aCommandLine.m_logLevel;
+  return settings;
+}
+
+#ifndef LYCHEESTEP_HAS_HOST
+ExitCode ReportNoHost(Output& aOutput)
+{
+  aOutput.Error("this build holds only the client commands");
+  return ExitCode::kRefused;
+}
+#endif
+
+bool IsLogLevel(const std::string& aText)
+{
+  return aText == "debug" || aText == "info" || aText == "warn" ||
+         aText == "error";
+}
+
+} // namespace
+
+ExitCode RunEntryCommand(const CommandLine& aCommandLine, Output& aOutput)
+{
+  const auto text = ReadTextFile(aCommandLine.m_file);
+  if (!text) {
+    return ReportUnreadable(aCommandLine.m_file, aOutput);
+  }
+  const SettingsDocument read = ReadSettings(*text, aCommandLine.m_file);
+  if (!read.m_settings) {
+    return ReportProblems(read.m_problems, aOutput);
+  }
+#ifdef LYCHEESTEP_HAS_HOST
+  return static_cast<ExitCode>(RunEntry(*read.m_settings));
+#else
+  return ReportNoHost(aOutput);
+#endif
+}
+
+ExitCode RunLocalCommand(const CommandLine& aCommandLine, Output& aOutput)
+{
+  if (!IsLogLevel(aCommandLine.m_logLevel)) {
+    aOutput.Error("--log-level must be debug, info, warn or error");
+    return ExitCode::kInvalid;
+  }
+  std::string file = "built-in catalogue";
+  std::string text = EmbeddedCatalogue();
+  if (!aCommandLine.m_catalogueFile.empty()) {
+    file = aCommandLine.m_catalogueFile;
+    const auto given = ReadTextFile(file);
+    if (!given) {
+      return ReportUnreadable(file, aOutput);
+    }
+    text = *given;
+  }
+  const CatalogueDocument read = ReadCatalogue(text, file);
+  if (!read.m_catalogue) {
+    return ReportProblems(read.m_problems, aOutput);
+  }
+  const ProcessSettings settings = LocalSettings(aCommandLine);
+#ifdef LYCHEESTEP_HAS_HOST
+  return static_cast<ExitCode>(RunLocal(settings, read.m_catalogue));
+#else
+  return ReportNoHost(aOutput);
+#endif
+}
+
+} // namespace lycheestep
