Read a request's deadline with the units of the documents

Cause: callers wrote "2m" for what the catalogue calls "2min", and a kind of work with a long name in Vietnamese could stand in the catalogue but not be requested: names were limited to 128 bytes where the catalogue admits 100 characters.

Change: the gateway uses the parser of the documents and admits names of 400 bytes. `apply` sends "apply FILE" as the message when none is given, since the host asks for one, and prints the problems that the host found.

Figures: the gateway's test of durations now holds 2min and refuses 2m.

Conclusion: one parser of durations is left.

--- a/src/gateway.service/gateway_service_test.cpp
+++ b/src/gateway.service/gateway_service_test.cpp
@@ -121,6 +121,8 @@
 {
   EXPECT_EQ(ReadDuration("250ms"), Duration(std::chrono::milliseconds(250)));
   EXPECT_EQ(ReadDuration("24h"), Duration(std::chrono::hours(24)));
+  EXPECT_EQ(ReadDuration("2min"), Duration(std::chrono::minutes(2)));
+  EXPECT_FALSE(ReadDuration("2m"));
   EXPECT_FALSE(ReadDuration("25h"));
   EXPECT_FALSE(ReadDuration("2"));
   EXPECT_FALSE(ReadDuration("-2s"));
--- a/src/gateway.service/request_json.cpp
+++ b/src/gateway.service/request_json.cpp
@@ -5,16 +5,19 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
+#include "units.h"
+
 namespace lycheestep {
 
 namespace {
 
 using Json = nlohmann::json;
 
-// Bytes of a request id, a kind or a customer.
-constexpr std::size_t kNameLimit = 128;
-// Digits of a duration.
-constexpr std::size_t kDigitLimit = 9;
+// Bytes of a request id.
+constexpr std::size_t kIdLimit = 128;
+// Bytes of a kind or a customer: the catalogue admits 100 characters, each of
+// at most 4 bytes of UTF-8.
+constexpr std::size_t kNameLimit = 400;
 constexpr Duration kDeadlineLimit = std::chrono::hours(24);
 
 // Sets aValue from a string member; false when it is no string or too long.
@@ -54,12 +57,12 @@
   if (aKey == "kind") {
     const bool good = ReadName(aJson, name);
     request.m_kind = KindName(name);
-    return good ? "" : "must be a string of 1 to 128 bytes";
+    return good ? "" : "must be a string of 1 to 400 bytes";
   }
   if (aKey == "customer") {
     const bool good = ReadName(aJson, name);
     request.m_customer = CustomerName(name);
-    return good ? "" : "must be a string of 1 to 128 bytes";
+    return good ? "" : "must be a string of 1 to 400 bytes";
   }
   if (aKey == "body") {
     if (!aJson.is_string()) {
@@ -107,32 +110,14 @@
 {
   constexpr std::string_view kAllowed =
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~:";
-  return !aText.empty() && aText.size() <= kNameLimit &&
+  return !aText.empty() && aText.size() <= kIdLimit &&
          aText.find_first_not_of(kAllowed) == std::string::npos;
 }
 
 std::optional<Duration> ReadDuration(const std::string& aText)
 {
-  const std::size_t digits = aText.find_first_not_of("0123456789");
-  if (digits == 0 || digits == std::string::npos || digits > kDigitLimit) {
-    return std::nullopt;
-  }
-  const long amount = std::stol(aText.substr(0, digits));
-  const std::string unit = aText.substr(digits);
-  Duration step = Duration::zero();
-  if (unit == "ms") {
-    step = std::chrono::milliseconds(1);
-  } else if (unit == "s") {
-    step = std::chrono::seconds(1);
-  } else if (unit == "m") {
-    step = std::chrono::minutes(1);
-  } else if (unit == "h") {
-    step = std::chrono::hours(1);
-  }
-  if (step == Duration::zero() || amount > kDeadlineLimit / step) {
-    return std::nullopt;
-  }
-  return amount * step;
+  const std::optional<Duration> duration = ParseDuration(aText);
+  return duration && *duration <= kDeadlineLimit ? duration : std::nullopt;
 }
 
 } // namespace lycheestep
--- a/src/lycheestep/client_commands_test.cpp
+++ b/src/lycheestep/client_commands_test.cpp
@@ -121,7 +121,8 @@
     .WillOnce(Return(Answered(200, inForce)));
   ApiCall put;
   EXPECT_CALL(m_api, Call(Field(&ApiCall::m_method, ApiMethod::kPut)))
-    .WillOnce(testing::DoAll(testing::SaveArg<0>(&put), Return(Answered(423, held))));
+    .WillOnce(
+      testing::DoAll(testing::SaveArg<0>(&put), Return(Answered(423, held))));
   EXPECT_EQ(Apply(), ExitCode::kRefused);
   EXPECT_EQ(json::parse(put.m_body).at("base_version"), 4);
   EXPECT_EQ(json::parse(put.m_body).at("operator"), "Hạnh");
--- a/src/lycheestep/command_line.cpp
+++ b/src/lycheestep/command_line.cpp
@@ -74,7 +74,7 @@
   --log-level LEVEL  debug, info, warn or error [default: info].
   --base VERSION     Version that the change was made against. Default: the
                      file's "version", otherwise the version in force.
-  --message TEXT     Why, for the history [default: ].
+  --message TEXT     Why, for the history. Default: "apply FILE".
   --operator NAME    Who asks, for the history. Default: $USER.
   --customer NAME    The customer.
   --id ID            The request's id; a new one if not given.
@@ -189,6 +189,9 @@
   }
   aCommandLine.m_customer = TextOf(aArguments, "--customer");
   aCommandLine.m_message = TextOf(aArguments, "--message");
+  if (aCommandLine.m_message.empty()) {
+    aCommandLine.m_message = "apply " + aCommandLine.m_file;
+  }
   aCommandLine.m_id = TextOf(aArguments, "--id");
   aCommandLine.m_body = TextOf(aArguments, "--body");
   aCommandLine.m_bodyFile = TextOf(aArguments, "--body-file");
--- a/src/lycheestep/operator_reply.cpp
+++ b/src/lycheestep/operator_reply.cpp
@@ -44,6 +44,15 @@
   }
 }
 
+void PrintProblems(const json& aAnswer, Output& aOutput)
+{
+  for (const json& problem : ListMember(aAnswer, "problems")) {
+    aOutput.Error(TextOrEmpty(problem, "pointer") + ": " +
+                  TextOrEmpty(problem, "value") + ": " +
+                  TextOrEmpty(problem, "allowed"));
+  }
+}
+
 std::string AdviceFor(const std::string& aError)
 {
   if (aError == "unauthorized") {
@@ -108,6 +117,7 @@
     aOutput.Json(aAnswer);
   } else {
     PrintCalls(aAnswer, aOutput);
+    PrintProblems(aAnswer, aOutput);
   }
   if (unknown) {
     aOutput.Error("the effect is not known (" + detail +
