Tie the parts of the core into one scheduler

Cause: the parts of the core (admission, placement, grants, records, leases, catalogue, peers) had nothing that carries a request through them. Conclusion: a request has a whole path through the core.

--- a/src/include/lycheestep/operator_command.h
+++ b/src/include/lycheestep/operator_command.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEESTEP_OPERATOR_COMMAND_H
 #define LYCHEESTEP_OPERATOR_COMMAND_H
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -41,6 +42,8 @@
   std::uint64_t m_baseVersion = 0;
   // kApply: one line that says why, for the history.
   std::string m_message;
+  // When the operator asked, for the audit rows only.
+  std::chrono::system_clock::time_point m_askedAt;
 };
 
 // One accepted change of the catalogue.
--- /dev/null
+++ b/src/liblycheestep/core_parts.h
@@ -0,0 +1,47 @@
+#ifndef LYCHEESTEP_CORE_PARTS_H
+#define LYCHEESTEP_CORE_PARTS_H
+
+#include "admission_queue.h"
+#include "catalogue_keeper.h"
+#include "fleet.h"
+#include "grant_book.h"
+#include "lease_keeper.h"
+#include "lycheestep/scheduler_settings.h"
+#include "peer_directory.h"
+#include "placer.h"
+#include "record_keeper.h"
+#include "request_book.h"
+#include "session_keeper.h"
+#include "session_watch.h"
+#include "table_calls.h"
+#include "work_switches.h"
+
+namespace lycheestep {
+
+// The parts of the decision core that the flows of requests and operator
+// commands work with. Each part stands for itself; the flows are what ties
+// them together.
+struct CoreParts
+{
+  explicit CoreParts(const SchedulerSettings& aSettings);
+
+  TableCalls m_table;
+  Fleet m_fleet;
+  PeerDirectory m_peers;
+  SessionKeeper m_session;
+  SessionWatch m_watch;
+  LeaseKeeper m_leases;
+  GrantBook m_grants;
+  RecordKeeper m_records;
+  CatalogueKeeper m_catalogue;
+  WorkSwitches m_switches;
+  AdmissionQueue m_queue;
+  Placer m_placer;
+  RequestBook m_requests;
+  // A graceful stop was asked for: no new work.
+  bool m_stopping = false;
+};
+
+} // namespace lycheestep
+
+#endif
--- /dev/null
+++ b/src/liblycheestep/stop_flow.h
@@ -0,0 +1,49 @@
+#ifndef LYCHEESTEP_STOP_FLOW_H
+#define LYCHEESTEP_STOP_FLOW_H
+
+#include "core_context.h"
+#include "lycheestep/time_types.h"
+
+namespace lycheestep {
+
+struct CoreParts;
+class RequestAnswers;
+class RequestIntake;
+
+// The graceful stop of this host. New work is refused from the first moment.
+// Waiting requests go to a peer or are answered as not run, recorded ones are
+// left to the peers with their records. Requests whose callers wait are
+// finished, free shares are released, and the session is closed so that peers
+// take over tasks that go on running.
+class StopFlow
+{
+public:
+  StopFlow(CoreParts& aParts, RequestAnswers& aAnswers, RequestIntake& aIntake);
+
+  // Begins to stop; a second call changes nothing.
+  void Begin(CoreContext& aContext);
+
+  // Goes on when the step at hand is complete.
+  void Tick(CoreContext& aContext);
+  TimePoint NextWakeup() const;
+
+private:
+  void AnswerWaiting(CoreContext& aContext);
+  bool CallersWait() const;
+  void CloseSession(CoreContext& aContext);
+  void Complete(CoreContext& aContext);
+
+  CoreParts& m_parts;
+  RequestAnswers& m_answers;
+  RequestIntake& m_intake;
+  bool m_begun = false;
+  bool m_released = false;
+  bool m_closing = false;
+  bool m_completed = false;
+  TimePoint m_limit;
+  TimePoint m_nextCheck;
+};
+
+} // namespace lycheestep
+
+#endif
