Start services from their switch row, hold tasks to their run-time limit

Cause: a host that died between the operator's start and the service's record would have lost the start; a second start would have made a second instance; a run-time limit was declared and never enforced. Change: the row of the kind names the service's request and every host that reads it sees to it that the record exists; a start of what runs changes nothing; timers stop tasks past the limit; a stopped kind is not sent even if it was placed before. Conclusion: starts survive the death of the host that took them.

--- a/src/liblycheestep/dispatcher.cpp
+++ b/src/liblycheestep/dispatcher.cpp
@@ -243,7 +243,9 @@
     m_answers.Finish(aContext, aLive, answer);
     return;
   }
-  if (lapsed || m_parts.m_stopping) {
+  const bool stopped =
+    m_parts.m_stopping || m_parts.m_switches.Get(aLive.m_kind.m_name).m_stopped;
+  if (lapsed || stopped) {
     GiveBackPlaced(aLive);
     aLive.Note("the right to start it ended before it was sent");
     m_intake.Requeue(aContext, aLive);
--- a/src/liblycheestep/operator_flow.cpp
+++ b/src/liblycheestep/operator_flow.cpp
@@ -24,11 +24,6 @@
   return AnnouncedPrefix(aKind) + aCustomer.Text();
 }
 
-RequestId ServiceRequestId(const KindName& aKind)
-{
-  return RequestId("service-" + aKind.Text());
-}
-
 std::int64_t UnixMilliseconds(const OperatorCommand& aCommand)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -193,6 +188,11 @@
         Reply(aLater, aTicket, std::move(reply));
         return;
       }
+      if (!slows && aAnnouncements.m_runs) {
+        ReplyDetail(
+          aLater, aTicket, {}, aCommand.m_kind.Text() + " runs already");
+        return;
+      }
       WriteSwitch(aLater, aTicket, aCommand, aAnnouncements);
     });
 }
@@ -205,50 +205,31 @@
   const std::string key = WorkSwitches::KeyOf(aCommand.m_kind);
   TableTransaction transaction;
   transaction.m_conditions.push_back({ key, aAnnouncements.m_switchVersion });
+  proto::WorkRow row;
+  row.set_operator_name(aCommand.m_operator);
   std::string what = "started";
   if (aCommand.m_verb == OperatorVerb::kStart) {
-    transaction.m_writes.push_back({ key, std::string(), true });
+    const auto catalogue = m_parts.m_catalogue.Current();
+    const WorkKind* kind = catalogue->FindKind(aCommand.m_kind);
+    if (kind != nullptr && kind->m_form == WorkForm::kService) {
+      row.set_service_request("service-" + aCommand.m_kind.Text() + "-" +
+                              std::to_string(aContext.m_random()));
+    }
   } else {
     const bool drains = aCommand.m_verb == OperatorVerb::kDrain;
     what = drains ? "drained" : "stopped";
-    proto::WorkRow row;
     row.set_stopped(true);
     row.set_draining(drains);
-    row.set_operator_name(aCommand.m_operator);
-    transaction.m_writes.push_back({ key, row.SerializeAsString(), false });
     RemoveRows(aAnnouncements.m_rows, transaction);
   }
+  transaction.m_writes.push_back({ key, row.SerializeAsString(), false });
   const std::string audit = AddAudit(aContext, aCommand, what, transaction);
   Commit(aContext,
          aTicket,
          std::move(transaction),
          audit,
          aCommand.m_kind.Text() + " is " + what,
-         [this, aTicket, aCommand](CoreContext& aLater) {
-           HandleSwitchWritten(aLater, aTicket, aCommand);
-         });
-}
-
-void OperatorFlow::HandleSwitchWritten(CoreContext& aContext,
-                                       CallerTicket,
-                                       const OperatorCommand& aCommand)
-{
-  m_parts.m_switches.Refresh();
-  const auto catalogue = m_parts.m_catalogue.Current();
-  const WorkKind* kind =
-    catalogue ? catalogue->FindKind(aCommand.m_kind) : nullptr;
-  const bool startsService = kind != nullptr &&
-                             kind->m_form == WorkForm::kService &&
-                             aCommand.m_verb == OperatorVerb::kStart;
-  if (!startsService) {
-    return;
-  }
-  m_parts.m_switches.NoteStarted(aCommand.m_kind);
-  m_parts.m_queue.SetStopped(aCommand.m_kind, false);
-  Request request;
-  request.m_id = ServiceRequestId(aCommand.m_kind);
-  request.m_kind = aCommand.m_kind;
-  m_intake.Submit(aContext, Asker(), std::move(request));
+         [this](CoreContext&) { m_parts.m_switches.Refresh(); });
 }
 
 void OperatorFlow::Announce(CoreContext& aContext,
@@ -311,7 +292,11 @@
           announcements.m_rows.push_back(row);
           called.push_back(row.m_key);
         } else {
+          proto::WorkRow value;
           announcements.m_switchVersion = row.m_version;
+          announcements.m_runs = row.m_version > 0 &&
+                                 value.ParseFromString(row.m_value) &&
+                                 !value.stopped();
         }
       }
       const auto catalogue = m_parts.m_catalogue.Current();
@@ -399,6 +384,12 @@
                                    const WorkSwitch& aSwitch)
 {
   m_parts.m_queue.SetStopped(aKind, aSwitch.m_stopped);
+  if (!aSwitch.m_serviceRequest.Empty()) {
+    Request request;
+    request.m_id = aSwitch.m_serviceRequest;
+    request.m_kind = aKind;
+    m_intake.Submit(aContext, Asker(), std::move(request));
+  }
   if (!aSwitch.m_draining) {
     return;
   }
--- a/src/liblycheestep/operator_flow.h
+++ b/src/liblycheestep/operator_flow.h
@@ -46,6 +46,8 @@
     std::vector<TableRow> m_rows;
     // Version of the row of the kind's switch.
     std::uint64_t m_switchVersion = 0;
+    // The row says that the kind was started.
+    bool m_runs = false;
     // Promised customers who have not been called.
     std::vector<Customer> m_toCall;
   };
@@ -66,9 +68,6 @@
                    CallerTicket aTicket,
                    const OperatorCommand& aCommand,
                    const Announcements& aAnnouncements);
-  void HandleSwitchWritten(CoreContext& aContext,
-                           CallerTicket aTicket,
-                           const OperatorCommand& aCommand);
   void Announce(CoreContext& aContext,
                 CallerTicket aTicket,
                 const OperatorCommand& aCommand);
--- a/src/liblycheestep/request_intake.cpp
+++ b/src/liblycheestep/request_intake.cpp
@@ -378,21 +378,12 @@
   m_answers.Finish(aContext, *live, answer);
 }
 
-void RequestIntake::Tick(CoreContext& aContext)
-{
-  for (const RequestId& id : m_parts.m_requests.TakeDue(aContext.m_now)) {
-    LiveRequest* live = m_parts.m_requests.Find(id);
-    if (live != nullptr) {
-      HandleTimer(aContext, *live);
-    }
-  }
-}
-
 void RequestIntake::HandleTimer(CoreContext& aContext, LiveRequest& aLive)
 {
   const bool retryDue =
     aLive.m_retryAt != TimePoint{} && aLive.m_retryAt <= aContext.m_now;
-  if (retryDue && aLive.m_stage != RequestStage::kFinishing) {
+  if (retryDue && !aLive.m_stopReason &&
+      aLive.m_stage == RequestStage::kActive) {
     Requeue(aContext, aLive);
     return;
   }
--- a/src/liblycheestep/request_intake.h
+++ b/src/liblycheestep/request_intake.h
@@ -56,9 +56,9 @@
   // there is none or it must stay here.
   bool TryForward(CoreContext& aContext, LiveRequest& aLive);
 
-  // Gives up on answers of peers, and puts requests back into the queue whose
-  // retry is due.
-  void Tick(CoreContext& aContext);
+  // A timer of the request is due: puts it back into the queue for a retry,
+  // or gives up on the answer of a peer.
+  void HandleTimer(CoreContext& aContext, LiveRequest& aLive);
 
   // Puts a live request that is to be placed into the queue, however long
   // the queue is.
@@ -75,7 +75,6 @@
   bool RefuseInvalid(CoreContext& aContext,
                      const Asker& aAsker,
                      const Request& aRequest);
-  void HandleTimer(CoreContext& aContext, LiveRequest& aLive);
   void Admit(CoreContext& aContext, const Asker& aAsker, LiveRequest aLive);
   void Record(CoreContext& aContext, LiveRequest& aLive);
   void HandleRecorded(CoreContext& aContext,
--- a/src/liblycheestep/scheduler_state.cpp
+++ b/src/liblycheestep/scheduler_state.cpp
@@ -69,11 +69,21 @@
   m_parts.m_leases.Tick(aContext);
   m_parts.m_records.Tick(aContext);
   m_parts.m_peers.Tick(aContext);
-  m_intake.Tick(aContext);
+  HandleTimers(aContext);
   m_parts.m_requests.Expire(aContext.m_now);
   m_stop.Tick(aContext);
 }
 
+void SchedulerState::HandleTimers(CoreContext& aContext)
+{
+  for (const RequestId& id : m_parts.m_requests.TakeDue(aContext.m_now)) {
+    if (LiveRequest* live = m_parts.m_requests.Find(id)) {
+      m_tasks.HandleTimer(aContext, *live);
+      m_intake.HandleTimer(aContext, *live);
+    }
+  }
+}
+
 TimePoint SchedulerState::NextWakeup() const
 {
   if (!m_started || m_morePlacements) {
--- a/src/liblycheestep/scheduler_state.h
+++ b/src/liblycheestep/scheduler_state.h
@@ -60,6 +60,7 @@
   void On(CoreContext& aContext, const StopRequested& aEvent);
 
   void Tick(CoreContext& aContext);
+  void HandleTimers(CoreContext& aContext);
   void FetchHostListIfDue(CoreContext& aContext);
   void RefreshCapacity(CoreContext& aContext);
   void UpdateOwnLoad(CoreContext& aContext);
--- a/src/liblycheestep/task_flow.cpp
+++ b/src/liblycheestep/task_flow.cpp
@@ -53,6 +53,27 @@
   if (live->m_firstStart == TimePoint{}) {
     live->m_firstStart = aContext.m_now;
   }
+  const Duration limit = live->m_kind.m_runTimeLimit;
+  if (limit > Duration::zero()) {
+    m_parts.m_requests.SetTimer(aTask.m_request, aContext.m_now + limit);
+  }
+}
+
+void TaskFlow::HandleTimer(CoreContext& aContext, LiveRequest& aLive)
+{
+  const Duration limit = aLive.m_kind.m_runTimeLimit;
+  if (limit <= Duration::zero() || aLive.m_stopReason) {
+    return;
+  }
+  for (const LiveTask& task : aLive.m_tasks) {
+    const bool over = task.m_stage == TaskStage::kRunning &&
+                      task.m_startedAt + limit <= aContext.m_now;
+    if (over) {
+      aLive.Note("ran for longer than its kind allows");
+      StopTasks(aContext, aLive, SchedulerError::kTaskFailed);
+      return;
+    }
+  }
 }
 
 void TaskFlow::OnTaskEnded(CoreContext& aContext,
--- a/src/liblycheestep/task_flow.h
+++ b/src/liblycheestep/task_flow.h
@@ -45,6 +45,10 @@
                  LiveRequest& aLive,
                  std::error_code aReason);
 
+  // A timer of the request is due: stops tasks that ran for longer than their
+  // kind allows.
+  void HandleTimer(CoreContext& aContext, LiveRequest& aLive);
+
   void OnTaskStarted(CoreContext& aContext, const TrackedTask& aTask) override;
   void OnTaskEnded(CoreContext& aContext,
                    const TrackedTask& aTask,
--- a/src/liblycheestep/work_switches.cpp
+++ b/src/liblycheestep/work_switches.cpp
@@ -14,7 +14,8 @@
 bool Same(const WorkSwitch& aLeft, const WorkSwitch& aRight)
 {
   return aLeft.m_stopped == aRight.m_stopped &&
-         aLeft.m_draining == aRight.m_draining;
+         aLeft.m_draining == aRight.m_draining &&
+         aLeft.m_serviceRequest == aRight.m_serviceRequest;
 }
 
 } // namespace
@@ -64,7 +65,9 @@
       continue;
     }
     const KindName kind(row.m_key.substr(std::string(kPrefix).size()));
-    next[kind] = WorkSwitch{ value.stopped(), value.draining() };
+    next[kind] = WorkSwitch{ value.stopped(),
+                             value.draining(),
+                             RequestId(value.service_request()) };
   }
   const std::map<KindName, WorkSwitch> former =
     std::exchange(m_switches, std::move(next));
--- a/src/liblycheestep/work_switches.h
+++ b/src/liblycheestep/work_switches.h
@@ -22,6 +22,8 @@
   bool m_stopped = false;
   // Running tasks are stopped gracefully as well.
   bool m_draining = false;
+  // For a service that is to run: the id of its request.
+  RequestId m_serviceRequest;
 };
 
 // Told when the switch of a kind changed.
@@ -35,8 +37,8 @@
 };
 
 // The rows work/<kind>, which say whether operators have stopped or drained a
-// kind. One prefix read each m_cataloguePeriod, at every host; kinds that run
-// have no row.
+// kind. One prefix read each m_cataloguePeriod, at every host; kinds that were
+// never stopped have no row.
 class WorkSwitches
 {
 public:
@@ -53,9 +55,6 @@
   // The switch of the kind as last read.
   WorkSwitch Get(const KindName& aKind) const;
 
-  // The kind was started here; known at once, before the next read.
-  void NoteStarted(const KindName& aKind) { m_switches.erase(aKind); }
-
   // The key of a kind's row.
   static std::string KeyOf(const KindName& aKind);
 
