--- a/src/lycheestep/catalogue_commands.cpp
+++ b/src/lycheestep/catalogue_commands.cpp
@@ -14,6 +14,7 @@
 #include "lycheestep/document.h"
 #include "operator_reply.h"
 #include "output.h"
+#include "planned_slowdown.h"
 #include "text_file.h"
 
 namespace lycheestep {
@@ -120,6 +121,38 @@
   return list;
 }
 
+// A promised customer whose work a change would slow down.
+struct CustomerToCall
+{
+  KindName m_kind;
+  const Customer* m_customer = nullptr;
+};
+
+// All who have to be called before aAfter may replace aBefore, as the host
+// will judge it. Points into aBefore.
+std::vector<CustomerToCall> CustomersToCall(const Catalogue& aBefore,
+                                            const Catalogue& aAfter)
+{
+  std::vector<CustomerToCall> calls;
+  for (const KindName& kind : SlowedKinds(aBefore, aAfter)) {
+    for (const Customer* customer : aBefore.PromisedCustomersOf(kind)) {
+      calls.push_back({ kind, customer });
+    }
+  }
+  return calls;
+}
+
+json ToJson(const std::vector<CustomerToCall>& aCalls)
+{
+  json list = json::array();
+  for (const CustomerToCall& call : aCalls) {
+    list.push_back({ { "kind", call.m_kind.Text() },
+                     { "customer", call.m_customer->m_name.Text() },
+                     { "contact", call.m_customer->m_contact } });
+  }
+  return list;
+}
+
 ApiCall ApplyCall(const CommandLine& aCommandLine,
                   const Catalogue& aWanted,
                   std::uint64_t aBase)
@@ -192,10 +225,12 @@
   }
   const auto differences =
     CompareCatalogues(*inForce.m_catalogue, *wanted.m_catalogue);
+  const auto calls = CustomersToCall(*inForce.m_catalogue, *wanted.m_catalogue);
   const std::uint64_t version = inForce.m_catalogue->m_version;
   if (aCommandLine.m_json) {
-    aOutput.Json(
-      { { "version", version }, { "differences", ToJson(differences) } });
+    aOutput.Json({ { "version", version },
+                   { "differences", ToJson(differences) },
+                   { "to_call", ToJson(calls) } });
     return ExitCode::kDone;
   }
   aOutput.Line("against version " + std::to_string(version) + ": " +
@@ -203,6 +238,11 @@
   for (const DocumentDifference& difference : differences) {
     aOutput.Line(DescribeDifference(difference));
   }
+  for (const CustomerToCall& call : calls) {
+    aOutput.Line("slows down " + call.m_kind.Text() +
+                 ", call first: " + call.m_customer->m_name.Text() + " (" +
+                 call.m_customer->m_contact + ")");
+  }
   return ExitCode::kDone;
 }
 
--- a/src/lycheestep/client_commands_test.cpp
+++ b/src/lycheestep/client_commands_test.cpp
@@ -153,6 +153,20 @@
   EXPECT_THAT(m_out.str(), HasSubstr("+ teams/Mới: {"));
 }
 
+TEST_F(ClientCommands, DiffNamesWhomAChangeSlowsDown)
+{
+  json changed = json::parse(EmbeddedCatalogue());
+  changed["kinds"][0]["class"] = "batch";
+  UseFile(changed.dump());
+  const json inForce = { { "version", 4 },
+                         { "catalogue", json::parse(EmbeddedCatalogue()) } };
+  EXPECT_CALL(m_api, Call(_)).WillOnce(Return(Answered(200, inForce)));
+  EXPECT_EQ(RunDiffCommand(m_commandLine, m_api, m_output), ExitCode::kDone);
+  EXPECT_THAT(m_out.str(),
+              HasSubstr("slows down tender-quote, call first: Nhà phân phối"));
+  EXPECT_THAT(m_out.str(), HasSubstr("call first: Phòng Giáo dục Quận 7"));
+}
+
 TEST_F(ClientCommands, WorkCommandsEncodeNames)
 {
   m_commandLine.m_command = Command::kDrain;
