Say not run only of what never ran, and take what is on its way to a stop

Change: a request that may have run is never answered as not run, whatever ends it; a host without shares forwards, and so does one where a request found no room for a second; a stop takes what arrives in its first second, sends later requests to peers, and finishes what callers wait for before it releases its shares.

--- a/src/liblycheestep/core_parts.h
+++ b/src/liblycheestep/core_parts.h
@@ -18,6 +18,15 @@
 
 namespace lycheestep {
 
+// How far a graceful stop has come.
+enum class StopStage
+{
+  kNone,
+  kAccepting, // not ready any more; takes what was on its way here
+  kFinishing, // sends new work to peers, finishes what callers wait for
+  kLeaving,   // starts nothing; releases its shares and closes its session
+};
+
 // The parts of the decision core that the flows of requests and operator
 // commands work with. Each part stands for itself; the flows are what ties
 // them together.
@@ -38,8 +47,7 @@
   AdmissionQueue m_queue;
   Placer m_placer;
   RequestBook m_requests;
-  // A graceful stop was asked for: no new work.
-  bool m_stopping = false;
+  StopStage m_stop = StopStage::kNone;
 };
 
 } // namespace lycheestep
--- a/src/liblycheestep/dispatcher.cpp
+++ b/src/liblycheestep/dispatcher.cpp
@@ -35,7 +35,7 @@
 
 bool Dispatcher::Run(CoreContext& aContext)
 {
-  if (m_parts.m_stopping) {
+  if (m_parts.m_stop == StopStage::kLeaving) {
     return false;
   }
   for (int i = 0; i < kPlacementsPerEvent; ++i) {
@@ -160,7 +160,6 @@
     task.m_target = aTargets[next++];
     task.m_demand = aLive.m_kind.m_demand;
     task.m_attempt = NewAttempt(aContext);
-    task.m_report = TaskReport();
     m_parts.m_fleet.Take(task.m_target, task.m_demand);
   }
   m_parts.m_queue.Started(aLive.m_kind.m_name,
@@ -243,8 +242,8 @@
     m_answers.Finish(aContext, aLive, answer);
     return;
   }
-  const bool stopped =
-    m_parts.m_stopping || m_parts.m_switches.Get(aLive.m_kind.m_name).m_stopped;
+  const bool stopped = m_parts.m_stop == StopStage::kLeaving ||
+                       m_parts.m_switches.Get(aLive.m_kind.m_name).m_stopped;
   if (lapsed || stopped) {
     GiveBackPlaced(aLive);
     aLive.Note("the right to start it ended before it was sent");
--- a/src/liblycheestep/live_request.h
+++ b/src/liblycheestep/live_request.h
@@ -72,6 +72,8 @@
   // True when a row of the table stands for it.
   bool m_recorded = false;
   bool m_cancelled = false;
+  // True once an attempt of it ran or may have run: "not run" is ruled out.
+  bool m_mayHaveRun = false;
   // Callers of this host who wait for the answer.
   std::vector<CallerTicket> m_waiters;
   // Entry hosts that forwarded it here and wait for the answer.
--- a/src/liblycheestep/operator_flow.cpp
+++ b/src/liblycheestep/operator_flow.cpp
@@ -415,7 +415,7 @@
   };
   add("host",
       aContext.m_settings.m_entry.Text(),
-      m_parts.m_stopping ? "stopping" : "running");
+      m_parts.m_stop == StopStage::kNone ? "running" : "stopping");
   add(
     "table", "reachable", m_parts.m_session.IsTableReachable() ? "yes" : "no");
   add("session", "epoch", std::to_string(m_parts.m_session.Epoch()));
--- a/src/liblycheestep/request_answers.cpp
+++ b/src/liblycheestep/request_answers.cpp
@@ -113,6 +113,9 @@
                             Answer aAnswer)
 {
   aAnswer.m_request = aLive.m_request.m_id;
+  if (aAnswer.m_outcome == Outcome::kNotRun && aLive.m_mayHaveRun) {
+    CorrectNotRun(aLive, aAnswer);
+  }
   if (!aLive.m_recorded) {
     Deliver(aContext, aAnswer);
     return;
@@ -138,6 +141,23 @@
     });
 }
 
+void RequestAnswers::CorrectNotRun(const LiveRequest& aLive, Answer& aAnswer)
+{
+  aAnswer.m_outcome = Outcome::kUnknown;
+  for (const LiveTask& task : aLive.m_tasks) {
+    if (task.m_report.m_state == AttemptState::kEnded) {
+      aAnswer.m_outcome = Outcome::kDone;
+      aAnswer.m_body = task.m_report.m_body;
+      aAnswer.m_target = task.m_target;
+    }
+  }
+  if (aAnswer.m_error != SchedulerError::kCancelled) {
+    aAnswer.m_error = aAnswer.m_outcome == Outcome::kDone
+                        ? SchedulerError::kTaskFailed
+                        : SchedulerError::kTargetLost;
+  }
+}
+
 void RequestAnswers::Deliver(CoreContext& aContext, const Answer& aAnswer)
 {
   LiveRequest* live = m_parts.m_requests.Find(aAnswer.m_request);
--- a/src/liblycheestep/request_answers.h
+++ b/src/liblycheestep/request_answers.h
@@ -46,8 +46,9 @@
   // can be asked for later.
   void SendPending(CoreContext& aContext, LiveRequest& aLive);
 
-  // Ends a live request. The request is gone from the book afterwards, at
-  // once or when its record is written.
+  // Ends a live request. "Not run" is corrected to what is true if an attempt
+  // ran or may have run before. The request is gone from the book afterwards,
+  // at once or when its record is written.
   void Finish(CoreContext& aContext, LiveRequest& aLive, Answer aAnswer);
 
   // Another host looks after the request: answers everybody who waits here
@@ -65,6 +66,7 @@
   static Answer FromProto(const proto::ForwardedAnswer& aFrom);
 
 private:
+  static void CorrectNotRun(const LiveRequest& aLive, Answer& aAnswer);
   void Deliver(CoreContext& aContext, const Answer& aAnswer);
   void ForgetAtTargets(const LiveRequest& aLive);
 
--- a/src/liblycheestep/request_intake.cpp
+++ b/src/liblycheestep/request_intake.cpp
@@ -24,6 +24,10 @@
 // When a refused caller may try again if nothing better is known.
 constexpr Duration kRetryAfter = seconds(1);
 
+// A request that found no room for this long, or for a quarter of its
+// deadline if that is shorter, goes to a peer that has room.
+constexpr Duration kForwardAfter = seconds(1);
+
 int TasksOf(const WorkKind& aKind)
 {
   const bool many =
@@ -119,11 +123,6 @@
                   "the id is longer than 128 bytes",
                   Duration::zero());
   }
-  if (m_parts.m_stopping) {
-    return refuse(SchedulerError::kStopping,
-                  "this entry host is stopping; send the request again",
-                  kRetryAfter);
-  }
   const auto catalogue = m_parts.m_catalogue.Current();
   if (catalogue == nullptr) {
     return refuse(SchedulerError::kPlatformUnreachable,
@@ -157,6 +156,10 @@
                           const Asker& aAsker,
                           LiveRequest aLive)
 {
+  if (m_parts.m_stop >= StopStage::kFinishing) {
+    ForwardOrRefuse(aContext, aAsker, std::move(aLive));
+    return;
+  }
   const AdmissionVerdict verdict =
     m_parts.m_queue.Offer(ToWaiting(aLive, false), aContext.m_now);
   LiveRequest& live = m_parts.m_requests.Open(std::move(aLive));
@@ -180,6 +183,9 @@
     m_parts.m_requests.Drop(RequestId(live.m_request.m_id));
     return;
   }
+  if (!HasShares(aContext.m_now) && TryForward(aContext, live)) {
+    return;
+  }
   line.m_decision = DecisionKind::kAdmitted;
   line.m_why = "admitted";
   aContext.m_actions.emplace_back(std::move(line));
@@ -188,11 +194,42 @@
     return;
   }
   live.m_stage = RequestStage::kWaiting;
+  m_parts.m_requests.SetTimer(
+    live.m_request.m_id,
+    aContext.m_now + std::min(kForwardAfter, live.m_request.m_deadline / 4));
   if (live.IsAnsweredLater()) {
     m_answers.SendPending(aContext, live);
   }
 }
 
+void RequestIntake::ForwardOrRefuse(CoreContext& aContext,
+                                    const Asker& aAsker,
+                                    LiveRequest aLive)
+{
+  LiveRequest& live = m_parts.m_requests.Open(std::move(aLive));
+  AddAsker(live, aAsker);
+  if (TryForward(aContext, live)) {
+    return;
+  }
+  const RequestId id = live.m_request.m_id;
+  m_answers.Refuse(aContext,
+                   aAsker,
+                   id,
+                   SchedulerError::kStopping,
+                   "this entry host is stopping; send the request again",
+                   kRetryAfter);
+  m_parts.m_requests.Drop(id);
+}
+
+bool RequestIntake::HasShares(TimePoint aNow) const
+{
+  const auto& targets = m_parts.m_fleet.Targets();
+  return std::any_of(
+    targets.begin(), targets.end(), [aNow](const FleetTarget& aTarget) {
+      return aTarget.TakesWork() && !aTarget.m_grant.UsableAt(aNow).IsZero();
+    });
+}
+
 void RequestIntake::Record(CoreContext& aContext, LiveRequest& aLive)
 {
   // It waits for its record and not for a target, and takes its place in the
@@ -387,6 +424,10 @@
     Requeue(aContext, aLive);
     return;
   }
+  if (aLive.m_stage == RequestStage::kWaiting) {
+    TryForward(aContext, aLive);
+    return;
+  }
   if (aLive.m_stage == RequestStage::kForwarded &&
       aLive.m_forwardUntil <= aContext.m_now) {
     Answer answer;
--- a/src/liblycheestep/request_intake.h
+++ b/src/liblycheestep/request_intake.h
@@ -76,6 +76,10 @@
                      const Asker& aAsker,
                      const Request& aRequest);
   void Admit(CoreContext& aContext, const Asker& aAsker, LiveRequest aLive);
+  void ForwardOrRefuse(CoreContext& aContext,
+                       const Asker& aAsker,
+                       LiveRequest aLive);
+  bool HasShares(TimePoint aNow) const;
   void Record(CoreContext& aContext, LiveRequest& aLive);
   void HandleRecorded(CoreContext& aContext,
                       const RequestId& aId,
--- a/src/liblycheestep/scheduler_state.cpp
+++ b/src/liblycheestep/scheduler_state.cpp
@@ -105,7 +105,12 @@
 
 bool SchedulerState::IsReady() const
 {
-  return !m_parts.m_stopping && m_parts.m_catalogue.Current() != nullptr;
+  if (m_parts.m_stop != StopStage::kNone ||
+      m_parts.m_catalogue.Current() == nullptr) {
+    return false;
+  }
+  // A host without shares can still hand requests to its peers.
+  return !m_capacity.IsZero() || m_hasPeers;
 }
 
 void SchedulerState::FetchHostListIfDue(CoreContext& aContext)
@@ -145,9 +150,10 @@
   if (aContext.m_now < m_parts.m_peers.NextWakeup()) {
     return;
   }
+  m_hasPeers = !m_parts.m_peers.Alive(aContext.m_now).empty();
   PeerLoad load;
   load.m_catalogueVersion = m_parts.m_catalogue.Version();
-  load.m_leaving = m_parts.m_stopping;
+  load.m_leaving = m_parts.m_stop != StopStage::kNone;
   load.m_free = m_parts.m_fleet.TotalFree(aContext.m_now);
   load.m_largestFree = m_parts.m_fleet.LargestFree(aContext.m_now);
   load.m_waiting = static_cast<std::uint32_t>(m_parts.m_queue.Waiting());
--- a/src/liblycheestep/scheduler_state.h
+++ b/src/liblycheestep/scheduler_state.h
@@ -77,10 +77,12 @@
   bool m_started = false;
   // More work may be placed without waiting for anything.
   bool m_morePlacements = false;
+  // A peer was alive at the last heartbeat.
+  bool m_hasPeers = false;
   bool m_fetchingHosts = false;
   TimePoint m_nextHostList;
   TimePoint m_nextCapacity;
-  // The catalogue for which the capacity was last set.
+  // What this host's shares held at the last look.
   Resources m_capacity;
 };
 
--- a/src/liblycheestep/stop_flow.cpp
+++ b/src/liblycheestep/stop_flow.cpp
@@ -15,7 +15,12 @@
 // Time between looks at whether the callers have their answers.
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(100);
 
-// Kept free at the end of the stop limit to close the session.
+// Requests that were on their way when the stop began arrive within this time.
+constexpr Duration kAcceptTime = std::chrono::seconds(1);
+
+// Kept free at the end of the stop limit to release shares, and to close the
+// session.
+constexpr Duration kLeaveTime = std::chrono::seconds(6);
 constexpr Duration kCloseTime = std::chrono::seconds(3);
 
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
@@ -33,13 +38,27 @@
 
 void StopFlow::Begin(CoreContext& aContext)
 {
-  if (m_begun) {
+  if (m_parts.m_stop != StopStage::kNone) {
     return;
   }
-  m_begun = true;
-  m_parts.m_stopping = true;
+  m_parts.m_stop = StopStage::kAccepting;
+  m_acceptUntil = aContext.m_now + kAcceptTime;
   m_limit = aContext.m_now + aContext.m_settings.m_stopLimit;
   m_nextCheck = aContext.m_now;
+}
+
+void StopFlow::LeaveRecordedToPeers()
+{
+  for (const auto& [id, live] : m_parts.m_requests.Live()) {
+    if (live.m_stage == RequestStage::kWaiting && live.m_recorded) {
+      m_parts.m_queue.Remove(id);
+    }
+  }
+}
+
+void StopFlow::Leave(CoreContext& aContext)
+{
+  m_parts.m_stop = StopStage::kLeaving;
   AnswerWaiting(aContext);
   m_parts.m_grants.ReleaseAll(aContext,
                               [this](CoreContext&) { m_released = true; });
@@ -84,7 +103,8 @@
 
 void StopFlow::Tick(CoreContext& aContext)
 {
-  if (!m_begun || m_completed || aContext.m_now < m_nextCheck) {
+  if (m_parts.m_stop == StopStage::kNone || m_completed ||
+      aContext.m_now < m_nextCheck) {
     return;
   }
   m_nextCheck = aContext.m_now + kCheckPeriod;
@@ -92,6 +112,29 @@
     Complete(aContext);
     return;
   }
+  const bool late = aContext.m_now >= m_limit - kLeaveTime;
+  switch (m_parts.m_stop) {
+    case StopStage::kNone:
+      return;
+    case StopStage::kAccepting:
+      if (aContext.m_now >= m_acceptUntil) {
+        m_parts.m_stop = StopStage::kFinishing;
+      }
+      return;
+    case StopStage::kFinishing:
+      LeaveRecordedToPeers();
+      if (!CallersWait() || late) {
+        Leave(aContext);
+      }
+      return;
+    case StopStage::kLeaving:
+      CloseIfIdle(aContext);
+      return;
+  }
+}
+
+void StopFlow::CloseIfIdle(CoreContext& aContext)
+{
   if (m_closing) {
     return;
   }
@@ -130,7 +173,8 @@
 
 TimePoint StopFlow::NextWakeup() const
 {
-  return m_begun && !m_completed ? m_nextCheck : TimePoint::max();
+  const bool active = m_parts.m_stop != StopStage::kNone && !m_completed;
+  return active ? m_nextCheck : TimePoint::max();
 }
 
 } // namespace lycheestep
--- a/src/liblycheestep/stop_flow.h
+++ b/src/liblycheestep/stop_flow.h
@@ -10,11 +10,12 @@
 class RequestAnswers;
 class RequestIntake;
 
-// The graceful stop of this host. New work is refused from the first moment.
-// Waiting requests go to a peer or are answered as not run, recorded ones are
-// left to the peers with their records. Requests whose callers wait are
-// finished, free shares are released, and the session is closed so that peers
-// take over tasks that go on running.
+// The graceful stop of this host. It is not ready from the first moment, but
+// still takes the requests that are on their way to it. Later ones go to a
+// peer or are refused. Requests whose callers wait are finished, recorded ones
+// that wait are left to the peers with their records. Then free shares are
+// released, and the session is closed so that peers take over tasks that go
+// on running.
 class StopFlow
 {
 public:
@@ -28,7 +29,10 @@
   TimePoint NextWakeup() const;
 
 private:
+  void LeaveRecordedToPeers();
+  void Leave(CoreContext& aContext);
   void AnswerWaiting(CoreContext& aContext);
+  void CloseIfIdle(CoreContext& aContext);
   bool CallersWait() const;
   void CloseSession(CoreContext& aContext);
   void Complete(CoreContext& aContext);
@@ -36,10 +40,10 @@
   CoreParts& m_parts;
   RequestAnswers& m_answers;
   RequestIntake& m_intake;
-  bool m_begun = false;
   bool m_released = false;
   bool m_closing = false;
   bool m_completed = false;
+  TimePoint m_acceptUntil;
   TimePoint m_limit;
   TimePoint m_nextCheck;
 };
--- a/src/liblycheestep/task_flow.cpp
+++ b/src/liblycheestep/task_flow.cpp
@@ -131,13 +131,16 @@
   }
   const bool wasCheckpointed =
     task->m_checkpointing && aEnd == TaskEnd::kStopped;
+  live->m_mayHaveRun = live->m_mayHaveRun || aEnd != TaskEnd::kNeverStarted;
   const bool ran =
     aEnd != TaskEnd::kNeverStarted && live->m_firstStart == TimePoint{};
   if (ran && aEnd != TaskEnd::kLost) {
     live->m_firstStart = aContext.m_now - aReport.m_ranFor;
   }
   task->m_stage = TaskStage::kEnded;
-  task->m_report = aReport;
+  if (aEnd != TaskEnd::kNeverStarted && aEnd != TaskEnd::kLost) {
+    task->m_report = aReport;
+  }
   live->Note(aTask.m_target.Text() + ": " + aWhy);
   if (IsService(*live) && !live->m_stopReason) {
     HandleServiceEnd(aContext, *live, *task);
@@ -193,7 +196,8 @@
                            TaskEnd aEnd,
                            TimePoint aNow) const
 {
-  if (aLive.m_stopReason || aLive.m_cancelled || m_parts.m_stopping) {
+  if (aLive.m_stopReason || aLive.m_cancelled ||
+      m_parts.m_stop == StopStage::kLeaving) {
     return false;
   }
   if (aEnd != TaskEnd::kNeverStarted && !aLive.m_kind.m_repeatable) {
