--- a/src/liblycheestep/grant_book.cpp
+++ b/src/liblycheestep/grant_book.cpp
@@ -501,8 +501,10 @@
     return false;
   }
   const Resources given = main + reserve;
-  // Every host keeps a part, so that it can serve when it is cut off.
-  const Resources least = FairShare().Scaled(1, kKeptPart);
+  // Every host keeps a part, so that it can serve when it is cut off, and its
+  // even share while work of its own waits.
+  const Resources least =
+    m_wanted.IsZero() ? FairShare().Scaled(1, kKeptPart) : FairShare();
   if (!(least + m_givenInPlan + given).FitsIn(Held())) {
     return false;
   }
@@ -688,8 +690,9 @@
       missing = Resources::Max(missing, m_largestTask);
     }
   }
-  // A new host asks for half of its even part before any demand shows.
-  const Resources least = FairShare().Scaled(1, 2);
+  // A new host asks for its even share before any demand shows. Others never
+  // push it below this, so nobody asks back what it gave.
+  const Resources least = FairShare().Scaled(1, kKeptPart);
   const Resources held = Held();
   if (!least.FitsIn(held)) {
     missing = Resources::Max(missing, NotNegative(FairShare() - held));
--- a/src/liblycheestep/lease_keeper.cpp
+++ b/src/liblycheestep/lease_keeper.cpp
@@ -94,6 +94,10 @@
   RenewLeases renewal;
   renewal.m_renewal.m_leaseTerm = aContext.m_settings.m_leaseTerm;
   target.m_renewing.clear();
+  target.m_startedBefore.clear();
+  // A call that gets no answer may have renewed. A silent target is therefore
+  // only asked: its tasks' leases must lapse some time.
+  const bool renew = target.m_failures == 0;
   for (const AttemptId& attempt : target.m_tasks) {
     const Task& task = m_tasks.at(attempt);
     if (address.empty()) {
@@ -102,14 +106,18 @@
     if (task.m_disowned) {
       continue;
     }
-    renewal.m_renewal.m_renew.push_back(attempt);
-    if (task.m_task.m_started) {
+    if (renew) {
       target.m_renewing.insert(attempt);
     }
+    if (task.m_task.m_started) {
+      target.m_startedBefore.insert(attempt);
+    }
   }
-  for (const AttemptId& attempt : target.m_orphans) {
-    renewal.m_renewal.m_renew.push_back(attempt);
+  std::set<AttemptId> all = target.m_renewing;
+  if (renew) {
+    all.insert(target.m_orphans.begin(), target.m_orphans.end());
   }
+  renewal.m_renewal.m_renew.assign(all.begin(), all.end());
   target.m_forgetting = std::move(target.m_forget);
   target.m_forget.clear();
   renewal.m_renewal.m_forget.assign(target.m_forgetting.begin(),
@@ -339,15 +347,16 @@
   }
   Target& target = found->second;
   target.m_calling = false;
-  const std::set<AttemptId> renewed = std::move(target.m_renewing);
-  target.m_renewing.clear();
+  const std::set<AttemptId> started = std::move(target.m_startedBefore);
+  target.m_startedBefore.clear();
   // Whatever the answer, the call may have renewed the leases until now.
-  for (const AttemptId& attempt : target.m_tasks) {
-    Task& task = m_tasks.at(attempt);
-    if (!task.m_starting) {
-      Contact(aContext, task);
+  for (const AttemptId& attempt : target.m_renewing) {
+    auto task = m_tasks.find(attempt);
+    if (task != m_tasks.end() && !task->second.m_starting) {
+      Contact(aContext, task->second);
     }
   }
+  target.m_renewing.clear();
   if (!aReport.m_reached) {
     ++target.m_failures;
     target.m_forget.insert(target.m_forgetting.begin(),
@@ -359,16 +368,19 @@
     Due(target.m_nextCall);
     return;
   }
+  // After a silence the next call renews what is left.
+  target.m_nextCall = aContext.m_now;
+  if (target.m_failures == 0) {
+    target.m_nextCall +=
+      Jittered(aContext.m_random, aContext.m_settings.m_leasePeriod);
+  }
   target.m_failures = 0;
-  target.m_nextCall =
-    aContext.m_now +
-    Jittered(aContext.m_random, aContext.m_settings.m_leasePeriod);
   Due(target.m_nextCall);
   NoteLeaving(aReport);
   for (const TaskReport& report : aReport.m_tasks) {
     HandleReport(aContext, aReport.m_target, report);
   }
-  HandleMissing(aContext, aReport, renewed);
+  HandleMissing(aContext, aReport, started);
   m_targets[aReport.m_target].m_forgetting.clear();
 }
 
@@ -440,7 +452,7 @@
 
 void LeaseKeeper::HandleMissing(CoreContext& aContext,
                                 const TargetReport& aReport,
-                                const std::set<AttemptId>& aRenewed)
+                                const std::set<AttemptId>& aStarted)
 {
   std::set<AttemptId> reported;
   for (const TaskReport& report : aReport.m_tasks) {
@@ -456,7 +468,7 @@
   }
   // A task that had started before the call and is not known any more was
   // forgotten by a restart of its target: it is over.
-  for (const AttemptId& attempt : aRenewed) {
+  for (const AttemptId& attempt : aStarted) {
     if (reported.count(attempt) == 0 && Tracks(attempt)) {
       Lost(aContext, attempt);
     }
--- a/src/liblycheestep/lease_keeper.h
+++ b/src/liblycheestep/lease_keeper.h
@@ -176,8 +176,10 @@
     // call under way names.
     std::set<AttemptId> m_forget;
     std::set<AttemptId> m_forgetting;
-    // Started tasks that the call under way renews.
+    // Tasks that the call under way renews, and those that had started when
+    // it was sent.
     std::set<AttemptId> m_renewing;
+    std::set<AttemptId> m_startedBefore;
     // Tasks of dead hosts to keep alive.
     std::set<AttemptId> m_orphans;
     // Ended attempts of unknown owners, with the time they were first seen.
@@ -197,7 +199,7 @@
                        const TaskReport& aReport);
   void HandleMissing(CoreContext& aContext,
                      const TargetReport& aReport,
-                     const std::set<AttemptId>& aRenewed);
+                     const std::set<AttemptId>& aStarted);
   void NoteLeaving(const TargetReport& aReport);
   void Started(CoreContext& aContext, const AttemptId& aAttempt);
   void Ended(CoreContext& aContext, const TaskReport& aReport);
