Add 39 scripted cases and what is known to be red

Cause: each line of "What fails" has to be shown alone, and the worst in pairs, at both users' sizes and delays, against all that must always hold.

Change: 39 cases under testsuite, the page docs/SCENARIOS.md, make scenario, and KNOWN-RED.txt: a test listed there still runs and turns the build red once it passes.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,7 @@
 
 lint: $(BUILD)/build.ninja ## run the linter on every source file
 	@echo $(filter %.cpp,$(SOURCES)) | tr ' ' '\n' | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
+
+scenario: $(BUILD)/build.ninja ## run one scripted case with its trace: CASE=entry-pauses
+	@cmake --build $(BUILD) -j $(JOBS) --target lycheestep-scenario >/dev/null
+	@$(BUILD)/src/scenario/lycheestep-scenario --trace testsuite/$(CASE)/case.scenario
--- a/src/scenario/caller_model.cpp
+++ b/src/scenario/caller_model.cpp
@@ -157,6 +157,7 @@
       (answer.m_outcome == Outcome::kUnknown && !answer.m_notFound)) {
     request.m_acknowledged = request.m_acknowledged || answer.m_pending;
     request.m_unknownAnswers += answer.m_pending ? 0 : 1;
+    request.m_saidUnknown = !answer.m_pending;
     if (!request.m_final) {
       AskLater(call.m_request);
     }
--- a/src/scenario/caller_model.h
+++ b/src/scenario/caller_model.h
@@ -52,6 +52,8 @@
   // Nobody was there to take it.
   std::size_t m_noHost = 0;
   std::size_t m_unknownAnswers = 0;
+  // The last answer was unknown, and not merely pending.
+  bool m_saidUnknown = false;
   // The answer that settled it; none when the connection was lost.
   std::optional<Answer> m_final;
   TimePoint m_finalAt;
--- a/src/scenario/expectation_checker.h
+++ b/src/scenario/expectation_checker.h
@@ -45,6 +45,7 @@
   std::string CheckAll(const Expectation& aExpectation) const;
   std::string CheckWait(const Expectation& aExpectation) const;
   std::string CheckShare(const Expectation& aExpectation) const;
+  std::string CheckRunning(const Expectation& aExpectation) const;
   std::string CheckOperator(const Expectation& aExpectation) const;
   bool TookEffect(const std::string& aOperator) const;
   const OperatorCall* LastCallOf(const std::string& aOperator) const;
--- a/src/scenario/invariant_checker.h
+++ b/src/scenario/invariant_checker.h
@@ -61,6 +61,9 @@
   const WorkKind* KindOf(const RequestId& aRequest) const;
   std::size_t TasksOf(const RequestId& aRequest) const;
 
+  // True for a run that was stopped because it took too long.
+  static bool RanToItsLimit(const WorkKind& aKind, const Run& aRun);
+
   void CheckOverCommit();
   void CheckRuns();
   void CheckAnswers();
--- a/src/scenario/scenario_parser.h
+++ b/src/scenario/scenario_parser.h
@@ -2,6 +2,7 @@
 #define LYCHEESTEP_SCENARIO_PARSER_H
 
 #include <functional>
+#include <iosfwd>
 #include <memory>
 #include <string>
 #include <vector>
@@ -36,7 +37,9 @@
   ParsedScenario Parse(const std::string& aText);
 
 private:
+  void ParseLines(std::istream& aStream);
   void ParseLine(const std::string& aLine);
+  void ParseInclude(LineReader& aReader);
   bool ParseLayout(LineReader& aReader);
   void ParseDataCentre(LineReader& aReader);
   void ParseTargets(LineReader& aReader,
@@ -75,6 +78,7 @@
   Catalogue m_catalogue;
   std::vector<std::string> m_errors;
   std::size_t m_line = 0;
+  bool m_including = false;
   // The line without its comment.
   std::string m_text;
 };
--- a/src/scenario/scenario_runner.h
+++ b/src/scenario/scenario_runner.h
@@ -35,6 +35,7 @@
   bool PerformOnPlatform(const ScenarioStep& aStep);
   bool PerformOnTarget(const ScenarioStep& aStep);
   void PerformOperator(const ScenarioStep& aStep);
+  void Announce(const ScenarioStep& aStep);
   void Send(const ScenarioStep& aStep);
   void After(Duration aLength, std::function<void()> aWhat);
 
