Say not run of a repeated id only where no other host can have taken it

Ruled out: the record keeper, which reports not sent only for what it never sent. Change: a request says whether its id was sent before; a host that does not hold the record answers a refused repeat as unknown. The HTTP interface takes first_try, false when an id is given. Conclusion: not run is said only of what no host can run.

--- a/src/gateway.service/request_json.cpp
+++ b/src/gateway.service/request_json.cpp
@@ -76,6 +76,10 @@
              ? ""
              : "must be a duration such as \"250ms\" or \"2s\", at most 24h";
   }
+  if (aKey == "first_try") {
+    aCall.m_request.m_firstTry = aJson.is_boolean() && aJson.get<bool>();
+    return aJson.is_boolean() ? "" : "must be true or false";
+  }
   if (aKey == "wait") {
     aCall.m_wait = aJson.is_boolean() && aJson.get<bool>();
     return aJson.is_boolean() ? "" : "must be true or false";
@@ -88,6 +92,8 @@
 SubmitCall ReadSubmitCall(const std::string& aText)
 {
   SubmitCall call;
+  // An id that is given without a word on it may have been sent before.
+  call.m_request.m_firstTry = false;
   const Json json = Json::parse(aText, nullptr, false);
   if (!json.is_object()) {
     call.m_problem = "the body must be one JSON object";
--- a/src/include/lycheestep/request.h
+++ b/src/include/lycheestep/request.h
@@ -26,6 +26,10 @@
   Duration m_deadline = Duration::zero();
   // Entry hosts that have forwarded it so far.
   int m_hops = 0;
+  // The caller says that it has sent this id to no host before. Without that
+  // a host can't rule out that another one took the request, and says
+  // "unknown" where it would say "not run".
+  bool m_firstTry = true;
 };
 
 // What became of a request. There is no fourth case.
--- a/src/liblycheestep/request_answers.cpp
+++ b/src/liblycheestep/request_answers.cpp
@@ -60,14 +60,14 @@
 
 void RequestAnswers::Refuse(CoreContext& aContext,
                             const Asker& aAsker,
-                            const RequestId& aRequest,
+                            const Request& aRequest,
                             std::error_code aError,
                             const std::string& aDetail,
                             Duration aRetryAfter)
 {
   Answer answer;
-  answer.m_request = aRequest;
-  answer.m_outcome = Outcome::kNotRun;
+  answer.m_request = aRequest.m_id;
+  answer.m_outcome = OutcomeOfRefusal(aRequest);
   answer.m_error = aError;
   answer.m_detail = aDetail;
   answer.m_retryAfter = aRetryAfter;
@@ -116,6 +116,9 @@
   if (aAnswer.m_outcome == Outcome::kNotRun && aLive.m_mayHaveRun) {
     CorrectNotRun(aLive, aAnswer);
   }
+  if (aAnswer.m_outcome == Outcome::kNotRun && !aLive.m_recorded) {
+    aAnswer.m_outcome = OutcomeOfRefusal(aLive.m_request);
+  }
   if (!aLive.m_recorded) {
     Deliver(aContext, aAnswer);
     return;
@@ -141,6 +144,11 @@
     });
 }
 
+Outcome RequestAnswers::OutcomeOfRefusal(const Request& aRequest)
+{
+  return aRequest.m_firstTry ? Outcome::kNotRun : Outcome::kUnknown;
+}
+
 void RequestAnswers::CorrectNotRun(const LiveRequest& aLive, Answer& aAnswer)
 {
   aAnswer.m_outcome = Outcome::kUnknown;
--- a/src/liblycheestep/request_answers.h
+++ b/src/liblycheestep/request_answers.h
@@ -29,10 +29,11 @@
   // Answers one asker; nothing is kept.
   void Send(CoreContext& aContext, const Asker& aAsker, const Answer& aAnswer);
 
-  // Answers one asker that the request was not run and why.
+  // Answers one asker that this host does not run the request, and why. The
+  // outcome is "not run" if no other host can have taken it.
   void Refuse(CoreContext& aContext,
               const Asker& aAsker,
-              const RequestId& aRequest,
+              const Request& aRequest,
               std::error_code aError,
               const std::string& aDetail,
               Duration aRetryAfter);
@@ -66,6 +67,7 @@
   static Answer FromProto(const proto::ForwardedAnswer& aFrom);
 
 private:
+  static Outcome OutcomeOfRefusal(const Request& aRequest);
   static void CorrectNotRun(const LiveRequest& aLive, Answer& aAnswer);
   void Deliver(CoreContext& aContext, const Answer& aAnswer);
   void ForgetAtTargets(const LiveRequest& aLive);
--- a/src/liblycheestep/request_intake.cpp
+++ b/src/liblycheestep/request_intake.cpp
@@ -72,6 +72,7 @@
 {
   if (aRequest.m_id.Empty()) {
     aRequest.m_id = GenerateId(aContext);
+    aRequest.m_firstTry = true;
   }
   if (AnswerRepeated(aContext, aAsker, aRequest.m_id) ||
       RefuseInvalid(aContext, aAsker, aRequest)) {
@@ -114,8 +115,7 @@
   const auto refuse = [&](SchedulerError aError,
                           const std::string& aDetail,
                           Duration aRetryAfter) {
-    m_answers.Refuse(
-      aContext, aAsker, aRequest.m_id, aError, aDetail, aRetryAfter);
+    m_answers.Refuse(aContext, aAsker, aRequest, aError, aDetail, aRetryAfter);
     return true;
   };
   if (aRequest.m_id.Text().size() > kIdLimit) {
@@ -176,7 +176,7 @@
     aContext.m_actions.emplace_back(std::move(line));
     m_answers.Refuse(aContext,
                      aAsker,
-                     live.m_request.m_id,
+                     live.m_request,
                      verdict.m_error,
                      verdict.m_detail,
                      verdict.m_retryAfter);
@@ -211,14 +211,13 @@
   if (TryForward(aContext, live)) {
     return;
   }
-  const RequestId id = live.m_request.m_id;
   m_answers.Refuse(aContext,
                    aAsker,
-                   id,
+                   live.m_request,
                    SchedulerError::kStopping,
                    "this entry host is stopping; send the request again",
                    kRetryAfter);
-  m_parts.m_requests.Drop(id);
+  m_parts.m_requests.Drop(RequestId(live.m_request.m_id));
 }
 
 bool RequestIntake::HasShares(TimePoint aNow) const
@@ -370,6 +369,7 @@
   request->set_remaining_deadline_us(
     static_cast<std::uint64_t>(duration_cast<microseconds>(remaining).count()));
   request->set_hops(static_cast<std::uint32_t>(aLive.m_request.m_hops + 1));
+  request->set_first_try(aLive.m_request.m_firstTry);
   m_parts.m_peers.Send(aContext, *peer, std::move(message));
   aLive.m_stage = RequestStage::kForwarded;
   aLive.m_forwardUntil =
@@ -397,6 +397,7 @@
   request.m_body = aRequest.body();
   request.m_deadline = microseconds(aRequest.remaining_deadline_us());
   request.m_hops = static_cast<int>(aRequest.hops());
+  request.m_firstTry = aRequest.first_try();
   Submit(aContext, Asker{ 0, aFrom }, std::move(request));
 }
 
--- a/src/lycheestep/request_commands.cpp
+++ b/src/lycheestep/request_commands.cpp
@@ -136,6 +136,7 @@
   const std::string id =
     aCommandLine.m_id.empty() ? NewRequestId() : aCommandLine.m_id;
   json request = { { "id", id },
+                   { "first_try", aCommandLine.m_id.empty() },
                    { "kind", aCommandLine.m_name },
                    { "body", body },
                    { "wait", aCommandLine.m_wait } };
