Call a request accepted only when its record stands

Change: a result asked for while the record is being written, or while a peer has the request, is unknown and not pending. The caller model says which of its calls repeat an id. Conclusion: pending means accepted and kept.

--- a/src/liblycheestep/request_intake.cpp
+++ b/src/liblycheestep/request_intake.cpp
@@ -304,10 +304,12 @@
     m_answers.Send(aContext, aAsker, *known);
     return;
   }
-  if (m_parts.m_requests.Find(aRequest) != nullptr) {
+  if (const LiveRequest* live = m_parts.m_requests.Find(aRequest)) {
     Answer answer;
     answer.m_request = aRequest;
-    answer.m_pending = true;
+    // What is not recorded yet, or left to a peer, may still be refused.
+    answer.m_pending = live->m_stage != RequestStage::kRecording &&
+                       live->m_stage != RequestStage::kForwarded;
     answer.m_detail = "not over yet; ask again";
     m_answers.Send(aContext, aAsker, answer);
     return;
--- a/src/scenario/caller_model.cpp
+++ b/src/scenario/caller_model.cpp
@@ -105,6 +105,7 @@
   call.m_sent = m_cell.Time().Now();
   request.m_calling = true;
   m_cell.SendToHost(*host, EventFor(ticket, call));
+  request.m_sentBefore = true;
   m_open[host->Name()].push_back(ticket);
   m_calls.emplace(ticket, std::move(call));
   m_cell.Time().After(kPatience, [this, ticket, host] {
@@ -130,6 +131,7 @@
   submitted.m_request.m_id = request.m_id;
   submitted.m_request.m_kind = request.m_kind;
   submitted.m_request.m_customer = request.m_customer;
+  submitted.m_request.m_firstTry = !request.m_sentBefore;
   submitted.m_request.m_body = "order " + request.m_id.Text();
   return submitted;
 }
--- a/src/scenario/caller_model.h
+++ b/src/scenario/caller_model.h
@@ -49,6 +49,8 @@
   bool m_cancelAsked = false;
   // A call is under way.
   bool m_calling = false;
+  // The id was sent to some host before.
+  bool m_sentBefore = false;
   // Nobody was there to take it.
   std::size_t m_noHost = 0;
   std::size_t m_unknownAnswers = 0;
