--- a/src/http/http_connections.cpp
+++ b/src/http/http_connections.cpp
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <chrono>
 #include <utility>
 
 namespace lycheestep {
@@ -11,6 +12,10 @@
 // Idle connections kept for one address.
 constexpr std::size_t kIdleLimit = 8;
 
+// Idle connections are closed after this, before the other side does: a call
+// that meets a connection which is being closed would count as lost.
+constexpr Duration kIdleAge = std::chrono::seconds(1);
+
 HttpReply MakeReply(const httplib::Result& aResult, bool aHeldBack)
 {
   HttpReply reply;
@@ -76,12 +81,13 @@
 {
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    ClientList& idle = m_idle[aAddress];
-    if (!idle.empty()) {
-      std::unique_ptr<httplib::Client> client = std::move(idle.back());
+    IdleList& idle = m_idle[aAddress];
+    if (!idle.empty() && Clock::now() - idle.back().m_since < kIdleAge) {
+      std::unique_ptr<httplib::Client> client = std::move(idle.back().m_client);
       idle.pop_back();
       return client;
     }
+    idle.clear();
   }
   auto client = std::make_unique<httplib::Client>("http://" + aAddress);
   client->set_keep_alive(true);
@@ -96,9 +102,9 @@
                                std::unique_ptr<httplib::Client> aClient)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  ClientList& idle = m_idle[aAddress];
+  IdleList& idle = m_idle[aAddress];
   if (idle.size() < kIdleLimit) {
-    idle.push_back(std::move(aClient));
+    idle.push_back({ std::move(aClient), Clock::now() });
   }
 }
 
--- a/src/http/http_connections.h
+++ b/src/http/http_connections.h
@@ -56,7 +56,14 @@
   HttpReply Get(const std::string& aAddress, const std::string& aPath);
 
 private:
-  using ClientList = std::vector<std::unique_ptr<httplib::Client>>;
+  // A connection that nobody uses.
+  struct Idle
+  {
+    std::unique_ptr<httplib::Client> m_client;
+    TimePoint m_since;
+  };
+
+  using IdleList = std::vector<Idle>;
 
   std::unique_ptr<httplib::Client> Take(const std::string& aAddress);
   void GiveBack(const std::string& aAddress,
@@ -64,7 +71,7 @@
 
   const Duration m_timeout;
   std::mutex m_mutex;
-  std::map<std::string, ClientList> m_idle;
+  std::map<std::string, IdleList> m_idle;
 };
 
 } // namespace lycheestep
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -20,7 +20,7 @@
 // A client that sends nothing for this long is cut off.
 constexpr std::chrono::seconds kReadTimeout{ 5 };
 // Idle connections are closed after this.
-constexpr std::chrono::seconds kIdleTimeout{ 5 };
+constexpr std::chrono::seconds kIdleTimeout{ 3 };
 // Calls on one connection.
 constexpr std::size_t kCallsPerConnection = 100000;
 // Connections that wait to be accepted.
--- a/src/wire/target_json.cpp
+++ b/src/wire/target_json.cpp
@@ -55,6 +55,7 @@
            { "lease_left_us", ToMicroseconds(aTask.m_leaseLeft) },
            { "succeeded", aTask.m_succeeded },
            { "stopped", aTask.m_stopped },
+           { "target_up_for_us", ToMicroseconds(aTask.m_targetUpFor) },
            { "body", aTask.m_body } };
 }
 
@@ -72,6 +73,7 @@
   task.m_leaseLeft = FromMicroseconds(aJson.at("lease_left_us"));
   task.m_succeeded = aJson.at("succeeded").get<bool>();
   task.m_stopped = aJson.at("stopped").get<bool>();
+  task.m_targetUpFor = FromMicroseconds(aJson.at("target_up_for_us"));
   task.m_body = aJson.at("body").get<std::string>();
   return task;
 }
--- a/src/wire/wire_json_test.cpp
+++ b/src/wire/wire_json_test.cpp
@@ -1,6 +1,7 @@
 #include <gmock/gmock.h>
 #include <rapidcheck.h>
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 
@@ -49,10 +50,12 @@
   report.m_tasks.resize(1);
   report.m_tasks[0].m_state = AttemptState::kEnded;
   report.m_tasks[0].m_body = "phấn";
+  report.m_tasks[0].m_targetUpFor = std::chrono::seconds(3);
   const auto back = DecodeReport(EncodeReport(report));
   ASSERT_TRUE(back);
   EXPECT_EQ(back->m_tasks[0].m_state, AttemptState::kEnded);
   EXPECT_EQ(back->m_tasks[0].m_body, "phấn");
+  EXPECT_EQ(back->m_tasks[0].m_targetUpFor, report.m_tasks[0].m_targetUpFor);
 }
 
 // Every text that is cut short or has one byte changed is either decoded or
