--- a/src/gateway.service/answer_desk.cpp
+++ b/src/gateway.service/answer_desk.cpp
@@ -29,8 +29,9 @@
     return std::nullopt;
   }
   Slot& slot = found->second;
-  slot.m_answered.wait_until(
-    lock, aUntil, [&slot] { return slot.m_reply.has_value(); });
+  slot.m_answered.wait_until(lock, aUntil, [this, &slot] {
+    return m_shutDown || slot.m_reply.has_value();
+  });
   std::optional<DeskReply> reply = std::move(slot.m_reply);
   m_slots.erase(aTicket);
   return reply;
@@ -53,6 +54,15 @@
   found->second.m_answered.notify_one();
 }
 
+void AnswerDesk::Shutdown()
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_shutDown = true;
+  for (auto& [ticket, slot] : m_slots) {
+    slot.m_answered.notify_all();
+  }
+}
+
 std::size_t AnswerDesk::Size() const
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/gateway.service/answer_desk.h
+++ b/src/gateway.service/answer_desk.h
@@ -45,6 +45,9 @@
   // Answers a ticket; nothing happens when it is not open.
   void Deliver(CallerTicket aTicket, DeskReply aReply);
 
+  // Wakes everybody who waits, with what there is.
+  void Shutdown();
+
   // Tickets that are open.
   std::size_t Size() const;
 
@@ -59,6 +62,7 @@
   const std::size_t m_limit;
   mutable std::mutex m_mutex;
   CallerTicket m_lastTicket = 0;
+  bool m_shutDown = false;
   std::map<CallerTicket, Slot> m_slots;
 };
 
--- a/src/gateway.service/gateway_service.cpp
+++ b/src/gateway.service/gateway_service.cpp
@@ -98,6 +98,8 @@
 
 void GatewayService::Stop()
 {
+  m_stopping = true;
+  m_desk.Shutdown();
   m_server.Stop();
 }
 
@@ -194,7 +196,7 @@
                                                TimePoint aUntil)
 {
   Duration delay = kFirstQuestion;
-  while (Clock::now() + delay < aUntil) {
+  while (!m_stopping && Clock::now() + delay < aUntil) {
     std::this_thread::sleep_for(delay);
     delay = std::min(2 * delay, kLastQuestion);
     const CallerTicket ticket = m_desk.Open();
--- a/src/gateway.service/gateway_service.h
+++ b/src/gateway.service/gateway_service.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEESTEP_GATEWAY_SERVICE_H
 #define LYCHEESTEP_GATEWAY_SERVICE_H
 
+#include <atomic>
 #include <mutex>
 #include <optional>
 #include <random>
@@ -63,6 +64,7 @@
   AnswerDesk m_desk;
   HttpServer m_server;
   ControlThread* m_control = nullptr;
+  std::atomic<bool> m_stopping{ false };
   std::mutex m_idMutex;
   std::mt19937_64 m_idGenerator;
 };
