Answer a change against an older version as a conflict

Cause: the api test was red in three ways once an entry host could run. A catalogue change against a version that is no longer in force was held for a promise before its version was looked at. A request whose id the host itself made counted as one that may have been sent before.

The time of an operator's command is filled in.

--- a/src/gateway.service/gateway_service.cpp
+++ b/src/gateway.service/gateway_service.cpp
@@ -166,6 +166,7 @@
   }
   if (call.m_request.m_id.Empty()) {
     call.m_request.m_id = MakeRequestId();
+    call.m_request.m_firstTry = true;
   }
   const RequestId id = call.m_request.m_id;
   const CallerTicket ticket = m_desk.Open();
--- a/src/liblycheestep/operator_flow.cpp
+++ b/src/liblycheestep/operator_flow.cpp
@@ -109,7 +109,10 @@
       }
     }
   }
-  if (touched.empty()) {
+  // A change against an older version is a conflict, whomever it touches.
+  const bool stale =
+    former != nullptr && aCommand.m_baseVersion < former->m_version;
+  if (touched.empty() || stale) {
     ApplyNow(aContext, aTicket, aCommand, {});
     return;
   }
--- a/src/operator.service/operator_service.cpp
+++ b/src/operator.service/operator_service.cpp
@@ -154,6 +154,7 @@
 
 HttpAnswer OperatorService::Ask(OperatorCommand aCommand)
 {
+  aCommand.m_askedAt = std::chrono::system_clock::now();
   const auto reply = Await([&aCommand](CallerTicket aTicket) {
     return OperatorAsked{ aTicket, std::move(aCommand) };
   });
