--- a/src/config/catalogue_document.cpp
+++ b/src/config/catalogue_document.cpp
@@ -201,7 +201,8 @@
   ProblemList problems(aFile);
   const json document = ParseJson(aText, problems);
   if (problems.Empty()) {
-    CheckAgainstSchema(document, CatalogueSchema(), problems);
+    static const DocumentSchema kSchema(CatalogueSchema());
+    kSchema.Check(document, problems);
     CheckCatalogueRules(document, problems);
   }
   CatalogueDocument result;
--- a/src/config/schema_check.cpp
+++ b/src/config/schema_check.cpp
@@ -1,5 +1,6 @@
 #include "schema_check.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -156,23 +157,37 @@
 
 } // namespace
 
-void CheckAgainstSchema(const json& aDocument,
-                        const char* aSchema,
-                        ProblemList& aProblems)
+class DocumentSchema::Parsed
 {
-  const json schemaDocument = json::parse(aSchema);
-  valijson::Schema schema;
-  valijson::SchemaParser parser;
-  parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaDocument),
-                        schema);
+public:
+  explicit Parsed(const char* aText)
+    : m_document(json::parse(aText))
+  {
+    valijson::SchemaParser parser;
+    parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(m_document),
+                          m_schema);
+  }
+
+  const json m_document;
+  valijson::Schema m_schema;
+};
 
+DocumentSchema::DocumentSchema(const char* aText)
+  : m_parsed(std::make_unique<const Parsed>(aText))
+{
+}
+
+DocumentSchema::~DocumentSchema() = default;
+
+void DocumentSchema::Check(const json& aDocument, ProblemList& aProblems) const
+{
   valijson::Validator validator(valijson::Validator::kStrongTypes);
   valijson::ValidationResults results;
   const valijson::adapters::NlohmannJsonAdapter document(aDocument);
-  if (validator.validate(schema, document, &results)) {
+  if (validator.validate(m_parsed->m_schema, document, &results)) {
     return;
   }
-  ErrorTranslator translator(schemaDocument, aDocument, aProblems);
+  ErrorTranslator translator(m_parsed->m_document, aDocument, aProblems);
   for (const auto& error : results) {
     translator.Translate(error);
   }
--- a/src/config/settings_document.cpp
+++ b/src/config/settings_document.cpp
@@ -155,7 +155,8 @@
   ProcessSettings settings;
   if (problems.Empty()) {
     settings = ReadFields(document);
-    CheckAgainstSchema(document, SettingsSchema(), problems);
+    static const DocumentSchema kSchema(SettingsSchema());
+    kSchema.Check(document, problems);
     CheckSettingsRules(document, settings, problems);
   }
   SettingsDocument result;
