Carry messages between entry hosts, and add make run

Cause: entry hosts could not hear of each other, and trying the system took several commands.

Change: the peers service: ZeroMQ with CURVE, whose key pair is derived from the shared key, so that no handshake succeeds without it; limits on the size and rate of frames; malformed frames are dropped and counted by cause; bytes and messages are counted for each peer. make run starts a local cell with the catalogue of Phấn Việt, submits one request of each kind and stops it.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,6 @@
 scenario: $(BUILD)/build.ninja ## run one scripted case with its trace: CASE=entry-pauses
 	@cmake --build $(BUILD) -j $(JOBS) --target lycheestep-scenario >/dev/null
 	@$(BUILD)/src/scenario/lycheestep-scenario --trace testsuite/$(CASE)/case.scenario
+
+run: build ## start a local cell, submit one request of each kind, stop
+	@src/cmake/run-example.sh $(BUILD)/src/lycheestep/lycheestep
--- /dev/null
+++ b/src/peers.service/peers_service.h
@@ -0,0 +1,77 @@
+#ifndef LYCHEESTEP_PEERS_SERVICE_H
+#define LYCHEESTEP_PEERS_SERVICE_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <system_error>
+#include <thread>
+#include <vector>
+
+#include "lycheestep/peer_transport.h"
+#include "lycheestep/service.h"
+#include "lycheestep/time_types.h"
+#include "peer_socket.h"
+
+namespace lycheestep {
+
+class EventSink;
+class MetricsSink;
+struct ProcessSettings;
+
+// Messages to and from other entry hosts: one ROUTER socket takes them, one
+// DEALER socket for each address sends them, and one thread owns all sockets.
+// Frames that are malformed, too large or too many are dropped and counted.
+class PeersService
+  : public Service
+  , public PeerTransport
+{
+public:
+  explicit PeersService(const ProcessSettings& aSettings);
+  ~PeersService() override;
+
+  std::string Name() const override { return "peers"; }
+  std::error_code Start(Kernel& aKernel) override;
+  void Stop() override;
+
+  void Send(SendPeerMessage aMessage) override;
+
+  // Where peers reach this process.
+  std::string Endpoint() const { return m_endpoint; }
+
+private:
+  using Sockets = std::map<std::string, PeerSocket>;
+
+  void Run(PeerSocket aListener);
+  void SendWaiting(Sockets& aSockets);
+  void SendOne(Sockets& aSockets, const SendPeerMessage& aMessage);
+  void ReceiveWaiting(PeerSocket& aListener);
+  void TakeFrame(const ReceivedFrame& aFrame);
+  bool IsOverRate(const std::string& aConnection);
+  void Count(const std::string& aPeer,
+             const char* aDirection,
+             std::size_t aBytes);
+  void CountDrop(const char* aCause);
+
+  const ProcessSettings& m_settings;
+  const PeerKeyPair m_keys;
+  std::string m_endpoint;
+  void* m_context = nullptr;
+  int m_wakeUp = -1;
+  EventSink* m_events = nullptr;
+  MetricsSink* m_metrics = nullptr;
+  std::mutex m_mutex;
+  std::vector<SendPeerMessage> m_waiting;
+  bool m_stopping = false;
+  // Frames of each connection in the second that began at m_rateSince; used
+  // by the thread only.
+  std::map<std::string, std::size_t> m_frames;
+  TimePoint m_rateSince{};
+  std::thread m_thread;
+};
+
+} // namespace lycheestep
+
+#endif
