--- a/src/lycheestep/catalogue_commands.cpp
+++ b/src/lycheestep/catalogue_commands.cpp
@@ -282,7 +282,7 @@
     aOutput.Error("no catalogue is in force; run `lycheestep apply FILE`");
     return ExitCode::kRefused;
   }
-  aOutput.Line(WriteCatalogue(*inForce.m_catalogue));
+  aOutput.Text(WriteCatalogue(*inForce.m_catalogue));
   return ExitCode::kDone;
 }
 
--- a/src/lycheestep/host_commands.cpp
+++ b/src/lycheestep/host_commands.cpp
@@ -43,14 +43,6 @@
   return settings;
 }
 
-#ifndef LYCHEESTEP_HAS_HOST
-ExitCode ReportNoHost(Output& aOutput)
-{
-  aOutput.Error("this build holds only the client commands");
-  return ExitCode::kRefused;
-}
-#endif
-
 bool IsLogLevel(const std::string& aText)
 {
   return aText == "debug" || aText == "info" || aText == "warn" ||
@@ -69,11 +61,7 @@
   if (!read.m_settings) {
     return ReportProblems(read.m_problems, aOutput);
   }
-#ifdef LYCHEESTEP_HAS_HOST
   return static_cast<ExitCode>(RunEntry(*read.m_settings));
-#else
-  return ReportNoHost(aOutput);
-#endif
 }
 
 ExitCode RunLocalCommand(const CommandLine& aCommandLine, Output& aOutput)
@@ -97,11 +85,7 @@
     return ReportProblems(read.m_problems, aOutput);
   }
   const ProcessSettings settings = LocalSettings(aCommandLine);
-#ifdef LYCHEESTEP_HAS_HOST
   return static_cast<ExitCode>(RunLocal(settings, read.m_catalogue));
-#else
-  return ReportNoHost(aOutput);
-#endif
 }
 
 } // namespace lycheestep
--- a/src/lycheestep/main.cpp
+++ b/src/lycheestep/main.cpp
@@ -84,7 +84,7 @@
 {
   switch (aCommandLine.m_command) {
     case Command::kHelp:
-      aOutput.Line(UsageText());
+      aOutput.Text(UsageText());
       return ExitCode::kDone;
     case Command::kVersion:
       aOutput.Line(std::string("lycheestep ") + LYCHEESTEP_VERSION);
--- a/src/lycheestep/operator_reply.cpp
+++ b/src/lycheestep/operator_reply.cpp
@@ -36,6 +36,13 @@
   return answer;
 }
 
+// A sentence that another part of a line may follow.
+std::string WithoutFullStop(const std::string& aSentence)
+{
+  const bool stops = !aSentence.empty() && aSentence.back() == '.';
+  return stops ? aSentence.substr(0, aSentence.size() - 1) : aSentence;
+}
+
 void PrintCalls(const json& aAnswer, Output& aOutput)
 {
   for (const json& customer : ListMember(aAnswer, "to_call")) {
@@ -125,12 +132,13 @@
     return ExitCode::kUnknown;
   }
   if (!error.empty()) {
-    const std::string sentence = detail.empty() ? "" : ": " + detail;
+    const std::string sentence =
+      detail.empty() ? "" : ": " + WithoutFullStop(detail);
     aOutput.Error(error + sentence + "; " + AdviceFor(error));
     return ExitOfError(error);
   }
-  if (!aCommandLine.m_json) {
-    aOutput.Line(detail.empty() ? "done" : detail);
+  if (!aCommandLine.m_json && !detail.empty()) {
+    aOutput.Line(detail);
   }
   return ExitCode::kDone;
 }
--- a/src/lycheestep/output.cpp
+++ b/src/lycheestep/output.cpp
@@ -18,6 +18,11 @@
   m_out << aText << '\n';
 }
 
+void Output::Text(const std::string& aText)
+{
+  m_out << aText;
+}
+
 void Output::Json(const nlohmann::json& aJson)
 {
   m_out << aJson.dump(2, ' ', false, nlohmann::json::error_handler_t::replace)
--- a/src/lycheestep/output.h
+++ b/src/lycheestep/output.h
@@ -17,6 +17,8 @@
 
   // One line of the result.
   void Line(const std::string& aText);
+  // Text that brings its own line ends.
+  void Text(const std::string& aText);
   // The result as indented JSON.
   void Json(const nlohmann::json& aJson);
   // "lycheestep: aText" as one line, whatever line ends aText holds.
