--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,7 @@
 
 run: build ## start a local cell, submit one request of each kind, stop
 	@src/cmake/run-example.sh $(BUILD)/src/lycheestep/lycheestep
+
+capacity: $(BUILD)/build.ninja ## measure what an entry host spends, for docs/CAPACITY.md
+	@cmake --build $(BUILD) -j $(JOBS) --target lycheestep-capacity >/dev/null
+	@$(BUILD)/src/scenario/lycheestep-capacity
--- a/src/scenario/caller_model.cpp
+++ b/src/scenario/caller_model.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Callers of durable work ask again this often.
-constexpr Duration kAskPeriod = std::chrono::seconds(2);
 // Time until a caller without any host tries again.
 constexpr Duration kNoHostPause = std::chrono::seconds(1);
 // A caller hangs up when it has heard nothing for this long.
@@ -16,9 +14,12 @@
 
 } // namespace
 
-CallerModel::CallerModel(CellAccess& aCell, const Catalogue& aCatalogue)
+CallerModel::CallerModel(CellAccess& aCell,
+                         const Catalogue& aCatalogue,
+                         Duration aAskPeriod)
   : m_cell(aCell)
   , m_catalogue(aCatalogue)
+  , m_askPeriod(aAskPeriod)
 {
 }
 
@@ -188,7 +189,7 @@
 
 void CallerModel::AskLater(std::size_t aRequest)
 {
-  m_cell.Time().After(kAskPeriod, [this, aRequest] { AskAgain(aRequest); });
+  m_cell.Time().After(m_askPeriod, [this, aRequest] { AskAgain(aRequest); });
 }
 
 void CallerModel::AskAgain(std::size_t aRequest)
--- a/src/scenario/caller_model.h
+++ b/src/scenario/caller_model.h
@@ -72,7 +72,10 @@
 class CallerModel
 {
 public:
-  CallerModel(CellAccess& aCell, const Catalogue& aCatalogue);
+  // aAskPeriod: callers of durable work ask again this often.
+  CallerModel(CellAccess& aCell,
+              const Catalogue& aCatalogue,
+              Duration aAskPeriod);
 
   // A new request of that kind from a caller near that data centre.
   void Submit(const KindName& aKind, const DataCentreName& aDataCentre);
@@ -107,6 +110,7 @@
 
   CellAccess& m_cell;
   const Catalogue& m_catalogue;
+  Duration m_askPeriod;
   std::vector<CallerRequest> m_requests;
   std::map<CallerTicket, CallRecord> m_calls;
   // Open tickets by host, so that a death touches only its own.
--- a/src/scenario/cell_layout.h
+++ b/src/scenario/cell_layout.h
@@ -26,6 +26,10 @@
   Duration m_usageLag = std::chrono::seconds(2);
   // Hosts' clocks run fast or slow by up to this much.
   int m_clockSkewPpm = 100;
+  // Callers of durable work ask again this often.
+  Duration m_askPeriod = std::chrono::seconds(2);
+  // Count the bytes of all calls as they go over the wire; takes time.
+  bool m_countBytes = false;
 };
 
 } // namespace lycheestep
--- a/src/scenario/virtual_cell.cpp
+++ b/src/scenario/virtual_cell.cpp
@@ -1,10 +1,12 @@
 #include "virtual_cell.h"
 
 #include <algorithm>
+#include <ctime>
 #include <iomanip>
 #include <utility>
 
 #include "peer.pb.h"
+#include "wire_bytes.h"
 
 namespace lycheestep {
 
@@ -19,6 +21,7 @@
 constexpr Duration kLeastSleep = std::chrono::microseconds(50);
 // Whether hosts reach the platform is noted this often.
 constexpr Duration kReachPeriod = std::chrono::milliseconds(200);
+constexpr std::int64_t kNanosecondsPerTick = 1000000000 / CLOCKS_PER_SEC;
 constexpr int kClockOffsetHours = 1000;
 
 } // namespace
@@ -51,7 +54,7 @@
   , m_random(m_layout.m_seed * 3 + 2)
   , m_platform(m_timeline, m_layout.m_listLag)
   , m_work(*m_layout.m_catalogue, m_layout.m_seed)
-  , m_callers(*this, *m_layout.m_catalogue)
+  , m_callers(*this, *m_layout.m_catalogue, m_layout.m_askPeriod)
   , m_operators(*this)
 {
   m_platform.Table().KeepHistoryOf("catalogue/");
@@ -271,7 +274,12 @@
   ++aHost.Traffic().m_events;
   ActionList actions;
   const TimePoint local = aHost.ClockOf().Local(m_timeline.Now());
+  const std::clock_t begun = m_layout.m_countBytes ? std::clock() : 0;
   aHost.Core().Handle(aEvent, local, actions);
+  if (m_layout.m_countBytes) {
+    aHost.Traffic().m_processorTime +=
+      std::chrono::nanoseconds((std::clock() - begun) * kNanosecondsPerTick);
+  }
   const std::uint64_t incarnation = aHost.Incarnation();
   for (Action& action : actions) {
     m_timeline.After(
@@ -327,10 +335,10 @@
 
 void VirtualCell::Perform(VirtualHost& aHost, const TransactTable& aAction)
 {
-  for (const TableWrite& write : aAction.m_transaction.m_writes) {
-    aHost.Traffic().m_tableBytes += write.m_key.size() + write.m_value.size();
-  }
   const TableTransaction& transaction = aAction.m_transaction;
+  if (m_layout.m_countBytes) {
+    aHost.Traffic().m_tableBytes += QuestionBytes(transaction);
+  }
   CallTable(aHost, aAction.m_ticket, true, [this, transaction] {
     return m_platform.Table().Transact(transaction, m_timeline.Now());
   });
@@ -339,6 +347,9 @@
 void VirtualCell::Perform(VirtualHost& aHost, const ReadTable& aAction)
 {
   const TableQuery& query = aAction.m_query;
+  if (m_layout.m_countBytes) {
+    aHost.Traffic().m_tableBytes += QuestionBytes(query);
+  }
   CallTable(aHost, aAction.m_ticket, false, [this, query] {
     return m_platform.Table().Read(query);
   });
@@ -376,8 +387,8 @@
       TableAnswered answered;
       answered.m_ticket = aTicket;
       answered.m_answer = effect();
-      for (const TableRow& row : answered.m_answer.m_rows) {
-        aHost.Traffic().m_tableBytes += row.m_key.size() + row.m_value.size();
+      if (m_layout.m_countBytes) {
+        aHost.Traffic().m_tableBytes += AnswerBytes(answered.m_answer);
       }
       if (!m_platform.Faults().m_loseReplies) {
         AnswerAfter(call, platform, std::move(answered));
@@ -395,10 +406,13 @@
   if (!there || m_platform.Faults().m_down) {
     return;
   }
-  m_timeline.After(*there + m_platform.Faults().m_delay, [=] {
+  m_timeline.After(*there + m_platform.Faults().m_delay, [=, &aHost] {
     HostListAnswered answered;
     answered.m_reached = true;
     answered.m_targets = m_platform.HostList();
+    if (m_layout.m_countBytes) {
+      aHost.Traffic().m_hostListBytes += HostListBytes(answered.m_targets);
+    }
     if (!m_platform.Faults().m_loseReplies) {
       AnswerAfter(call, platform, std::move(answered));
     }
@@ -407,7 +421,10 @@
 
 void VirtualCell::Perform(VirtualHost& aHost, const StartTask& aAction)
 {
-  ++aHost.Traffic().m_targetCalls;
+  ++aHost.Traffic().m_taskCalls;
+  if (m_layout.m_countBytes) {
+    aHost.Traffic().m_taskBytes += QuestionBytes(aAction.m_start);
+  }
   StartAnswered answered;
   answered.m_target = aAction.m_target;
   answered.m_attempt = aAction.m_start.m_attempt;
@@ -454,8 +471,10 @@
 
 void VirtualCell::Perform(VirtualHost& aHost, const RenewLeases& aAction)
 {
-  ++aHost.Traffic().m_targetCalls;
   ++aHost.Traffic().m_renewals;
+  if (m_layout.m_countBytes) {
+    aHost.Traffic().m_renewalBytes += QuestionBytes(aAction.m_renewal);
+  }
   aHost.Traffic().m_renewedLeases += aAction.m_renewal.m_renew.size();
   TargetReported lost;
   lost.m_report.m_target = aAction.m_target;
@@ -472,12 +491,15 @@
   if (!there || !target->IsAlive()) {
     return;
   }
-  m_timeline.After(*there, [=, renewal = aAction.m_renewal] {
+  m_timeline.After(*there, [=, &aHost, renewal = aAction.m_renewal] {
     if (!target->IsAlive()) {
       return;
     }
     TargetReported reported;
     reported.m_report = target->Renew(renewal, m_timeline.Now());
+    if (m_layout.m_countBytes) {
+      aHost.Traffic().m_renewalBytes += AnswerBytes(reported.m_report);
+    }
     reported.m_report.m_latency = m_timeline.Now() + *there - call->m_sent;
     AnswerAfter(call, PlaceOf(*target), std::move(reported));
     ArmTarget(*target);
@@ -486,7 +508,7 @@
 
 void VirtualCell::Perform(VirtualHost& aHost, const ControlTask& aAction)
 {
-  ++aHost.Traffic().m_targetCalls;
+  ++aHost.Traffic().m_taskCalls;
   TargetModel* target = FindTarget(aAction.m_target.Text());
   if (target == nullptr) {
     return;
@@ -505,7 +527,7 @@
 
 void VirtualCell::Perform(VirtualHost& aHost, const QueryAttempt& aAction)
 {
-  ++aHost.Traffic().m_targetCalls;
+  ++aHost.Traffic().m_taskCalls;
   AttemptAnswered lost;
   lost.m_target = aAction.m_target;
   lost.m_report.m_attempt = aAction.m_attempt;
@@ -652,6 +674,9 @@
       continue;
     }
     const TimePoint arrival = m_timeline.Now() + *back;
+    if (m_layout.m_countBytes) {
+      subscriber.m_host->Traffic().m_taskBytes += AnswerBytes(report);
+    }
     TaskEnded ended;
     ended.m_target = aTarget.Listing().m_id;
     ended.m_report = std::move(report);
--- a/src/scenario/virtual_host.h
+++ b/src/scenario/virtual_host.h
@@ -29,17 +29,27 @@
 // Bytes and messages of one host, for the control cost.
 struct HostTraffic
 {
+  std::uint64_t m_events = 0;
+  // Time of the processor that the decision core took.
+  std::chrono::nanoseconds m_processorTime{ 0 };
+
   std::uint64_t m_peerMessagesOut = 0;
   std::uint64_t m_peerBytesOut = 0;
   std::uint64_t m_peerMessagesIn = 0;
   std::uint64_t m_peerBytesIn = 0;
+
+  // Calls, and their questions and answers together; bytes are counted only
+  // when the layout asks for it.
   std::uint64_t m_tableCalls = 0;
   std::uint64_t m_tableBytes = 0;
-  std::uint64_t m_targetCalls = 0;
+  std::uint64_t m_hostLists = 0;
+  std::uint64_t m_hostListBytes = 0;
   std::uint64_t m_renewals = 0;
+  std::uint64_t m_renewalBytes = 0;
   std::uint64_t m_renewedLeases = 0;
-  std::uint64_t m_hostLists = 0;
-  std::uint64_t m_events = 0;
+  // Starts, controls, queries and ends.
+  std::uint64_t m_taskCalls = 0;
+  std::uint64_t m_taskBytes = 0;
 };
 
 // One entry host: the real decision core and the state of its process.
