Keep work away from targets that fail, and let hosts fill different targets

Change: TaskFlow counts what became of each task in TargetHealth; the look at the usable capacity every 100 ms ejects and probes. A target of which little is known counts as sound in the median. Each host begins at a place of its own in the list. A target with idle accelerators is now passed over for work that has no use for them; an unsigned constant had turned that around.

--- a/src/liblycheestep/core_parts.h
+++ b/src/liblycheestep/core_parts.h
@@ -14,6 +14,7 @@
 #include "session_keeper.h"
 #include "session_watch.h"
 #include "table_calls.h"
+#include "target_health.h"
 #include "work_switches.h"
 
 namespace lycheestep {
@@ -46,6 +47,7 @@
   WorkSwitches m_switches;
   AdmissionQueue m_queue;
   Placer m_placer;
+  TargetHealth m_health;
   RequestBook m_requests;
   StopStage m_stop = StopStage::kNone;
 };
--- a/src/liblycheestep/dispatcher.cpp
+++ b/src/liblycheestep/dispatcher.cpp
@@ -161,6 +161,9 @@
     task.m_demand = aLive.m_kind.m_demand;
     task.m_attempt = NewAttempt(aContext);
     m_parts.m_fleet.Take(task.m_target, task.m_demand);
+    if (m_parts.m_health.Placed(task.m_target)) {
+      m_parts.m_fleet.Find(task.m_target)->m_ejected = true;
+    }
   }
   m_parts.m_queue.Started(aLive.m_kind.m_name,
                           aLive.m_kind.m_demand,
@@ -306,7 +309,7 @@
                                    TimePoint aNow) const
 {
   const FleetTarget* target = m_parts.m_fleet.Find(aTask.m_target);
-  if (target == nullptr || !target->TakesWork()) {
+  if (target == nullptr || target->m_leaving) {
     return TimePoint{};
   }
   const TimePoint granted = target->m_grant.UsableUntil(target->m_used, aNow);
--- a/src/liblycheestep/placer.cpp
+++ b/src/liblycheestep/placer.cpp
@@ -41,6 +41,10 @@
 // Weight of the place in the list against stranded shares.
 constexpr double kListWeight = 0.15;
 
+// Taken from the score of a target whose accelerators would lie idle; more
+// than any stranded shares add up to.
+constexpr double kWasteful = 10.0;
+
 // Weight of one placement in the mean demand.
 constexpr double kMeanWeight = 0.02;
 
@@ -258,7 +262,12 @@
   for (std::size_t i = 0; i < random; ++i) {
     Compare(search, aRandom() % size);
   }
-  CompareFrom(search, 0, m_sample - std::min(random, m_sample));
+  if (m_start == kNoStart) {
+    m_start = aRandom() % size;
+  }
+  const std::size_t wanted = m_sample - std::min(random, m_sample);
+  CompareFrom(search, m_start % size, wanted);
+  CompareFrom(search, 0, wanted - std::min(wanted, search.m_fitting));
   if (search.m_fitting == 0) {
     const std::size_t start = aRandom() % size;
     CompareFrom(search, start, 2);
@@ -284,10 +293,11 @@
     return;
   }
   ++aSearch.m_fitting;
+  const std::size_t size = aSearch.m_fleet.Targets().size();
+  const std::size_t distance = (aPosition + size - m_start % size) % size;
   const double score =
     Score(aSearch.m_demand, free, target.m_listing.m_capacity) -
-    kListWeight * static_cast<double>(aPosition) /
-      static_cast<double>(aSearch.m_fleet.Targets().size());
+    kListWeight * static_cast<double>(distance) / static_cast<double>(size);
   if (score > aSearch.m_best) {
     aSearch.m_best = score;
     aSearch.m_bestPosition = aPosition;
@@ -306,7 +316,7 @@
   // Targets with accelerators are kept for those who use them.
   const bool wastes = aDemand.Get(ResourceKind::kAccelerators) == 0 &&
                       aFree.Get(ResourceKind::kAccelerators) > 0;
-  return (wastes ? -kResourceKinds * 1.0 : 0.0) - stranded;
+  return wastes ? -kWasteful - stranded : -stranded;
 }
 
 void Placer::LearnMean(const Resources& aDemand, const Resources& aCapacity)
--- a/src/liblycheestep/placer.h
+++ b/src/liblycheestep/placer.h
@@ -72,7 +72,12 @@
                const Resources& aCapacity) const;
   void LearnMean(const Resources& aDemand, const Resources& aCapacity);
 
+  static constexpr std::size_t kNoStart = RoomIndex::kNone;
+
   std::size_t m_sample;
+  // Where this host begins in the list; drawn once, so that the hosts of a
+  // data centre don't all fill the same targets first.
+  std::size_t m_start = kNoStart;
   // The decayed mean of what placed tasks took, as shares of their targets.
   std::array<double, kResourceKinds> m_meanShares{};
 };
--- a/src/liblycheestep/scheduler_state.cpp
+++ b/src/liblycheestep/scheduler_state.cpp
@@ -132,6 +132,11 @@
     return;
   }
   m_nextCapacity = aContext.m_now + kCapacityPeriod;
+  for (const HealthChange& change : m_parts.m_health.Update(aContext.m_now)) {
+    if (FleetTarget* target = m_parts.m_fleet.Find(change.m_target)) {
+      target->m_ejected = change.m_ejected;
+    }
+  }
   Resources usable;
   for (const FleetTarget& target : m_parts.m_fleet.Targets()) {
     if (target.TakesWork()) {
@@ -238,6 +243,11 @@
                  return aListing.m_dataCentre == m_settings.m_dataCentre;
                });
   m_parts.m_fleet.Replace(own);
+  std::vector<TargetId> names;
+  for (const TargetListing& listing : own) {
+    names.push_back(listing.m_id);
+  }
+  m_parts.m_health.SetTargets(names);
   m_parts.m_grants.HandleFleetChanged(aContext);
 }
 
--- a/src/liblycheestep/target_health.cpp
+++ b/src/liblycheestep/target_health.cpp
@@ -46,12 +46,15 @@
   m_states = std::move(next);
 }
 
-void TargetHealth::Placed(const TargetId& aTarget)
+bool TargetHealth::Placed(const TargetId& aTarget)
 {
   auto found = m_states.find(aTarget);
-  if (found != m_states.end() && found->second.m_ejected) {
-    found->second.m_probeSent = true;
+  if (found == m_states.end() || !found->second.m_ejected) {
+    return false;
   }
+  found->second.m_probeSent = true;
+  found->second.m_closed = true;
+  return true;
 }
 
 void TargetHealth::Succeeded(const TargetId& aTarget, TimePoint aNow)
@@ -156,9 +159,7 @@
 {
   std::vector<double> rates;
   for (const auto& entry : m_states) {
-    if (entry.second.m_outcomes >= kLeastOutcomes) {
-      rates.push_back(entry.second.Rate());
-    }
+    rates.push_back(entry.second.Rate());
   }
   if (rates.empty()) {
     return 0.0;
--- a/src/liblycheestep/target_health.h
+++ b/src/liblycheestep/target_health.h
@@ -13,7 +13,8 @@
 // Ejects targets that fail what they are given far more often than the
 // fleet's median target. Such a target looks idle and fast, so placement would
 // feed it. A failure that the whole fleet shares raises the median and ejects
-// nobody, and never more than kMaxEjected of the targets are ejected.
+// nobody, and never more than kMaxEjected of the targets are ejected. A target
+// of which little is known counts as one that does not fail.
 class TargetHealth
 {
 public:
@@ -36,8 +37,9 @@
   // Keeps only what is known of these targets and adds the new ones.
   void SetTargets(const std::vector<TargetId>& aTargets);
 
-  // A task was given to the target. Of use for probes only.
-  void Placed(const TargetId& aTarget);
+  // A task was given to the target. True when that was the probe of an
+  // ejected target, which is closed again from now on.
+  bool Placed(const TargetId& aTarget);
 
   // What became of a task or of a call at the target.
   void Succeeded(const TargetId& aTarget, TimePoint aNow);
--- a/src/liblycheestep/target_health_test.cpp
+++ b/src/liblycheestep/target_health_test.cpp
@@ -69,14 +69,12 @@
   };
   for (int probe = 0; probe < TargetHealth::kProbesToReturn; ++probe) {
     update();
-    m_health.Placed(m_targets[0]);
+    EXPECT_TRUE(m_health.Placed(m_targets[0]));
     update();
     m_health.Succeeded(m_targets[0], m_now);
   }
   update();
-  EXPECT_EQ(
-    closed,
-    (std::vector<bool>{ false, true, false, true, false, true, false }));
+  EXPECT_EQ(closed, (std::vector<bool>{ false, false, false, false }));
   EXPECT_EQ(Ejected(), 0);
 }
 
@@ -86,8 +84,8 @@
   m_health.Update(m_now);
   m_now += TargetHealth::kProbePeriod;
   m_health.Update(m_now);
-  m_health.Placed(m_targets[0]);
-  m_health.Update(m_now);
+  EXPECT_TRUE(m_health.Placed(m_targets[0]));
+  EXPECT_FALSE(m_health.Placed(m_targets[1]));
   m_health.Failed(m_targets[0], m_now);
   EXPECT_TRUE(m_health.Update(m_now + TargetHealth::kProbePeriod).empty());
   EXPECT_EQ(m_health.Update(m_now + 2 * TargetHealth::kProbePeriod).size(), 1U);
--- a/src/liblycheestep/task_flow.cpp
+++ b/src/liblycheestep/task_flow.cpp
@@ -123,6 +123,7 @@
 {
   m_parts.m_queue.Ended(aTask.m_kind, aTask.m_demand, 1);
   m_parts.m_queue.CapacityChanged();
+  CountHealth(aTask.m_target, aEnd, aContext.m_now);
   LiveRequest* live = m_parts.m_requests.Find(aTask.m_request);
   LiveTask* task = live == nullptr ? nullptr : live->FindTask(aTask.m_attempt);
   if (task == nullptr) {
@@ -179,6 +180,22 @@
   FinishIfOver(aContext, *live);
 }
 
+void TaskFlow::CountHealth(const TargetId& aTarget,
+                           TaskEnd aEnd,
+                           TimePoint aNow)
+{
+  const FleetTarget* target = std::as_const(m_parts.m_fleet).Find(aTarget);
+  // A target that is about to leave refuses work as it should.
+  if (target == nullptr || target->m_leaving || aEnd == TaskEnd::kStopped) {
+    return;
+  }
+  if (aEnd == TaskEnd::kSucceeded) {
+    m_parts.m_health.Succeeded(aTarget, aNow);
+  } else {
+    m_parts.m_health.Failed(aTarget, aNow);
+  }
+}
+
 void TaskFlow::HandleServiceEnd(CoreContext& aContext,
                                 LiveRequest& aLive,
                                 LiveTask& aTask)
--- a/src/liblycheestep/task_flow.h
+++ b/src/liblycheestep/task_flow.h
@@ -75,6 +75,7 @@
                  TaskEnd aEnd,
                  const TaskReport& aReport,
                  const std::string& aWhy);
+  void CountHealth(const TargetId& aTarget, TaskEnd aEnd, TimePoint aNow);
   void HandleServiceEnd(CoreContext& aContext,
                         LiveRequest& aLive,
                         LiveTask& aTask);
