Let every customer of the catalogue be announced

Cause: the catalogue admits names of 100 characters, up to 400 bytes, but the operator service took 128 bytes of a customer's name. A change that touches a promised customer with a longer name could never have gone ahead.

Conclusion: what the catalogue declares can be used in every call.

--- a/src/operator.service/operator_json.cpp
+++ b/src/operator.service/operator_json.cpp
@@ -15,6 +15,9 @@
 
 constexpr int kAccepted = 202;
 constexpr std::size_t kNameLimit = 128;
+// Bytes of a customer's name: the catalogue admits 100 characters, each of at
+// most 4 bytes of UTF-8.
+constexpr std::size_t kCustomerLimit = 400;
 constexpr std::size_t kMessageLimit = 1024;
 
 // Sets aValue from a string member; false when it is missing, no string,
@@ -180,8 +183,8 @@
   }
   std::string customer;
   const bool named = json.contains("customer");
-  if (named && !ReadText(json, "customer", kNameLimit, customer)) {
-    call.m_detail = "/customer must be a string of 1 to 128 bytes";
+  if (named && !ReadText(json, "customer", kCustomerLimit, customer)) {
+    call.m_detail = "/customer must be a string of 1 to 400 bytes";
   }
   if (!named && aVerb == OperatorVerb::kAnnounce) {
     call.m_detail = "/customer must name who was called";
--- a/src/operator.service/operator_service_test.cpp
+++ b/src/operator.service/operator_service_test.cpp
@@ -27,6 +27,20 @@
             "");
 }
 
+TEST(OperatorJsonTest, TakesEveryCustomerOfTheCatalogue)
+{
+  std::string name;
+  for (int i = 0; i < 100; ++i) {
+    name += "ữ";
+  }
+  const CommandCall call =
+    ReadWorkCall(OperatorVerb::kAnnounce,
+                 "a",
+                 R"({"operator":"lan","customer":")" + name + "\"}");
+  EXPECT_EQ(call.m_detail, "");
+  EXPECT_EQ(call.m_command.m_customer.Text(), name);
+}
+
 TEST(OperatorJsonTest, TurnsDownABrokenCatalogue)
 {
   const CommandCall call = ReadApplyCall(
