Tell planned slowdowns in one place; take a promise away only after the call

Cause: PromiseBook and SlowedKinds both told which kinds a change slows down, and only the former saw that a change took a promise away, moved a kind to another team or made it checkpointable.

Preemption asks the catalogue for promises.

Conclusion: an operator cannot first remove a promise and then slow the work down without a call.

--- a/src/bench/scheduler_policy.cpp
+++ b/src/bench/scheduler_policy.cpp
@@ -18,7 +18,6 @@
   }
   m_queue.SetCatalogue(aCatalogue);
   m_queue.SetCellCapacity(aFleet.TotalCapacity());
-  m_promises.SetCatalogue(aCatalogue);
 }
 
 bool SchedulerPolicy::Offer(const WaitingWork& aWork, TimePoint aNow)
@@ -104,7 +103,7 @@
     task.m_started = running.m_started;
     tasks.push_back(std::move(task));
   }
-  const Preemption preemption(*m_catalogue, m_promises, m_queue);
+  const Preemption preemption(*m_catalogue, m_queue);
   std::vector<RequestId> stopped;
   for (const WorkClass wanting : { WorkClass::kUrgent, WorkClass::kStandard }) {
     const WorkKind* kind = m_queue.KindWantingRoom(wanting);
--- a/src/bench/scheduler_policy.h
+++ b/src/bench/scheduler_policy.h
@@ -9,7 +9,6 @@
 #include "core_context.h"
 #include "placer.h"
 #include "preemption.h"
-#include "promise_book.h"
 
 namespace lycheestep::bench {
 
@@ -48,7 +47,6 @@
   std::unordered_map<KindName, const WorkKind*> m_kinds;
   AdmissionQueue m_queue;
   Placer m_placer;
-  PromiseBook m_promises;
   RandomGenerator m_random;
   std::uint64_t m_placements = 0;
   std::uint64_t m_candidates = 0;
--- a/src/liblycheestep/planned_slowdown.cpp
+++ b/src/liblycheestep/planned_slowdown.cpp
@@ -1,5 +1,7 @@
 #include "planned_slowdown.h"
 
+#include <algorithm>
+
 #include "lycheestep/catalogue.h"
 
 namespace lycheestep {
@@ -19,6 +21,8 @@
          !aFormer.m_demand.FitsIn(aNext.m_demand) ||
          aNext.m_tasks < aFormer.m_tasks ||
          aNext.m_queueLimit < aFormer.m_queueLimit ||
+         aNext.m_team != aFormer.m_team ||
+         (aNext.m_checkpointable && !aFormer.m_checkpointable) ||
          LimitIsLower(aNext.m_runningLimit, aFormer.m_runningLimit) ||
          LimitIsLower(aNext.m_runTimeLimit.count(),
                       aFormer.m_runTimeLimit.count());
@@ -40,6 +44,20 @@
   return aNext.m_classFloors[index] < aFormer.m_classFloors[index];
 }
 
+bool PromiseIsTaken(const Catalogue& aFormer,
+                    const Catalogue& aNext,
+                    const KindName& aKind)
+{
+  const auto next = aNext.PromisedCustomersOf(aKind);
+  const auto former = aFormer.PromisedCustomersOf(aKind);
+  return std::any_of(
+    former.begin(), former.end(), [&](const Customer* aCustomer) {
+      return std::none_of(next.begin(), next.end(), [&](const Customer* aKept) {
+        return aKept->m_name == aCustomer->m_name;
+      });
+    });
+}
+
 } // namespace
 
 std::vector<KindName> SlowedKinds(const Catalogue& aFormer,
@@ -51,7 +69,8 @@
     const bool slower = next == nullptr || KindIsSlower(former, *next) ||
                         TeamIsSlower(aFormer.FindTeam(former.m_team),
                                      aNext.FindTeam(former.m_team)) ||
-                        ClassIsSlower(aFormer, aNext, former.m_class);
+                        ClassIsSlower(aFormer, aNext, former.m_class) ||
+                        PromiseIsTaken(aFormer, aNext, former.m_name);
     if (slower) {
       slowed.push_back(former.m_name);
     }
--- a/src/liblycheestep/policy_property_test.cpp
+++ b/src/liblycheestep/policy_property_test.cpp
@@ -7,7 +7,6 @@
 #include "admission_queue.h"
 #include "placer.h"
 #include "preemption.h"
-#include "promise_book.h"
 
 namespace lycheestep {
 namespace {
@@ -72,7 +71,6 @@
     }
     m_queue.SetCatalogue(m_catalogue);
     m_queue.SetCellCapacity(m_fleet.TotalCapacity());
-    m_promises.SetCatalogue(m_catalogue);
   }
 
   const WorkKind& Kind(std::size_t aKind) const
@@ -151,7 +149,6 @@
   Fleet m_fleet;
   AdmissionQueue m_queue{ 500 };
   Placer m_placer{ 16 };
-  PromiseBook m_promises;
   RandomGenerator m_random{ 3 };
   TimePoint m_now{ seconds(100) };
   std::size_t m_next = 0;
@@ -218,8 +215,7 @@
 {
   const auto events = *AnyEvents();
   PolicyModel model;
-  const Preemption preemption(
-    *model.m_catalogue, model.m_promises, model.m_queue);
+  const Preemption preemption(*model.m_catalogue, model.m_queue);
   for (const int event : events) {
     Apply(model, event);
     for (const RunningTask& victim :
--- a/src/liblycheestep/preemption.cpp
+++ b/src/liblycheestep/preemption.cpp
@@ -40,10 +40,8 @@
 } // namespace
 
 Preemption::Preemption(const Catalogue& aCatalogue,
-                       const PromiseBook& aPromises,
                        const AdmissionQueue& aQueue)
   : m_catalogue(aCatalogue)
-  , m_promises(aPromises)
   , m_queue(aQueue)
 {
 }
@@ -57,7 +55,7 @@
   }
   const bool alone =
     kind->m_form == WorkForm::kRequest || kind->m_form == WorkForm::kJob;
-  return alone && !m_promises.IsPromised(aKind);
+  return alone && m_catalogue.PromisedCustomersOf(aKind).empty();
 }
 
 std::vector<RunningTask> Preemption::ChooseVictims(
--- a/src/liblycheestep/preemption.h
+++ b/src/liblycheestep/preemption.h
@@ -8,7 +8,6 @@
 #include "lycheestep/catalogue.h"
 #include "lycheestep/resources.h"
 #include "lycheestep/time_types.h"
-#include "promise_book.h"
 #include "running_task.h"
 
 namespace lycheestep {
@@ -18,10 +17,8 @@
 class Preemption
 {
 public:
-  // All three outlive this.
-  Preemption(const Catalogue& aCatalogue,
-             const PromiseBook& aPromises,
-             const AdmissionQueue& aQueue);
+  // Both outlive this.
+  Preemption(const Catalogue& aCatalogue, const AdmissionQueue& aQueue);
 
   // True when a task of the kind may be a victim for work of aFor: it can be
   // checkpointed, is of a less urgent class that runs more than its floor,
@@ -41,7 +38,6 @@
 
 private:
   const Catalogue& m_catalogue;
-  const PromiseBook& m_promises;
   const AdmissionQueue& m_queue;
 };
 
--- a/src/liblycheestep/preemption_test.cpp
+++ b/src/liblycheestep/preemption_test.cpp
@@ -47,7 +47,6 @@
   {
     auto catalogue = std::make_shared<Catalogue>(m_catalogue);
     m_queue.SetCatalogue(catalogue);
-    m_promises.SetCatalogue(catalogue);
   }
 
   void Run(const char* aKind, const char* aTarget, Duration aAgo)
@@ -71,13 +70,12 @@
     quote.m_kind = KindName("quote");
     m_queue.Offer(quote, kNow);
     m_queue.Next(kNow);
-    const Preemption preemption(m_catalogue, m_promises, m_queue);
+    const Preemption preemption(m_catalogue, m_queue);
     return preemption.ChooseVictims(
       m_fleet, m_tasks, kTask, WorkClass::kUrgent, kNow);
   }
 
   Catalogue m_catalogue;
-  PromiseBook m_promises;
   AdmissionQueue m_queue{ 100 };
   Fleet m_fleet;
   std::vector<RunningTask> m_tasks;
