Ask for the hosts of one data centre, and only when they changed

Cause: every entry host fetched the list of the whole cell every 2 s, some 200 bytes a target: 120 KB/s at 1,200 targets against a budget of 10 KB/s. Change: the query names the data centre and the tag of the list at hand; an unchanged list is answered with 304 and no body. Conclusion: at rest the list costs one small call each period.

--- a/src/include/lycheestep/event.h
+++ b/src/include/lycheestep/event.h
@@ -75,6 +75,8 @@
 struct HostListAnswered
 {
   bool m_reached = false;
+  // The list is the one that was last answered; m_targets is empty then.
+  bool m_unchanged = false;
   std::vector<TargetListing> m_targets;
 };
 
--- a/src/liblycheestep/fleet_test.cpp
+++ b/src/liblycheestep/fleet_test.cpp
@@ -52,6 +52,7 @@
 {
   Fleet fleet;
   std::vector<TargetListing> listings;
+  listings.reserve(5);
   for (int i = 0; i < 5; ++i) {
     listings.push_back(Listing(("t" + std::to_string(i)).c_str()));
   }
--- a/src/liblycheestep/operator_flow.cpp
+++ b/src/liblycheestep/operator_flow.cpp
@@ -276,7 +276,7 @@
 
 void OperatorFlow::ReadAnnouncements(CoreContext& aContext,
                                      const std::vector<KindName>& aKinds,
-                                     AnnouncementsRead aContinue)
+                                     const AnnouncementsRead& aContinue)
 {
   TableQuery query;
   for (const KindName& kind : aKinds) {
@@ -322,7 +322,7 @@
                           TableTransaction aTransaction,
                           const std::string& aAuditKey,
                           const std::string& aDoneDetail,
-                          std::function<void(CoreContext&)> aOnDone)
+                          const std::function<void(CoreContext&)>& aOnDone)
 {
   m_parts.m_table.Transact(
     aContext,
--- a/src/liblycheestep/operator_flow.h
+++ b/src/liblycheestep/operator_flow.h
@@ -73,13 +73,13 @@
                 const OperatorCommand& aCommand);
   void ReadAnnouncements(CoreContext& aContext,
                          const std::vector<KindName>& aKinds,
-                         AnnouncementsRead aContinue);
+                         const AnnouncementsRead& aContinue);
   void Commit(CoreContext& aContext,
               CallerTicket aTicket,
               TableTransaction aTransaction,
               const std::string& aAuditKey,
               const std::string& aDoneDetail,
-              std::function<void(CoreContext&)> aOnDone);
+              const std::function<void(CoreContext&)>& aOnDone);
   void ReadBack(CoreContext& aContext,
                 CallerTicket aTicket,
                 const std::string& aAuditKey,
--- a/src/liblycheestep/request_answers.cpp
+++ b/src/liblycheestep/request_answers.cpp
@@ -101,10 +101,9 @@
                               const RequestId& aRequest,
                               const Answer& aAnswer)
 {
-  const RequestId id = aRequest;
-  if (const LiveRequest* live = m_parts.m_requests.Find(id)) {
+  if (const LiveRequest* live = m_parts.m_requests.Find(aRequest)) {
     SendToAll(aContext, *live, aAnswer);
-    m_parts.m_requests.Drop(id);
+    m_parts.m_requests.Drop(RequestId(live->m_request.m_id));
   }
 }
 
--- a/src/liblycheestep/scheduler_state.cpp
+++ b/src/liblycheestep/scheduler_state.cpp
@@ -232,7 +232,7 @@
 void SchedulerState::On(CoreContext& aContext, const HostListAnswered& aEvent)
 {
   m_fetchingHosts = false;
-  if (!aEvent.m_reached) {
+  if (!aEvent.m_reached || aEvent.m_unchanged) {
     return;
   }
   std::vector<TargetListing> own;
--- a/src/platform.service/platform_service.cpp
+++ b/src/platform.service/platform_service.cpp
@@ -24,6 +24,7 @@
 constexpr int kReadTries = 2;
 
 constexpr int kHttpOk = 200;
+constexpr int kHttpNotModified = 304;
 constexpr int kHttpConflict = 409;
 // The platform turns a call down without doing it.
 constexpr int kHttpUnavailable = 503;
@@ -72,6 +73,7 @@
 
 PlatformService::PlatformService(const ProcessSettings& aSettings)
   : m_address(AddressOf(aSettings.m_platformUrl))
+  , m_dataCentre(aSettings.m_scheduler.m_dataCentre)
   , m_connections(aSettings.m_platformTimeout)
   , m_writers("platform-write", aSettings.m_platformThreads)
   , m_readers("platform-read", aSettings.m_platformThreads)
@@ -139,13 +141,21 @@
 void PlatformService::DoFetchHosts()
 {
   const TimePoint since = Clock::now();
-  const HttpReply reply = m_connections.Get(m_address, "/v1/hosts");
+  const HttpReply reply =
+    m_connections.Post(m_address,
+                       "/v1/hosts/query",
+                       EncodeHostQuery({ m_dataCentre, m_hostsTag }));
   CountCall("hosts", reply, since);
   HostListAnswered answer;
-  if (reply.m_progress == HttpProgress::kAnswered &&
-      reply.m_status == kHttpOk) {
+  const bool answered = reply.m_progress == HttpProgress::kAnswered;
+  if (answered && reply.m_status == kHttpNotModified) {
+    answer.m_reached = true;
+    answer.m_unchanged = true;
+  }
+  if (answered && reply.m_status == kHttpOk) {
     auto hosts = DecodeHosts(reply.m_body);
     answer.m_reached = hosts.has_value();
+    m_hostsTag = answer.m_reached ? HostsTag(reply.m_body) : std::string();
     answer.m_targets = std::move(hosts).value_or(std::vector<TargetListing>());
   }
   m_events->Post(std::move(answer));
--- a/src/platform.service/platform_service.h
+++ b/src/platform.service/platform_service.h
@@ -16,8 +16,8 @@
 struct ProcessSettings;
 
 // The platform over HTTP: POST /v1/table/transact, POST /v1/table/read and
-// GET /v1/hosts. Reads and writes have threads of their own, so that slow
-// reads do not hold up writes.
+// POST /v1/hosts/query. Reads and writes have threads of their own, so that
+// slow reads do not hold up writes.
 class PlatformService
   : public Service
   , public PlatformClient
@@ -41,6 +41,10 @@
   void CountCall(const char* aCall, const HttpReply& aReply, TimePoint aSince);
 
   const std::string m_address;
+  const DataCentreName m_dataCentre;
+  // The tag of the host list last taken. Only one fetch is under way at a
+  // time, and the next begins after its event.
+  std::string m_hostsTag;
   HttpConnections m_connections;
   WorkerPool m_writers;
   WorkerPool m_readers;
--- a/src/standin/platform_server.cpp
+++ b/src/standin/platform_server.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNotModified = 304;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
@@ -81,8 +82,8 @@
   add(HttpMethod::kPost, "/v1/table/read", [this](const HttpCall& aCall) {
     return Read(aCall);
   });
-  add(HttpMethod::kGet, "/v1/hosts", [this](const HttpCall& /*aCall*/) {
-    return Hosts();
+  add(HttpMethod::kPost, "/v1/hosts/query", [this](const HttpCall& aCall) {
+    return Hosts(aCall);
   });
   add(HttpMethod::kPut, "/v1/objects/([^/]+)", [this](const HttpCall& aCall) {
     return PutObject(aCall);
@@ -130,14 +131,26 @@
                : MakeAnswer(kBadRequest, "{}");
 }
 
-HttpAnswer PlatformServer::Hosts()
+HttpAnswer PlatformServer::Hosts(const HttpCall& aCall)
 {
+  const auto query = DecodeHostQuery(aCall.m_body);
+  if (!query) {
+    return MakeAnswer(kBadRequest, "{}");
+  }
   const TimePoint now = Clock::now();
   if (m_hosts.empty() || now - m_hostsAt >= m_listLag) {
     m_hosts = m_listHosts();
     m_hostsAt = now;
   }
-  return MakeAnswer(kOk, EncodeHosts(m_hosts));
+  std::vector<TargetListing> asked;
+  for (const TargetListing& host : m_hosts) {
+    if (host.m_dataCentre == query->m_dataCentre) {
+      asked.push_back(host);
+    }
+  }
+  const std::string body = EncodeHosts(asked);
+  return HostsTag(body) == query->m_tag ? MakeAnswer(kNotModified, "")
+                                        : MakeAnswer(kOk, body);
 }
 
 HttpAnswer PlatformServer::PutObject(const HttpCall& aCall)
--- a/src/standin/platform_server.h
+++ b/src/standin/platform_server.h
@@ -43,7 +43,7 @@
   HttpAnswer Serve(const std::function<HttpAnswer()>& aCall);
   HttpAnswer Transact(const HttpCall& aCall);
   HttpAnswer Read(const HttpCall& aCall);
-  HttpAnswer Hosts();
+  HttpAnswer Hosts(const HttpCall& aCall);
   HttpAnswer PutObject(const HttpCall& aCall);
   HttpAnswer GetObject(const HttpCall& aCall);
   HttpAnswer Control(const HttpCall& aCall);
--- a/src/standin/standin_servers_test.cpp
+++ b/src/standin/standin_servers_test.cpp
@@ -87,6 +87,7 @@
   {
     EXPECT_FALSE(m_target.Listen("127.0.0.1", 0));
     EXPECT_FALSE(m_platform.Listen("127.0.0.1", 0));
+    m_settings.m_scheduler.m_dataCentre = DataCentreName("dc1");
     m_settings.m_platformUrl =
       "http://127.0.0.1:" + std::to_string(m_platform.Port());
     m_settings.m_platformTimeout = std::chrono::seconds(30);
@@ -160,6 +161,8 @@
   EXPECT_EQ(m_events->Next<TableAnswered>().m_answer.m_rows[0].m_value, "c");
   m_table->FetchHosts();
   EXPECT_EQ(m_events->Next<HostListAnswered>().m_targets[0].m_id.Text(), "t1");
+  m_table->FetchHosts();
+  EXPECT_TRUE(m_events->Next<HostListAnswered>().m_unchanged);
 }
 
 TEST_F(StandinServersTest, StartsATaskAndTellsOfItsEnd)
--- a/src/wire/table_json.cpp
+++ b/src/wire/table_json.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 
+#include <xxhash.h>
+
 #include "base64.h"
 #include "json_codec.h"
 
@@ -135,6 +137,28 @@
   });
 }
 
+std::string EncodeHostQuery(const HostQuery& aQuery)
+{
+  return DumpJson(
+    { { "data_centre", aQuery.m_dataCentre.Text() }, { "tag", aQuery.m_tag } });
+}
+
+std::optional<HostQuery> DecodeHostQuery(const std::string& aText)
+{
+  return ParseJson(aText, [](const Json& aJson) {
+    HostQuery query;
+    query.m_dataCentre =
+      DataCentreName(aJson.at("data_centre").get<std::string>());
+    query.m_tag = aJson.at("tag").get<std::string>();
+    return query;
+  });
+}
+
+std::string HostsTag(const std::string& aEncoded)
+{
+  return std::to_string(XXH64(aEncoded.data(), aEncoded.size(), 0));
+}
+
 std::string EncodeHosts(const std::vector<TargetListing>& aHosts)
 {
   Json hosts = Json::array();
