Let shares follow demand, and look at records after a lost session

Cause: nothing told the shares what found no place, so a host's room never moved by demand; a host that lost its session never learnt which records went to a peer; taken shares waited for the next periodic report.

A new session writes the open records anew. A take-over asks its target at once.

--- a/src/liblycheestep/admission_queue.cpp
+++ b/src/liblycheestep/admission_queue.cpp
@@ -330,6 +330,23 @@
   return lane == nullptr ? 0 : lane->m_waiting.size();
 }
 
+void AdmissionQueue::BlockedDemand(Resources* aTotal,
+                                   Resources* aLargestTask) const
+{
+  for (const Lane& lane : m_lanes) {
+    const bool blocked = lane.m_blockedSince != TimePoint::max() &&
+                         !lane.m_stopped && !lane.m_waiting.empty();
+    if (!blocked) {
+      continue;
+    }
+    const Resources task = DemandOf(lane, 1);
+    const auto tasks = static_cast<std::int64_t>(lane.m_waiting.size()) *
+                       std::max(1, lane.m_kind.m_tasks);
+    *aTotal += task.Scaled(tasks, 1);
+    *aLargestTask = Resources::Max(*aLargestTask, task);
+  }
+}
+
 int AdmissionQueue::Running(const KindName& aKind) const
 {
   const Lane* lane = FindLane(aKind);
--- a/src/liblycheestep/admission_queue.h
+++ b/src/liblycheestep/admission_queue.h
@@ -109,6 +109,10 @@
   std::size_t Waiting() const { return m_index.size(); }
   std::size_t Waiting(const KindName& aKind) const;
 
+  // What all work of the kinds that found no place needs together, and the
+  // largest single task of it in each resource. Zero when all finds room.
+  void BlockedDemand(Resources* aTotal, Resources* aLargestTask) const;
+
   // How many tasks of the kind run, and what all running tasks of a class or
   // a team take.
   int Running(const KindName& aKind) const;
--- a/src/liblycheestep/core_parts.cpp
+++ b/src/liblycheestep/core_parts.cpp
@@ -20,6 +20,9 @@
   , m_queue(aSettings.m_queueLimit)
   , m_placer(aSettings.m_candidateSample)
 {
+  m_grants.SetAskTarget([this](CoreContext& aContext, const TargetId& aTarget) {
+    m_leases.AskSoon(aContext, aTarget);
+  });
 }
 
 } // namespace lycheestep
--- a/src/liblycheestep/scheduler_state.cpp
+++ b/src/liblycheestep/scheduler_state.cpp
@@ -137,6 +137,10 @@
       target->m_ejected = change.m_ejected;
     }
   }
+  Resources wanted;
+  Resources largestTask;
+  m_parts.m_queue.BlockedDemand(&wanted, &largestTask);
+  m_parts.m_grants.SetDemand(wanted, largestTask);
   Resources usable;
   for (const FleetTarget& target : m_parts.m_fleet.Targets()) {
     if (target.TakesWork()) {
@@ -335,6 +339,7 @@
 void SchedulerState::OnSessionOpened(CoreContext& aContext, std::uint64_t)
 {
   m_parts.m_grants.HandleSessionChanged(aContext);
+  m_parts.m_records.HandleSessionOpened(aContext);
 }
 
 void SchedulerState::OnSessionLost(CoreContext& aContext, std::uint64_t)
