Mend what random commands on whole hosts found

Cause, each found by random_scenario_test: a record with an unknown outcome was taken over as one never sent and ran a second time (at most once broken); a peer asked a target that had been told to forget, and believed its denial; a refusal remembered here was answered for an id that another host ran; work that had run and failed was forwarded and refused there as not run; work without a record was called pending and then not found.

Change: every record but ACCEPTED is asked for at its targets; an unknown one's denial counts as lost; a remembered refusal is checked against the record; work that may have run is not forwarded; pending means recorded.

--- a/src/liblycheestep/request_intake.cpp
+++ b/src/liblycheestep/request_intake.cpp
@@ -1,6 +1,7 @@
 #include "request_intake.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "core_parts.h"
@@ -300,16 +301,19 @@
                            const Asker& aAsker,
                            const RequestId& aRequest)
 {
-  if (const Answer* known = m_parts.m_requests.FindAnswer(aRequest)) {
+  const Answer* known = m_parts.m_requests.FindAnswer(aRequest);
+  if (known != nullptr && known->m_outcome != Outcome::kNotRun) {
     m_answers.Send(aContext, aAsker, *known);
     return;
   }
+  // What was refused here may have been sent to another host under its id.
+  const std::optional<Answer> refused =
+    known == nullptr ? std::nullopt : std::optional<Answer>(*known);
   if (const LiveRequest* live = m_parts.m_requests.Find(aRequest)) {
     Answer answer;
     answer.m_request = aRequest;
-    // What is not recorded yet, or left to a peer, may still be refused.
-    answer.m_pending = live->m_stage != RequestStage::kRecording &&
-                       live->m_stage != RequestStage::kForwarded;
+    // What has no record may still be refused, or be lost with this host.
+    answer.m_pending = live->m_recorded;
     answer.m_detail = "not over yet; ask again";
     m_answers.Send(aContext, aAsker, answer);
     return;
@@ -317,12 +321,14 @@
   m_parts.m_records.Find(
     aContext,
     aRequest,
-    [this, aAsker, aRequest](
+    [this, aAsker, aRequest, refused](
       CoreContext& aLater, bool aReached, const proto::RecordRow* aRecord) {
       Answer answer;
       answer.m_request = aRequest;
       if (aRecord != nullptr) {
         answer = RequestAnswers::FromRecord(*aRecord);
+      } else if (aReached && refused) {
+        answer = *refused;
       } else if (aReached) {
         answer.m_notFound = true;
         answer.m_error = SchedulerError::kNotFound;
@@ -350,8 +356,8 @@
 
 bool RequestIntake::TryForward(CoreContext& aContext, LiveRequest& aLive)
 {
-  const bool free =
-    !aLive.m_recorded && aLive.m_forwarders.empty() && !aLive.AnyTaskOut();
+  const bool free = !aLive.m_recorded && !aLive.m_mayHaveRun &&
+                    aLive.m_forwarders.empty() && !aLive.AnyTaskOut();
   if (!free) {
     return false;
   }
@@ -470,7 +476,8 @@
   live.m_recorded = true;
   live.m_cancelled = aRecord.cancelled();
   live.Note("taken over from another host");
-  if (aRecord.state() == proto::RecordRow::DISPATCHED) {
+  // A record whose outcome is unknown may have run: it is asked for, too.
+  if (aRecord.state() != proto::RecordRow::ACCEPTED) {
     AdoptTasks(aContext, live, aRecord);
     return;
   }
@@ -538,6 +545,8 @@
     tracked.m_demand = task.m_demand;
     tracked.m_index = static_cast<int>(index);
     tracked.m_adopted = true;
+    // Its target may have been told to forget it, and would deny it then.
+    tracked.m_started = aRecord.state() == proto::RecordRow::UNKNOWN;
     m_parts.m_leases.Adopt(aContext, tracked, aContext.m_now);
   }
 }
--- a/src/liblycheestep/task_flow.cpp
+++ b/src/liblycheestep/task_flow.cpp
@@ -371,7 +371,7 @@
     return;
   }
   StopTasks(aContext, *live, SchedulerError::kCancelled);
-  answer.m_pending = true;
+  answer.m_pending = live->m_recorded;
   answer.m_detail = "being stopped; ask for the result by id";
   m_answers.Send(aContext, aAsker, answer);
   if (live->m_stage == RequestStage::kActive) {
