--- a/src/scenario/caller_model.cpp
+++ b/src/scenario/caller_model.cpp
@@ -147,6 +147,7 @@
   }
   CallRecord& call = found->second;
   call.m_answers.push_back(aAnswer.m_answer);
+  call.m_heard += call.m_over ? 0 : 1;
   if (call.m_over || call.m_answers.size() > 1) {
     return;
   }
--- a/src/scenario/caller_model.h
+++ b/src/scenario/caller_model.h
@@ -32,6 +32,8 @@
   // The connection broke, or the caller hung up.
   bool m_over = false;
   std::vector<Answer> m_answers;
+  // Answers that came before the call was over; nobody heard the others.
+  std::size_t m_heard = 0;
 };
 
 // One request of one caller, over all its calls.
--- a/src/scenario/invariant_checker.h
+++ b/src/scenario/invariant_checker.h
@@ -68,8 +68,10 @@
   void CheckRuns();
   void CheckAnswers();
   void CheckAnswer(const CallRecord& aCall, const Answer& aAnswer);
+  void CheckNotRun(const CallerRequest& aRequest, const Answer& aAnswer);
   void CheckDone(const CallerRequest& aRequest, const Answer& aAnswer);
   void CheckLeavingTargets();
+  bool KnewOfLeaving(const TaskRecord& aRecord, TimePoint aSince) const;
   void CheckPlannedStops();
   void CheckConfiguration();
   void CheckHostVersions(const EntryId& aEntry,
