Keep a target that left the list from coming back by its own report

Cause: a target that left by the list alone and was gone from it got work again, as its own report said that it does not leave (found by random commands, cell). The checker held a process that had started half a second ago to the limit for the catalogue.

Change: the kept listing of a target that is gone says that it leaves. The cell counts the start of a process as a moment at which it reached nothing.

Conclusion: one known failure is left, a graceful stop with replies lost that leaves a call unanswered.

--- a/src/liblycheestep/fleet.cpp
+++ b/src/liblycheestep/fleet.cpp
@@ -55,6 +55,8 @@
     const bool gone = nextIndex.count(known.m_listing.m_id) == 0;
     if (gone && known.m_tasks > 0) {
       known.m_leaving = true;
+      // So that its own report, which may lag, doesn't bring it back.
+      known.m_listing.m_leaving = true;
       nextIndex.emplace(known.m_listing.m_id, next.size());
       next.push_back(std::move(known));
     }
--- a/src/scenario/virtual_cell.cpp
+++ b/src/scenario/virtual_cell.cpp
@@ -168,6 +168,8 @@
 
 void VirtualCell::StartHost(VirtualHost& aHost)
 {
+  // A new process has to learn everything anew.
+  m_unreached[aHost.Name()].push_back(m_timeline.Now());
   KillHost(aHost);
   aHost.Start(m_timeline.Now());
   Handle(aHost, TimePassed{});
