Throttle and stop overruns, give borrowed room back, bound retries

Cause: the estimator, the pre-emption and the retry budgets stood tested but no entry host called them: overruns went on, lent floors came back only when tasks ended, and retries knew no budget. Change: OverrunWatch judges every reported task and teaches the queue what kinds need; RoomMaker checkpoints repeatable tasks when a class below its floor found no place; retries of work that is not recorded draw on the kind's budget, recorded work is retried with backoff alone. Conclusion: the three modules act in the live path.

--- a/src/liblycheestep/scheduler_state.cpp
+++ b/src/liblycheestep/scheduler_state.cpp
@@ -25,6 +25,8 @@
   , m_tasks(m_parts, m_answers, m_intake)
   , m_dispatcher(m_parts, m_answers, m_intake)
   , m_operators(m_parts, m_intake, m_tasks)
+  , m_overruns(m_parts, m_tasks)
+  , m_roomMaker(m_parts)
   , m_stop(m_parts, m_answers, m_intake)
 {
   m_parts.m_session.SetListener(this);
@@ -55,6 +57,7 @@
   m_dispatcher.ExpireWaiting(context);
   RefreshCapacity(context);
   m_morePlacements = m_dispatcher.Run(context);
+  m_roomMaker.Tick(context);
 }
 
 void SchedulerState::Tick(CoreContext& aContext)
@@ -267,6 +270,7 @@
 
 void SchedulerState::On(CoreContext& aContext, const TaskEnded& aEvent)
 {
+  m_overruns.HandleEnded(aEvent.m_report);
   m_parts.m_leases.HandleTaskEnded(aContext, aEvent);
 }
 
@@ -278,6 +282,7 @@
       target->m_leaving = true;
     }
   }
+  m_overruns.HandleReport(aContext, report);
   m_parts.m_leases.HandleTargetReported(aContext, report);
   m_parts.m_grants.HandleTargetReported(aContext, report);
 }
--- a/src/liblycheestep/scheduler_state.h
+++ b/src/liblycheestep/scheduler_state.h
@@ -10,8 +10,10 @@
 #include "dispatcher.h"
 #include "lycheestep/event.h"
 #include "operator_flow.h"
+#include "overrun_watch.h"
 #include "request_answers.h"
 #include "request_intake.h"
+#include "room_maker.h"
 #include "session_keeper.h"
 #include "session_watch.h"
 #include "stop_flow.h"
@@ -73,6 +75,8 @@
   TaskFlow m_tasks;
   Dispatcher m_dispatcher;
   OperatorFlow m_operators;
+  OverrunWatch m_overruns;
+  RoomMaker m_roomMaker;
   StopFlow m_stop;
   bool m_started = false;
   // More work may be placed without waiting for anything.
--- a/src/liblycheestep/task_flow.cpp
+++ b/src/liblycheestep/task_flow.cpp
@@ -148,21 +148,25 @@
     return;
   }
   if (wasCheckpointed && !live->m_stopReason) {
+    // It has started in time; from here on it is only held up.
     task->m_resume = true;
-    RunAgain(aContext, *live, *task);
+    live->m_deadline = TimePoint::max();
+    RunAgain(aContext, *live, *task, kFirstRetry);
     return;
   }
   if (live->m_restarting) {
     RestartGangIfOver(aContext, *live);
     return;
   }
-  if (aEnd != TaskEnd::kSucceeded && MayRunAgain(*live, aEnd, aContext.m_now)) {
+  if (aEnd == TaskEnd::kSucceeded) {
+    m_budgets[live->m_kind.m_name].Succeeded();
+  } else if (const auto delay = TakeRetry(aContext, *live, aEnd)) {
     if (live->m_kind.m_form == WorkForm::kGang &&
         aEnd != TaskEnd::kNeverStarted) {
       RestartGang(aContext, *live);
       return;
     }
-    RunAgain(aContext, *live, *task);
+    RunAgain(aContext, *live, *task, *delay);
     return;
   }
   if (aEnd != TaskEnd::kSucceeded && !live->m_stopReason) {
@@ -206,7 +210,26 @@
   if (aTask.m_report.m_ranFor > kMostRetry) {
     aLive.m_retries = 1;
   }
-  RunAgain(aContext, aLive, aTask);
+  const Duration delay =
+    BackoffDelay(aContext.m_random, kFirstRetry, kMostRetry, aLive.m_retries);
+  RunAgain(aContext, aLive, aTask, delay);
+}
+
+std::optional<Duration> TaskFlow::TakeRetry(CoreContext& aContext,
+                                            LiveRequest& aLive,
+                                            TaskEnd aEnd)
+{
+  if (!MayRunAgain(aLive, aEnd, aContext.m_now)) {
+    return std::nullopt;
+  }
+  const int before = aLive.m_retries++;
+  if (aLive.m_recorded) {
+    // What was accepted for good is not given up to save a retry.
+    return BackoffDelay(
+      aContext.m_random, kFirstRetry, kMostRetry, aLive.m_retries);
+  }
+  return m_budgets[aLive.m_kind.m_name].Take(
+    before, aLive.m_deadline - aContext.m_now, aContext.m_random);
 }
 
 bool TaskFlow::MayRunAgain(const LiveRequest& aLive,
@@ -225,7 +248,8 @@
 
 void TaskFlow::RunAgain(CoreContext& aContext,
                         LiveRequest& aLive,
-                        LiveTask& aTask)
+                        LiveTask& aTask,
+                        Duration aDelay)
 {
   if (!aTask.m_resume) {
     m_parts.m_leases.Forget(aTask.m_target, aTask.m_attempt);
@@ -233,10 +257,7 @@
   aTask.m_stage = TaskStage::kIdle;
   aTask.m_stopping = false;
   aTask.m_checkpointing = false;
-  ++aLive.m_retries;
-  const Duration delay =
-    BackoffDelay(aContext.m_random, kFirstRetry, kMostRetry, aLive.m_retries);
-  aLive.m_retryAt = aContext.m_now + delay;
+  aLive.m_retryAt = aContext.m_now + aDelay;
   m_parts.m_requests.SetTimer(aLive.m_request.m_id, aLive.m_retryAt);
   LogDecision line;
   line.m_decision = DecisionKind::kRetried;
@@ -274,7 +295,9 @@
     task.m_stopping = false;
     task.m_resume = false;
   }
-  RunAgain(aContext, aLive, aLive.m_tasks.front());
+  const Duration delay =
+    BackoffDelay(aContext.m_random, kFirstRetry, kMostRetry, aLive.m_retries);
+  RunAgain(aContext, aLive, aLive.m_tasks.front(), delay);
 }
 
 void TaskFlow::StopTasks(CoreContext& aContext,
--- a/src/liblycheestep/task_flow.h
+++ b/src/liblycheestep/task_flow.h
@@ -1,6 +1,8 @@
 #ifndef LYCHEESTEP_TASK_FLOW_H
 #define LYCHEESTEP_TASK_FLOW_H
 
+#include <map>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -9,6 +11,7 @@
 #include "lease_keeper.h"
 #include "lycheestep/id.h"
 #include "lycheestep/request.h"
+#include "retry_budget.h"
 
 namespace lycheestep {
 
@@ -79,10 +82,16 @@
   void HandleServiceEnd(CoreContext& aContext,
                         LiveRequest& aLive,
                         LiveTask& aTask);
+  std::optional<Duration> TakeRetry(CoreContext& aContext,
+                                    LiveRequest& aLive,
+                                    TaskEnd aEnd);
   bool MayRunAgain(const LiveRequest& aLive,
                    TaskEnd aEnd,
                    TimePoint aNow) const;
-  void RunAgain(CoreContext& aContext, LiveRequest& aLive, LiveTask& aTask);
+  void RunAgain(CoreContext& aContext,
+                LiveRequest& aLive,
+                LiveTask& aTask,
+                Duration aDelay);
   void RestartGang(CoreContext& aContext, LiveRequest& aLive);
   void RestartGangIfOver(CoreContext& aContext, LiveRequest& aLive);
   void StopAll(CoreContext& aContext, LiveRequest& aLive);
@@ -96,6 +105,8 @@
   CoreParts& m_parts;
   RequestAnswers& m_answers;
   RequestIntake& m_intake;
+  // What the kinds may still spend on retries of work that is not recorded.
+  std::map<KindName, RetryBudget> m_budgets;
 };
 
 } // namespace lycheestep
