Name the reports of ThreadSanitizer that uninstrumented libraries cause

Cause: under ThreadSanitizer the processes test was red at each run: an entry host that carries peer traffic exits with the sanitizer's code. All reports had one side inside libzmq, libsodium or the static regular expressions of libcpp-httplib, which are built without the sanitizer, so that it does not see their atomics and guards.

Change: a suppression file that names the places inside these libraries by their top frame or by calls that they make, so that races in our own code which runs below an HTTP handler are still reported; make passes it to the tests.

Conclusion: what the sanitizer reports now is ours.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' | grep -v '\.pb\.')
 export CCACHE_BASEDIR = $(CURDIR)
 export CCACHE_NOHASHDIR = 1
+export TSAN_OPTIONS = suppressions=$(CURDIR)/src/cmake/thread-sanitizer.txt
 
 .PHONY: help packages build test run bench capacity scenario format lint check-format
 
