--- a/src/config/catalogue_document.cpp
+++ b/src/config/catalogue_document.cpp
@@ -65,9 +65,8 @@
   kind.m_demand = ReadDemand(aKind.at("demand"));
   kind.m_tasks = aKind.value("tasks", kind.m_tasks);
   kind.m_repeatable = aKind.value("repeatable", kind.m_repeatable);
-  const bool mustBeDurable = !kind.m_repeatable ||
-                             kind.m_form == WorkForm::kGang ||
-                             kind.m_form == WorkForm::kService;
+  const bool mustBeDurable =
+    !kind.m_repeatable || kind.m_form != WorkForm::kRequest;
   kind.m_durable = aKind.value("durable", mustBeDurable);
   kind.m_checkpointable = aKind.value("checkpointable", kind.m_checkpointable);
   kind.m_deadline = DurationMember(aKind, "deadline").value_or(kind.m_deadline);
--- a/src/config/catalogue_rules.cpp
+++ b/src/config/catalogue_rules.cpp
@@ -142,11 +142,11 @@
   }
   const std::string form = TextMember(aKind, "form").value_or("request");
   const bool repeatable = FlagMember(aKind, "repeatable").value_or(true);
-  if (!repeatable || form == "gang" || form == "service") {
+  if (!repeatable || form != "request") {
     aProblems.Add(aPointer + "/durable",
                   false,
-                  "must be true, or left out, for gangs, services and work "
-                  "that is not repeatable");
+                  "must be true, or left out, for jobs, gangs, services and "
+                  "work that is not repeatable");
   }
 }
 
--- a/src/include/lycheestep/work_kind.h
+++ b/src/include/lycheestep/work_kind.h
@@ -50,7 +50,7 @@
   // False when running twice does harm: such a request runs at most once.
   bool m_repeatable = true;
   // True when the request is written to the table before it is acknowledged.
-  // Always true for gangs, services and anything not repeatable.
+  // Jobs, gangs, services and anything not repeatable are recorded always.
   bool m_durable = false;
   // True when a checkpoint lets the task be stopped and resumed later, so
   // that more urgent work may take its place.
--- a/src/liblycheestep/request_intake.cpp
+++ b/src/liblycheestep/request_intake.cpp
@@ -38,8 +38,9 @@
 
 bool MustBeRecorded(const WorkKind& aKind)
 {
+  // What is answered later has to be found later, at any host.
   return aKind.m_durable || !aKind.m_repeatable ||
-         aKind.m_form == WorkForm::kGang || aKind.m_form == WorkForm::kService;
+         aKind.m_form != WorkForm::kRequest;
 }
 
 LiveRequest MakeLive(Request aRequest, const WorkKind& aKind, TimePoint aNow)
