Format one line of the local platform

Cause: the check stopped at the formatter. Change: the line is formatted; the formatter's rule prints no file list. Measured: make check-format is clean. Conclusion: none further.

--- a/Makefile
+++ b/Makefile
@@ -24,10 +24,10 @@
 	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
 
 format: ## format the sources
-	clang-format -i $(SOURCES)
+	@clang-format -i $(SOURCES)
 
 check-format:
-	clang-format --dry-run --Werror $(SOURCES)
+	@clang-format --dry-run --Werror $(SOURCES)
 
 lint: $(BUILD)/build.ninja ## run the linter on every source file
 	@echo $(filter %.cpp,$(SOURCES)) | tr ' ' '\n' | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
--- a/src/standin/local_platform.cpp
+++ b/src/standin/local_platform.cpp
@@ -36,7 +36,9 @@
 
 void LocalPlatform::FetchHosts()
 {
-  m_pool.Run([this] { m_events->Post(HostListAnswered{ true, false, m_hosts }); });
+  m_pool.Run([this] {
+    m_events->Post(HostListAnswered{ true, false, m_hosts });
+  });
 }
 
 } // namespace lycheestep
