Answer every ticket before the exit; tell callers only final answers

Change: a remembered refusal without a record is kept for explain alone; open tickets are answered as unknown before StopCompleted; a gap longer than the memory of start rates counts as that memory; unknown outcomes leave the table after the retention; customers to call are named once.

--- a/src/liblycheestep/admission_queue.cpp
+++ b/src/liblycheestep/admission_queue.cpp
@@ -660,7 +660,10 @@
 
 void AdmissionQueue::UpdateRate(Lane& aLane, TimePoint aNow)
 {
-  const double passed = Seconds(aNow - aLane.m_rateUpdated).count();
+  // A gap longer than the memory is a pause of this process, and says nothing
+  // about how fast work starts.
+  const Duration gap = std::min(aNow - aLane.m_rateUpdated, kRateMemory);
+  const double passed = Seconds(gap).count();
   aLane.m_rateUpdated = aNow;
   if (aLane.m_waiting.empty()) {
     return;
--- a/src/liblycheestep/operator_flow.cpp
+++ b/src/liblycheestep/operator_flow.cpp
@@ -41,6 +41,14 @@
   return names;
 }
 
+bool Names(const std::vector<Customer>& aCustomers, const Customer& aCustomer)
+{
+  return std::any_of(
+    aCustomers.begin(), aCustomers.end(), [&aCustomer](const Customer& aOther) {
+      return aOther.m_name == aCustomer.m_name;
+    });
+}
+
 void RemoveRows(const std::vector<TableRow>& aRows,
                 TableTransaction& aTransaction)
 {
@@ -308,7 +316,7 @@
           const std::string key = AnnouncedKey(kind, customer->m_name);
           const bool done =
             std::find(called.begin(), called.end(), key) != called.end();
-          if (!done) {
+          if (!done && !Names(announcements.m_toCall, *customer)) {
             announcements.m_toCall.push_back(*customer);
           }
         }
--- a/src/liblycheestep/record_keeper.cpp
+++ b/src/liblycheestep/record_keeper.cpp
@@ -392,7 +392,9 @@
     Enqueue(aContext, aId);
   }
   const proto::RecordRow row = record.m_row;
-  if (record.m_changes.empty() && IsFinal(row.state()) && !record.m_trimmed) {
+  const bool over =
+    IsFinal(row.state()) || row.state() == proto::RecordRow::UNKNOWN;
+  if (record.m_changes.empty() && over && !record.m_trimmed) {
     Trim(aContext, aId, record);
   }
   if (change.m_continue) {
--- a/src/liblycheestep/request_answers.cpp
+++ b/src/liblycheestep/request_answers.cpp
@@ -188,8 +188,12 @@
   }
   line.m_waited = answer.m_waited;
   aContext.m_actions.emplace_back(std::move(line));
+  // A request that was refused before it had a record may be sent again under
+  // its id, and then run elsewhere.
+  const bool final = answer.m_outcome != Outcome::kNotRun || live->m_recorded;
   m_parts.m_requests.Close(answer.m_request,
                            answer,
+                           final,
                            aContext.m_now,
                            aContext.m_settings.m_recordRetention);
 }
--- a/src/liblycheestep/request_book.cpp
+++ b/src/liblycheestep/request_book.cpp
@@ -16,11 +16,13 @@
 
 void RequestBook::Close(const RequestId& aId,
                         const Answer& aAnswer,
+                        bool aFinal,
                         TimePoint aNow,
                         Duration aRetention)
 {
   Drop(aId);
-  const bool isNew = m_answers.insert_or_assign(aId, aAnswer).second;
+  const bool isNew =
+    m_answers.insert_or_assign(aId, KeptAnswer{ aAnswer, aFinal }).second;
   if (isNew) {
     m_order.emplace_back(aNow + aRetention, aId);
   }
@@ -80,7 +82,14 @@
 const Answer* RequestBook::FindAnswer(const RequestId& aId) const
 {
   auto found = m_answers.find(aId);
-  return found == m_answers.end() ? nullptr : &found->second;
+  return found == m_answers.end() ? nullptr : &found->second.m_answer;
+}
+
+const Answer* RequestBook::FindFinalAnswer(const RequestId& aId) const
+{
+  auto found = m_answers.find(aId);
+  const bool known = found != m_answers.end() && found->second.m_final;
+  return known ? &found->second.m_answer : nullptr;
 }
 
 void RequestBook::Expire(TimePoint aNow)
--- a/src/liblycheestep/request_book.h
+++ b/src/liblycheestep/request_book.h
@@ -31,18 +31,23 @@
   // The live request of that id, or null.
   LiveRequest* Find(const RequestId& aId);
 
-  // Removes a live request and keeps its answer.
+  // Removes a live request and keeps its answer. aFinal: the id can't come to
+  // another end at any host.
   void Close(const RequestId& aId,
              const Answer& aAnswer,
+             bool aFinal,
              TimePoint aNow,
              Duration aRetention);
 
   // Removes a live request that another host looks after from now on.
   void Drop(const RequestId& aId);
 
-  // The kept answer of that id, or null.
+  // The kept answer of that id, or null. Tells what happened at this host.
   const Answer* FindAnswer(const RequestId& aId) const;
 
+  // The same, but only if it is final: what callers may be told of the id.
+  const Answer* FindFinalAnswer(const RequestId& aId) const;
+
   // Forgets answers that are too old.
   void Expire(TimePoint aNow);
 
@@ -68,12 +73,18 @@
   const std::map<RequestId, LiveRequest>& Live() const { return m_live; }
 
 private:
+  struct KeptAnswer
+  {
+    Answer m_answer;
+    bool m_final = false;
+  };
+
   void ForgetOldest();
 
   std::map<RequestId, LiveRequest> m_live;
   std::set<std::pair<TimePoint, RequestId>> m_timers;
   std::unordered_map<CallerTicket, RequestId> m_waiters;
-  std::unordered_map<RequestId, Answer> m_answers;
+  std::unordered_map<RequestId, KeptAnswer> m_answers;
   // Kept answers by the time at which they are forgotten.
   std::deque<std::pair<TimePoint, RequestId>> m_order;
 };
--- a/src/liblycheestep/request_intake.cpp
+++ b/src/liblycheestep/request_intake.cpp
@@ -89,12 +89,9 @@
                                    const Asker& aAsker,
                                    const RequestId& aId)
 {
-  if (const Answer* known = m_parts.m_requests.FindAnswer(aId)) {
-    // What was refused before it ran may be tried again under its id.
-    if (known->m_outcome != Outcome::kNotRun) {
-      m_answers.Send(aContext, aAsker, *known);
-      return true;
-    }
+  if (const Answer* known = m_parts.m_requests.FindFinalAnswer(aId)) {
+    m_answers.Send(aContext, aAsker, *known);
+    return true;
   }
   LiveRequest* live = m_parts.m_requests.Find(aId);
   if (live == nullptr) {
@@ -302,14 +299,10 @@
                            const Asker& aAsker,
                            const RequestId& aRequest)
 {
-  const Answer* known = m_parts.m_requests.FindAnswer(aRequest);
-  if (known != nullptr && known->m_outcome != Outcome::kNotRun) {
+  if (const Answer* known = m_parts.m_requests.FindFinalAnswer(aRequest)) {
     m_answers.Send(aContext, aAsker, *known);
     return;
   }
-  // What was refused here may have been sent to another host under its id.
-  const std::optional<Answer> refused =
-    known == nullptr ? std::nullopt : std::optional<Answer>(*known);
   if (const LiveRequest* live = m_parts.m_requests.Find(aRequest)) {
     Answer answer;
     answer.m_request = aRequest;
@@ -322,14 +315,12 @@
   m_parts.m_records.Find(
     aContext,
     aRequest,
-    [this, aAsker, aRequest, refused](
+    [this, aAsker, aRequest](
       CoreContext& aLater, bool aReached, const proto::RecordRow* aRecord) {
       Answer answer;
       answer.m_request = aRequest;
       if (aRecord != nullptr) {
         answer = RequestAnswers::FromRecord(*aRecord);
-      } else if (aReached && refused) {
-        answer = *refused;
       } else if (aReached) {
         answer.m_notFound = true;
         answer.m_error = SchedulerError::kNotFound;
--- a/src/liblycheestep/scheduler_state.cpp
+++ b/src/liblycheestep/scheduler_state.cpp
@@ -51,6 +51,8 @@
     m_started = true;
     m_parts.m_session.Start(context);
   }
+  const std::size_t firstAction = aActions.size();
+  m_tickets.Open(aEvent);
   std::visit([this, &context](const auto& aValue) { On(context, aValue); },
              aEvent);
   Tick(context);
@@ -58,6 +60,7 @@
   RefreshCapacity(context);
   m_morePlacements = m_dispatcher.Run(context);
   m_roomMaker.Tick(context);
+  m_tickets.Close(aActions, firstAction);
 }
 
 void SchedulerState::Tick(CoreContext& aContext)
--- a/src/liblycheestep/scheduler_state.h
+++ b/src/liblycheestep/scheduler_state.h
@@ -9,6 +9,7 @@
 #include "core_parts.h"
 #include "dispatcher.h"
 #include "lycheestep/event.h"
+#include "open_tickets.h"
 #include "operator_flow.h"
 #include "overrun_watch.h"
 #include "request_answers.h"
@@ -78,6 +79,7 @@
   OverrunWatch m_overruns;
   RoomMaker m_roomMaker;
   StopFlow m_stop;
+  OpenTickets m_tickets;
   bool m_started = false;
   // More work may be placed without waiting for anything.
   bool m_morePlacements = false;
--- a/src/liblycheestep/task_flow.cpp
+++ b/src/liblycheestep/task_flow.cpp
@@ -406,7 +406,7 @@
                               const Asker& aAsker,
                               const RequestId& aRequest)
 {
-  if (const Answer* known = m_parts.m_requests.FindAnswer(aRequest)) {
+  if (const Answer* known = m_parts.m_requests.FindFinalAnswer(aRequest)) {
     m_answers.Send(aContext, aAsker, *known);
     return;
   }
