Mend what the linter found

Change: an unused reference leaves the task flow, a list is reserved, a test is split. Conclusion: none further.

--- a/src/liblycheestep/scheduler_state.cpp
+++ b/src/liblycheestep/scheduler_state.cpp
@@ -22,7 +22,7 @@
   , m_parts(m_settings)
   , m_answers(m_parts)
   , m_intake(m_parts, m_answers)
-  , m_tasks(m_parts, m_answers, m_intake)
+  , m_tasks(m_parts, m_answers)
   , m_dispatcher(m_parts, m_answers, m_intake)
   , m_operators(m_parts, m_intake, m_tasks)
   , m_overruns(m_parts, m_tasks)
@@ -254,6 +254,7 @@
                });
   m_parts.m_fleet.Replace(own);
   std::vector<TargetId> names;
+  names.reserve(own.size());
   for (const TargetListing& listing : own) {
     names.push_back(listing.m_id);
   }
--- a/src/liblycheestep/scheduler_test.cpp
+++ b/src/liblycheestep/scheduler_test.cpp
@@ -17,6 +17,17 @@
   return count;
 }
 
+template<class Wanted>
+const Wanted* FirstOf(const ActionList& aActions)
+{
+  for (const Action& action : aActions) {
+    if (const auto* found = std::get_if<Wanted>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
 SchedulerSettings Settings()
 {
   SchedulerSettings settings;
@@ -37,12 +48,9 @@
 
   EXPECT_FALSE(scheduler.IsReady());
   ASSERT_EQ(CountOf<AnswerCaller>(actions), 1);
-  for (const Action& action : actions) {
-    if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
-      EXPECT_EQ(answer->m_ticket, 7U);
-      EXPECT_EQ(answer->m_answer.m_outcome, Outcome::kNotRun);
-    }
-  }
+  const auto* answer = FirstOf<AnswerCaller>(actions);
+  EXPECT_EQ(answer->m_ticket, 7U);
+  EXPECT_EQ(answer->m_answer.m_outcome, Outcome::kNotRun);
   EXPECT_GT(CountOf<ReadTable>(actions), 0);
   EXPECT_EQ(CountOf<FetchHostList>(actions), 1);
 }
--- a/src/liblycheestep/task_flow.cpp
+++ b/src/liblycheestep/task_flow.cpp
@@ -8,7 +8,6 @@
 #include "lycheestep/scheduler_error.h"
 #include "peer.pb.h"
 #include "request_answers.h"
-#include "request_intake.h"
 #include "rows.pb.h"
 
 namespace lycheestep {
@@ -32,12 +31,9 @@
 
 } // namespace
 
-TaskFlow::TaskFlow(CoreParts& aParts,
-                   RequestAnswers& aAnswers,
-                   RequestIntake& aIntake)
+TaskFlow::TaskFlow(CoreParts& aParts, RequestAnswers& aAnswers)
   : m_parts(aParts)
   , m_answers(aAnswers)
-  , m_intake(aIntake)
 {
 }
 
--- a/src/liblycheestep/task_flow.h
+++ b/src/liblycheestep/task_flow.h
@@ -23,7 +23,6 @@
 struct LiveRequest;
 struct LiveTask;
 class RequestAnswers;
-class RequestIntake;
 
 // Follows the tasks that are at targets: what a started, ended, refused or
 // lost task means for its request, when it is tried again, and how tasks are
@@ -34,7 +33,7 @@
   // Times a request is tried again after its first try.
   static constexpr int kRetryLimit = 5;
 
-  TaskFlow(CoreParts& aParts, RequestAnswers& aAnswers, RequestIntake& aIntake);
+  TaskFlow(CoreParts& aParts, RequestAnswers& aAnswers);
 
   // Takes a request back. aAsker is answered at once when the request is
   // over with that, and otherwise told that it is being stopped.
@@ -104,7 +103,6 @@
 
   CoreParts& m_parts;
   RequestAnswers& m_answers;
-  RequestIntake& m_intake;
   // What the kinds may still spend on retries of work that is not recorded.
   std::map<KindName, RetryBudget> m_budgets;
 };
