Never call an adopted, dispatched request not run

Change: what is adopted as dispatched may have run. The check of versions lets a process that starts out of reach of the table begin with an older version when no running process in its reach has a newer one, and nothing else.

--- a/src/liblycheestep/request_intake.cpp
+++ b/src/liblycheestep/request_intake.cpp
@@ -516,6 +516,8 @@
                                const proto::RecordRow& aRecord)
 {
   aLive.m_stage = RequestStage::kActive;
+  // An earlier attempt may have run, failed and been forgotten at its target.
+  aLive.m_mayHaveRun = true;
   for (const proto::RecordAttempt& attempt : aRecord.attempts()) {
     const std::size_t index = attempt.task_index();
     if (index >= aLive.m_tasks.size()) {
--- a/src/scenario/invariant_checker.cpp
+++ b/src/scenario/invariant_checker.cpp
@@ -13,6 +13,10 @@
 constexpr Duration kLeavingLimit = std::chrono::seconds(5);
 // An accepted catalogue is in force on every reachable host after this long.
 constexpr Duration kInForceLimit = std::chrono::seconds(19);
+
+// A host that was out of reach of the platform within this time before a
+// moment counts as out of its reach then.
+constexpr Duration kReachSample = std::chrono::seconds(1);
 constexpr const char* kCatalogueKey = "catalogue/current";
 // More breaches of one sort tell nothing new.
 constexpr std::size_t kMostOfOneSort = 5;
@@ -328,6 +332,19 @@
   }
 }
 
+// A process that starts in an outage takes the greatest version that its peers
+// hold. Where no process in its reach has the newest one, that is an older one
+// than its host had before.
+bool InvariantChecker::MayStartOlder(const VersionSight& aSight,
+                                     const std::vector<TimePoint>& aUnreached)
+{
+  const bool platformOut = std::any_of(
+    aUnreached.begin(), aUnreached.end(), [&aSight](TimePoint aTime) {
+      return aTime <= aSight.m_time && aSight.m_time - aTime <= kReachSample;
+    });
+  return platformOut && !aSight.m_newerInReach;
+}
+
 void InvariantChecker::CheckHostVersions(
   const EntryId& aEntry,
   const std::vector<VersionSight>& aSights)
@@ -337,7 +354,12 @@
   const std::vector<TimePoint>& unreached =
     found == m_cell.Unreached().end() ? kNever : found->second;
   std::uint64_t greatest = 0;
+  std::uint64_t incarnation = 0;
   for (const VersionSight& sight : aSights) {
+    if (sight.m_incarnation != incarnation && sight.m_version != 0) {
+      incarnation = sight.m_incarnation;
+      greatest = MayStartOlder(sight, unreached) ? 0 : greatest;
+    }
     // Zero: a host that has just started has no catalogue yet.
     if (sight.m_version != 0 && sight.m_version < greatest) {
       Report(Invariant::kConfiguration,
--- a/src/scenario/invariant_checker.h
+++ b/src/scenario/invariant_checker.h
@@ -74,6 +74,8 @@
   bool KnewOfLeaving(const TaskRecord& aRecord, TimePoint aSince) const;
   void CheckPlannedStops();
   void CheckConfiguration();
+  static bool MayStartOlder(const VersionSight& aSight,
+                            const std::vector<TimePoint>& aUnreached);
   void CheckHostVersions(const EntryId& aEntry,
                          const std::vector<VersionSight>& aSights);
   void CheckLostWork();
--- a/src/scenario/operator_model.cpp
+++ b/src/scenario/operator_model.cpp
@@ -82,13 +82,33 @@
   m_cell.Time().After(kWatchPeriod, [this] { WatchVersions(); });
 }
 
+bool OperatorModel::NewerInReach(const VirtualHost& aHost,
+                                 std::uint64_t aVersion) const
+{
+  for (const auto& other : m_cell.Hosts()) {
+    const auto seen = m_latest.find(other->Name());
+    const bool knows = seen != m_latest.end() && other->IsRunning() &&
+                       seen->second.m_incarnation == other->Incarnation() &&
+                       seen->second.m_version > aVersion;
+    if (knows && !m_cell.Network().IsCut(aHost.At(), other->At())) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void OperatorModel::Answered(const VirtualHost& aHost,
                              const AnswerOperator& aAnswer)
 {
   auto watch = m_watching.find(aAnswer.m_ticket);
   if (watch != m_watching.end()) {
-    m_sights.push_back(
-      { aHost.Name(), m_cell.Time().Now(), aAnswer.m_reply.m_version });
+    const std::uint64_t version = aAnswer.m_reply.m_version;
+    m_sights.push_back({ aHost.Name(),
+                         m_cell.Time().Now(),
+                         version,
+                         aHost.Incarnation(),
+                         NewerInReach(aHost, version) });
+    m_latest[aHost.Name()] = m_sights.back();
     m_watching.erase(watch);
     return;
   }
--- a/src/scenario/operator_model.h
+++ b/src/scenario/operator_model.h
@@ -33,6 +33,10 @@
   EntryId m_entry;
   TimePoint m_time;
   std::uint64_t m_version = 0;
+  // Which start of the host's process it was.
+  std::uint64_t m_incarnation = 0;
+  // Another process that runs and is not cut off from it had a greater one.
+  bool m_newerInReach = false;
 };
 
 // The operators of the cell. Asks every host once a second for the version it
@@ -59,6 +63,7 @@
   const std::vector<VersionSight>& Sights() const { return m_sights; }
 
 private:
+  bool NewerInReach(const VirtualHost& aHost, std::uint64_t aVersion) const;
   CallerTicket Send(const std::string& aLabel,
                     const OperatorCommand& aCommand,
                     VirtualHost& aHost);
@@ -70,6 +75,8 @@
   std::map<CallerTicket, std::size_t> m_byTicket;
   std::map<CallerTicket, EntryId> m_watching;
   std::vector<VersionSight> m_sights;
+  // The last sight of each host.
+  std::map<EntryId, VersionSight> m_latest;
   std::shared_ptr<const Catalogue> m_first;
   std::size_t m_turn = 0;
 };
