--- a/src/cmake/AddTestFile.cmake
+++ b/src/cmake/AddTestFile.cmake
@@ -1,6 +1,9 @@
 # lycheestep_test(NAME LIBRARY...): builds NAME.cpp, which stands beside the
 # code that it tests, and registers it with CTest.
 function(lycheestep_test aName)
+  if(NOT LYCHEESTEP_TESTS)
+    return()
+  endif()
   add_executable(${aName} ${aName}.cpp)
   target_link_libraries(${aName} PRIVATE ${ARGN} GTest::gmock_main
                         ${RAPIDCHECK_LIBRARY})
--- a/src/http/http_connections.cpp
+++ b/src/http/http_connections.cpp
@@ -12,9 +12,20 @@
 // Idle connections kept for one address.
 constexpr std::size_t kIdleLimit = 8;
 
-// Idle connections are closed after this, before the other side does: a call
-// that meets a connection which is being closed would count as lost.
-constexpr Duration kIdleAge = std::chrono::seconds(1);
+const char* MethodName(HttpMethod aMethod)
+{
+  switch (aMethod) {
+    case HttpMethod::kGet:
+      return "GET";
+    case HttpMethod::kPost:
+      return "POST";
+    case HttpMethod::kPut:
+      return "PUT";
+    case HttpMethod::kDelete:
+      return "DELETE";
+  }
+  return "";
+}
 
 HttpReply MakeReply(const httplib::Result& aResult, bool aHeldBack)
 {
@@ -34,8 +45,11 @@
 
 } // namespace
 
-HttpConnections::HttpConnections(Duration aTimeout)
+// A connection that the other side closes just as it is used makes a call
+// count as lost, so aIdleAge has to be shorter than the other side's.
+HttpConnections::HttpConnections(Duration aTimeout, Duration aIdleAge)
   : m_timeout(aTimeout)
+  , m_idleAge(aIdleAge)
 {
 }
 
@@ -65,6 +79,35 @@
   return reply;
 }
 
+HttpReply HttpConnections::Call(const HttpRequest& aRequest)
+{
+  std::unique_ptr<httplib::Client> client = Take(aRequest.m_address);
+  client->set_connection_timeout(aRequest.m_timeout);
+  client->set_read_timeout(aRequest.m_timeout);
+  client->set_write_timeout(aRequest.m_timeout);
+  httplib::Request request;
+  request.method = MethodName(aRequest.m_method);
+  request.path = aRequest.m_path;
+  for (const HttpHeader& header : aRequest.m_headers) {
+    request.headers.emplace(header.m_name, header.m_value);
+  }
+  request.body = aRequest.m_body;
+  if (!request.body.empty()) {
+    request.headers.emplace("Content-Type", "application/json");
+  }
+  HttpReply reply = MakeReply(client->send(request), false);
+  if (reply.m_progress == HttpProgress::kAnswered) {
+    GiveBack(aRequest.m_address, std::move(client));
+  }
+  return reply;
+}
+
+void HttpConnections::Drop(const std::string& aAddress)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_idle.erase(aAddress);
+}
+
 HttpReply HttpConnections::Get(const std::string& aAddress,
                                const std::string& aPath)
 {
@@ -82,7 +125,7 @@
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
     IdleList& idle = m_idle[aAddress];
-    if (!idle.empty() && Clock::now() - idle.back().m_since < kIdleAge) {
+    if (!idle.empty() && Clock::now() - idle.back().m_since < m_idleAge) {
       std::unique_ptr<httplib::Client> client = std::move(idle.back().m_client);
       idle.pop_back();
       return client;
--- a/src/http/http_connections.h
+++ b/src/http/http_connections.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "http_router.h"
 #include "lycheestep/time_types.h"
 
 namespace httplib {
@@ -24,6 +25,13 @@
   kLost,     // sent, at least in part, and not answered
 };
 
+// One header line.
+struct HttpHeader
+{
+  std::string m_name;
+  std::string m_value;
+};
+
 // The answer to a call.
 struct HttpReply
 {
@@ -33,13 +41,29 @@
   std::string m_body;
 };
 
+// One call with its own time limit.
+struct HttpRequest
+{
+  HttpMethod m_method = HttpMethod::kGet;
+  std::string m_address;
+  // With its query, if any.
+  std::string m_path;
+  std::vector<HttpHeader> m_headers;
+  // Sent as JSON; empty for none.
+  std::string m_body;
+  // Limits connecting, writing and reading, each.
+  Duration m_timeout = std::chrono::seconds(1);
+};
+
 // Keeps idle connections to several hosts and uses them again. Safe from any
 // thread; each call takes a connection for itself.
 class HttpConnections
 {
 public:
-  // aTimeout limits connecting, writing and reading, each.
-  explicit HttpConnections(Duration aTimeout);
+  // aTimeout limits connecting, writing and reading, each. Connections that
+  // were idle for longer than aIdleAge are not used again.
+  explicit HttpConnections(Duration aTimeout,
+                           Duration aIdleAge = std::chrono::seconds(1));
   ~HttpConnections();
   HttpConnections(const HttpConnections&) = delete;
   HttpConnections& operator=(const HttpConnections&) = delete;
@@ -52,6 +76,12 @@
                  const std::string& aBody,
                  TimePoint aNotAfter = TimePoint::max());
 
+  // Makes one call under the request's own time limit.
+  HttpReply Call(const HttpRequest& aRequest);
+
+  // Closes the idle connections to aAddress.
+  void Drop(const std::string& aAddress);
+
   // Reads aPath.
   HttpReply Get(const std::string& aAddress, const std::string& aPath);
 
@@ -70,6 +100,7 @@
                 std::unique_ptr<httplib::Client> aClient);
 
   const Duration m_timeout;
+  const Duration m_idleAge;
   std::mutex m_mutex;
   std::map<std::string, IdleList> m_idle;
 };
--- a/src/http/http_router.h
+++ b/src/http/http_router.h
@@ -23,6 +23,8 @@
   // The parts of the path that the route's pattern captures, unescaped.
   std::vector<std::string> m_names;
   std::string m_body;
+  // The Host header.
+  std::string m_hostHeader;
   // The token of "Authorization: Bearer TOKEN"; empty if there is none.
   std::string m_bearerToken;
 };
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -19,8 +19,6 @@
 
 // A client that sends nothing for this long is cut off.
 constexpr std::chrono::seconds kReadTimeout{ 5 };
-// Idle connections are closed after this.
-constexpr std::chrono::seconds kIdleTimeout{ 3 };
 // Calls on one connection.
 constexpr std::size_t kCallsPerConnection = 100000;
 // Connections that wait to be accepted.
@@ -60,6 +58,7 @@
     call.m_names.push_back(aRequest.matches[i].str());
   }
   call.m_body = aRequest.body;
+  call.m_hostHeader = aRequest.get_header_value("Host");
   call.m_bearerToken = BearerTokenOf(aRequest);
   return call;
 }
@@ -105,7 +104,7 @@
     };
     m_server.set_payload_max_length(aLimits.m_bodyLimit);
     m_server.set_keep_alive_max_count(kCallsPerConnection);
-    m_server.set_keep_alive_timeout(kIdleTimeout.count());
+    m_server.set_keep_alive_timeout(aLimits.m_idleTimeout.count());
     m_server.set_read_timeout(kReadTimeout.count());
     m_server.set_write_timeout(kReadTimeout.count());
     m_server.set_tcp_nodelay(true);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEESTEP_HTTP_SERVER_H
 #define LYCHEESTEP_HTTP_SERVER_H
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -19,6 +20,8 @@
   std::size_t m_threads = 64;
   // Largest body in bytes.
   std::size_t m_bodyLimit = 1048576;
+  // Idle connections are closed after this.
+  std::chrono::seconds m_idleTimeout{ 3 };
   // Most header lines of one call.
   std::size_t m_headerLimit = 64;
 };
--- /dev/null
+++ b/src/jobhost/advice_spread.h
@@ -0,0 +1,66 @@
+#ifndef LYCHEESTEP_ADVICE_SPREAD_H
+#define LYCHEESTEP_ADVICE_SPREAD_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lycheestep/advice.h"
+#include "lycheestep/time_types.h"
+
+namespace lycheestep {
+
+// Spreads calls for advice over hosts, as the advisor serves one call of each
+// host at a time. Each call goes to the host with the fewest under way. Used
+// by the control thread only.
+class AdviceSpread
+{
+public:
+  // Sends a call to a host; the host's name is empty for this one.
+  using Send = std::function<void(const std::string& aHost,
+                                  const AdviceRequest& aRequest,
+                                  Duration aTimeout)>;
+  // Gives an answer to whoever asked.
+  using Answer = std::function<void(const AdviceAnswer& aAnswer)>;
+
+  AdviceSpread(Send aSend, Answer aAnswer);
+
+  // The other hosts that live.
+  void SetHosts(const std::vector<std::string>& aHosts);
+
+  void Ask(const AdviceRequest& aRequest, Duration aTimeout, TimePoint aNow);
+
+  // An answer came, from whichever host. Unknown ones are ignored.
+  void OnAnswer(const AdviceAnswer& aAnswer);
+
+  // Gives up calls without answer, and leaves their hosts out for a while.
+  void Tick(TimePoint aNow);
+
+  // Hosts that can be asked, this one included.
+  std::size_t HostCount(TimePoint aNow) const;
+
+private:
+  struct Host
+  {
+    std::size_t m_calls = 0;
+    TimePoint m_leftOutUntil;
+  };
+
+  struct Call
+  {
+    std::string m_host;
+    TimePoint m_until;
+  };
+
+  const Send m_send;
+  const Answer m_answer;
+  // The empty name is this host.
+  std::map<std::string, Host> m_hosts;
+  std::map<std::uint64_t, Call> m_calls;
+};
+
+} // namespace lycheestep
+
+#endif
--- /dev/null
+++ b/src/jobhost/commit_writer.cpp
@@ -0,0 +1,256 @@
+#include "commit_writer.h"
+
+#include <pthread.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "boot_clock.h"
+#include "event_log.h"
+#include "job_rows.h"
+#include "jobs.pb.h"
+
+namespace lycheestep {
+
+namespace {
+
+// The row is renewed after this when there is nothing else to write.
+constexpr Duration kRenewal = std::chrono::milliseconds(350);
+
+// One call to the store.
+constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
+
+// Between tries of a write.
+constexpr Duration kRetryDelay = std::chrono::milliseconds(60);
+
+std::uint64_t Milliseconds(Duration aDuration)
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+} // namespace
+
+CommitWriter::CommitWriter(LeaderIdentity aIdentity,
+                           RowStore& aStore,
+                           EventLog& aLog,
+                           OnCommitted aOnCommitted,
+                           OnLost aOnLost)
+  : m_identity(std::move(aIdentity))
+  , m_store(aStore)
+  , m_log(aLog)
+  , m_onCommitted(std::move(aOnCommitted))
+  , m_onLost(std::move(aOnLost))
+{
+  m_thread = std::thread([this] { Run(); });
+  pthread_setname_np(m_thread.native_handle(), "commit");
+}
+
+CommitWriter::~CommitWriter()
+{
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_stopping = true;
+    m_leading = false;
+  }
+  m_changed.notify_all();
+  m_thread.join();
+}
+
+bool CommitWriter::Lead(std::uint64_t aVersion,
+                        Duration aStoreClock,
+                        const PendingCounts& aPending)
+{
+  const TimePoint sent = BootClockNow();
+  RowTransaction transaction;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_version = aVersion;
+    m_storeClock = aStoreClock;
+    m_storeClockAt = sent;
+    m_pending = aPending;
+    m_released = false;
+    m_queued.reset();
+    transaction = MakeTransaction(Batch(), sent);
+  }
+  RowAnswer answer = m_store.Transact(transaction, kCallTimeout);
+  if (answer.m_status == RowStatus::kUnknown) {
+    // The same condition again: at most one of the two takes effect.
+    answer = m_store.Transact(transaction, kCallTimeout);
+    const bool firstOne = answer.m_status == RowStatus::kConflict &&
+                          !answer.m_rows.empty() &&
+                          IsOwnRow(answer.m_rows.front());
+    if (firstOne) {
+      answer.m_status = RowStatus::kOk;
+      answer.m_version = answer.m_rows.front().m_version;
+    }
+  }
+  if (answer.m_status != RowStatus::kOk) {
+    return false;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_version = answer.m_version;
+    m_storeClock = answer.m_storeClock;
+    m_storeClockAt = BootClockNow();
+    m_renewedAt = sent.time_since_epoch().count();
+    m_leading = true;
+    ++m_term;
+  }
+  m_changed.notify_all();
+  m_onCommitted(answer.m_version, answer.m_storeClock);
+  return true;
+}
+
+void CommitWriter::Commit(std::vector<RowWrite> aWrites,
+                          std::vector<RowKey> aRemovals,
+                          PendingCounts aPending)
+{
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Batch batch;
+    batch.m_writes = std::move(aWrites);
+    batch.m_removals = std::move(aRemovals);
+    batch.m_isCommit = true;
+    m_queued = std::move(batch);
+    m_pending = std::move(aPending);
+  }
+  m_changed.notify_all();
+}
+
+void CommitWriter::Release(Duration aLongest)
+{
+  std::unique_lock<std::mutex> lock(m_mutex);
+  if (!m_leading) {
+    return;
+  }
+  m_released = true;
+  m_changed.notify_all();
+  m_changed.wait_for(lock, aLongest, [this] { return !m_leading; });
+  m_leading = false;
+}
+
+void CommitWriter::Abandon()
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_leading = false;
+  m_queued.reset();
+}
+
+TimePoint CommitWriter::ValidUntil() const
+{
+  const TimePoint renewed{ Duration(m_renewedAt.load()) };
+  return renewed + m_identity.m_validity;
+}
+
+void CommitWriter::Run()
+{
+  std::unique_lock<std::mutex> lock(m_mutex);
+  while (!m_stopping) {
+    if (!m_leading) {
+      m_changed.wait(lock, [this] { return m_stopping || m_leading; });
+      continue;
+    }
+    m_changed.wait_for(lock, kRenewal, [this] {
+      return m_stopping || m_queued || m_released || !m_leading;
+    });
+    if (m_stopping || !m_leading) {
+      continue;
+    }
+    Batch batch;
+    if (m_queued) {
+      batch = std::move(*m_queued);
+      m_queued.reset();
+    }
+    WriteUntilDone(lock, batch);
+    if (m_released && !m_queued) {
+      m_leading = false;
+      m_changed.notify_all();
+    }
+  }
+}
+
+void CommitWriter::WriteUntilDone(std::unique_lock<std::mutex>& aLock,
+                                  const Batch& aBatch)
+{
+  const std::uint64_t term = m_term;
+  while (m_leading && !m_stopping) {
+    const TimePoint sent = BootClockNow();
+    const RowTransaction transaction = MakeTransaction(aBatch, sent);
+    aLock.unlock();
+    const RowAnswer answer = m_store.Transact(transaction, kCallTimeout);
+    const TimePoint now = BootClockNow();
+    aLock.lock();
+    if (!m_leading || m_term != term) {
+      return;
+    }
+    if (answer.m_status == RowStatus::kOk) {
+      m_version = answer.m_version;
+      m_storeClock = answer.m_storeClock;
+      m_storeClockAt = now;
+      m_renewedAt = sent.time_since_epoch().count();
+      if (aBatch.m_isCommit) {
+        aLock.unlock();
+        m_onCommitted(answer.m_version, answer.m_storeClock);
+        aLock.lock();
+      }
+      return;
+    }
+    if (answer.m_status == RowStatus::kConflict) {
+      const auto row = std::find_if(
+        answer.m_rows.begin(), answer.m_rows.end(), [](const Row& aRow) {
+          return aRow.m_key.m_table == kLeaderTable;
+        });
+      if (row == answer.m_rows.end() || !IsOwnRow(*row)) {
+        m_leading = false;
+        aLock.unlock();
+        m_onLost();
+        aLock.lock();
+        return;
+      }
+      m_version = row->m_version; // an earlier try took effect
+      continue;
+    }
+    aLock.unlock();
+    std::this_thread::sleep_for(kRetryDelay);
+    aLock.lock();
+  }
+}
+
+RowTransaction CommitWriter::MakeTransaction(const Batch& aBatch,
+                                             TimePoint aNow) const
+{
+  RowTransaction transaction;
+  transaction.m_conditions.push_back(RowCondition{ LeaderKey(), m_version });
+  transaction.m_writes = aBatch.m_writes;
+  transaction.m_writes.push_back(RowWrite{ LeaderKey(), EncodeRow(aNow) });
+  transaction.m_removals = aBatch.m_removals;
+  return transaction;
+}
+
+std::string CommitWriter::EncodeRow(TimePoint aNow) const
+{
+  proto::LeaderRow row;
+  row.set_host(m_identity.m_host);
+  row.set_incarnation(m_identity.m_incarnation);
+  row.set_renewed_ms(Milliseconds(m_storeClock + (aNow - m_storeClockAt)));
+  row.set_released(m_released);
+  row.set_lease_ms(Milliseconds(m_identity.m_lease));
+  row.set_validity_ms(Milliseconds(m_identity.m_validity));
+  for (const auto& [queue, pending] : m_pending) {
+    proto::QueuePending* entry = row.add_pending();
+    entry->set_queue(queue.Text());
+    entry->set_pending(pending);
+  }
+  return row.SerializeAsString();
+}
+
+bool CommitWriter::IsOwnRow(const Row& aRow) const
+{
+  proto::LeaderRow row;
+  return row.ParseFromString(aRow.m_value) && row.host() == m_identity.m_host &&
+         row.incarnation() == m_identity.m_incarnation;
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobhost/event_log.cpp
@@ -0,0 +1,112 @@
+#include "event_log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/helpers/property.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <pthread.h>
+
+#include <utility>
+
+#include "boot_clock.h"
+
+namespace lycheestep {
+
+namespace {
+
+// Lines that may wait for the writer, and lines taken in one second.
+constexpr std::size_t kWaitingLimit = 4096;
+constexpr std::size_t kLinesPerSecond = 600;
+
+// Lines are gathered for this long, so that the writer seldom wakes.
+constexpr Duration kGather = std::chrono::milliseconds(50);
+
+log4cplus::Logger MakeLogger(const std::string& aHost)
+{
+  log4cplus::Logger logger = log4cplus::Logger::getInstance("events");
+  log4cplus::SharedAppenderPtr appender(
+    new log4cplus::ConsoleAppender(false, false));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+    "%D{%H:%M:%S.%q} host=" + aHost + " %m%n"));
+  logger.removeAllAppenders();
+  logger.addAppender(appender);
+  logger.setAdditivity(false);
+  return logger;
+}
+
+} // namespace
+
+EventLog::EventLog(const std::string& aHost)
+{
+  log4cplus::initialize();
+  MakeLogger(aHost);
+  m_thread = std::thread([this] { Run(); });
+  pthread_setname_np(m_thread.native_handle(), "log");
+}
+
+EventLog::~EventLog()
+{
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_stopping = true;
+  }
+  m_lineReady.notify_one();
+  m_thread.join();
+}
+
+void EventLog::Write(const std::string& aEvent, const std::string& aFields)
+{
+  const TimePoint now = BootClockNow();
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  if (!MayWrite(now)) {
+    ++m_dropped;
+    return;
+  }
+  m_lines.push_back("event=" + aEvent + " " + aFields);
+  if (m_lines.size() == 1) {
+    m_lineReady.notify_one();
+  }
+}
+
+bool EventLog::MayWrite(TimePoint aNow)
+{
+  if (aNow - m_secondBegan >= std::chrono::seconds(1)) {
+    m_secondBegan = aNow;
+    m_linesInSecond = 0;
+  }
+  if (m_linesInSecond >= kLinesPerSecond || m_lines.size() >= kWaitingLimit) {
+    return false;
+  }
+  ++m_linesInSecond;
+  return true;
+}
+
+void EventLog::Run()
+{
+  const log4cplus::Logger logger = log4cplus::Logger::getInstance("events");
+  std::unique_lock<std::mutex> lock(m_mutex);
+  while (!m_stopping || !m_lines.empty()) {
+    m_lineReady.wait(lock, [this] { return m_stopping || !m_lines.empty(); });
+    if (!m_stopping) {
+      m_lineReady.wait_for(lock, kGather, [this] { return m_stopping; });
+    }
+    std::deque<std::string> lines;
+    lines.swap(m_lines);
+    const std::uint64_t dropped = std::exchange(m_dropped, 0);
+    lock.unlock();
+    std::string text;
+    for (const std::string& line : lines) {
+      LOG4CPLUS_INFO_STR(logger, line);
+    }
+    if (dropped > 0) {
+      LOG4CPLUS_WARN_STR(
+        logger, "event=log-lines-left-out count=" + std::to_string(dropped));
+    }
+    std::fflush(stdout);
+    lock.lock();
+  }
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobhost/event_log.h
@@ -0,0 +1,45 @@
+#ifndef LYCHEESTEP_EVENT_LOG_H
+#define LYCHEESTEP_EVENT_LOG_H
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "lycheestep/time_types.h"
+
+namespace lycheestep {
+
+// Writes one line an event to standard output by log4cplus, on a thread of its
+// own: "EVENT name=value name=value". No caller waits. Lines beyond what a
+// second may hold, or beyond what the writer keeps up with, are counted
+// instead, and the count is written.
+class EventLog
+{
+public:
+  explicit EventLog(const std::string& aHost);
+  ~EventLog();
+  EventLog(const EventLog&) = delete;
+  EventLog& operator=(const EventLog&) = delete;
+
+  void Write(const std::string& aEvent, const std::string& aFields);
+
+private:
+  void Run();
+  bool MayWrite(TimePoint aNow);
+
+  std::mutex m_mutex;
+  std::condition_variable m_lineReady;
+  std::deque<std::string> m_lines;
+  std::uint64_t m_dropped = 0;
+  TimePoint m_secondBegan;
+  std::size_t m_linesInSecond = 0;
+  bool m_stopping = false;
+  std::thread m_thread;
+};
+
+} // namespace lycheestep
+
+#endif
--- /dev/null
+++ b/src/jobhost/job_host.cpp
@@ -0,0 +1,397 @@
+#include "job_host.h"
+
+#include <pthread.h>
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <random>
+#include <utility>
+
+#include "boot_clock.h"
+#include "job_rows.h"
+#include "jobs.pb.h"
+
+namespace lycheestep {
+
+namespace {
+
+// Leases that targets get, and how long orders go out without a renewal.
+constexpr Duration kLease = std::chrono::seconds(8);
+constexpr Duration kValidity = std::chrono::seconds(4);
+
+// A host looks for a leader this long after its start at the latest.
+constexpr Duration kFirstLook = std::chrono::milliseconds(300);
+
+// One read of the leader's row, and one write of the host's own row.
+constexpr Duration kCallTimeout = std::chrono::milliseconds(600);
+
+// Without a leader's duties the control thread wakes this often.
+constexpr Duration kLongestWait = std::chrono::milliseconds(200);
+
+// A host that has not reached the store for this long is not ready.
+constexpr Duration kStoreSilence = std::chrono::milliseconds(3500);
+
+// A stopping leader waits this long for its last write.
+constexpr Duration kReleaseLimit = std::chrono::milliseconds(1200);
+
+// Every so many heartbeats of the leader are answered.
+constexpr std::uint32_t kHeartbeatsPerAnswer = 4;
+
+// Longest lease that targets grant, counted on this host's clock.
+Duration WithMargin(Duration aLease)
+{
+  return aLease + aLease / 40 + std::chrono::milliseconds(200);
+}
+
+JobSchedulerSettings SchedulerSettingsOf(const JobHostSettings& aSettings)
+{
+  JobSchedulerSettings settings;
+  settings.m_targets.m_lease = std::min(kLease, aSettings.m_longestLease);
+  settings.m_targets.m_longestLease = WithMargin(aSettings.m_longestLease);
+  return settings;
+}
+
+LeaderIdentity IdentityOf(const JobHostSettings& aSettings,
+                          std::uint64_t aIncarnation)
+{
+  LeaderIdentity identity;
+  identity.m_host = aSettings.m_host;
+  identity.m_incarnation = aIncarnation;
+  identity.m_lease = std::min(kLease, aSettings.m_longestLease);
+  identity.m_validity = kValidity;
+  return identity;
+}
+
+std::uint64_t NewIncarnation()
+{
+  std::random_device source;
+  return (static_cast<std::uint64_t>(source()) << 32U) | source();
+}
+
+} // namespace
+
+JobHost::JobHost(const JobHostSettings& aSettings, const HostPorts& aPorts)
+  : m_settings(aSettings)
+  , m_ports(aPorts)
+  , m_incarnation(NewIncarnation())
+  , m_log(aSettings.m_host)
+  , m_desk(aPorts.m_store, m_log)
+  , m_advice(aPorts.m_advisor)
+  , m_peers(aSettings.m_host,
+            m_incarnation,
+            aSettings.m_peers.Text(),
+            aSettings.m_peerKey,
+            m_log,
+            [this](const proto::JobPeerMessage& aMessage) {
+              OnPeerMessage(aMessage);
+            })
+  , m_writer(
+      IdentityOf(aSettings, m_incarnation),
+      aPorts.m_store,
+      m_log,
+      [this](std::uint64_t aVersion, Duration aStoreClock) {
+        m_queue.Add([this, aVersion, aStoreClock] {
+          if (m_leader) {
+            m_leader->OnCommitted(aVersion, aStoreClock);
+          }
+        });
+      },
+      [this] { m_queue.Add([this] { LoseLead("another host leads"); }); })
+  , m_election(aSettings.m_host, m_incarnation)
+{
+}
+
+JobHost::~JobHost()
+{
+  m_queue.Stop();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+  m_configWatch.reset();
+  if (m_leader) {
+    m_leader->Retire();
+  }
+}
+
+bool JobHost::Start()
+{
+  if (!m_peers.Start()) {
+    return false;
+  }
+  m_log.Write("host-started",
+              "data_centre=" + m_settings.m_dataCentre +
+                " incarnation=" + std::to_string(m_incarnation));
+  m_configWatch = std::make_unique<TableWatch>(
+    m_ports.m_documents.ConfigTable(),
+    std::vector<std::string>{ "" },
+    m_ports.m_store,
+    m_log,
+    [this](const std::vector<Row>& aRows, bool /*aWhole*/) {
+      OnConfigRows(aRows);
+    });
+  std::minstd_rand random(static_cast<std::uint32_t>(m_incarnation));
+  std::uniform_int_distribution<Duration::rep> delay(0, kFirstLook.count());
+  m_election.Begin(BootClockNow(), Duration(delay(random)));
+  m_thread = std::thread([this] { Control(); });
+  pthread_setname_np(m_thread.native_handle(), "control");
+  return true;
+}
+
+void JobHost::StopLeading()
+{
+  std::promise<void> done;
+  m_queue.Add([this, &done] {
+    m_standsDown = true;
+    if (m_leader) {
+      m_writer.Release(kReleaseLimit);
+      m_leader->AnnounceRelease();
+      LoseLead("this host stops");
+    }
+    Unregister();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+bool JobHost::CanServe() const
+{
+  return m_config.Get() != nullptr && m_configWatch &&
+         BootClockNow() - m_configWatch->LastAnswer() < kStoreSilence;
+}
+
+void JobHost::Control()
+{
+  while (!m_queue.IsStopped()) {
+    const Duration wait = m_leader ? m_leader->LongestWait() : kLongestWait;
+    const std::vector<TaskQueue::Task> tasks = m_queue.Take(wait);
+    if (m_leader) {
+      m_leader->SetTime(BootClockNow(), WallClockNow());
+    }
+    for (const TaskQueue::Task& task : tasks) {
+      task();
+    }
+    DropRetired();
+    if (m_standsDown) {
+      continue;
+    }
+    if (!m_registered) {
+      Register();
+    }
+    if (m_leader) {
+      m_leader->SetTime(BootClockNow(), WallClockNow());
+      m_leader->Tick();
+    } else if (m_election.ShouldLook(BootClockNow())) {
+      Look();
+    }
+  }
+}
+
+void JobHost::Look()
+{
+  RowRange range;
+  range.m_table = LeaderKey().m_table;
+  range.m_first = LeaderKey().m_key;
+  range.m_limit = 1;
+  const RowAnswer answer = m_ports.m_store.Read(range, kCallTimeout);
+  if (answer.m_status != RowStatus::kOk) {
+    m_election.OnFailure(BootClockNow());
+    return;
+  }
+  const LeaderReading reading = ReadLeaderRow(answer);
+  if (!m_election.OnReading(reading, BootClockNow())) {
+    return;
+  }
+  m_log.Write(
+    "lead-attempt",
+    "former=" + reading.m_host +
+      " row_version=" + std::to_string(reading.m_version) + " row_age_ms=" +
+      std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(reading.m_age)
+          .count()) +
+      " released=" + (reading.m_released ? "yes" : "no"));
+  if (m_writer.Lead(reading.m_version, reading.m_storeClock, {})) {
+    BecomeLeader(reading);
+  } else {
+    m_election.OnFailure(BootClockNow());
+  }
+}
+
+void JobHost::BecomeLeader(const LeaderReading& aReading)
+{
+  const std::uint64_t term = ++m_term;
+  const TimePoint now = BootClockNow();
+  m_log.Write("leading", "term=" + std::to_string(term));
+  m_leader = std::make_unique<Leader>(SurroundingsOf(term),
+                                      SchedulerSettingsOf(m_settings),
+                                      LeaderElection::FormerLeaseLeft(aReading),
+                                      now);
+}
+
+void JobHost::LoseLead(const char* aReason)
+{
+  if (!m_leader) {
+    return;
+  }
+  m_log.Write("lead-lost", std::string("reason=\"") + aReason + "\"");
+  m_writer.Abandon();
+  m_leader->Retire();
+  m_retired.push_back(std::move(m_leader));
+  m_leader.reset();
+  m_election.Begin(BootClockNow(), kFirstLook);
+}
+
+void JobHost::DropRetired()
+{
+  m_retired.erase(
+    std::remove_if(m_retired.begin(),
+                   m_retired.end(),
+                   [](const auto& aLeader) { return aLeader->IsFinished(); }),
+    m_retired.end());
+}
+
+void JobHost::Register()
+{
+  proto::HostRow row;
+  row.set_peer_address(m_settings.m_peers.Text());
+  row.set_data_centre(m_settings.m_dataCentre);
+  row.set_processor_share(m_settings.m_processorShare);
+  row.set_incarnation(m_incarnation);
+  RowTransaction transaction;
+  transaction.m_writes.push_back(
+    RowWrite{ HostKey(m_settings.m_host), row.SerializeAsString() });
+  m_registered = m_ports.m_store.Transact(transaction, kCallTimeout).m_status ==
+                 RowStatus::kOk;
+}
+
+void JobHost::Unregister()
+{
+  RowTransaction transaction;
+  transaction.m_removals.push_back(HostKey(m_settings.m_host));
+  m_ports.m_store.Transact(transaction, kCallTimeout);
+}
+
+void JobHost::OnConfigRows(const std::vector<Row>& aRows)
+{
+  for (const Row& row : aRows) {
+    const auto config = m_ports.m_documents.ReadConfig(row);
+    if (!config || !m_config.Put(*config)) {
+      continue;
+    }
+    m_log.Write("config-applied",
+                "version=" + std::to_string(config->m_version) +
+                  " queues=" + std::to_string(config->m_queues.size()));
+    m_queue.Add([this] {
+      if (m_leader) {
+        m_leader->OnConfig();
+      }
+    });
+  }
+}
+
+void JobHost::OnPeerMessage(const proto::JobPeerMessage& aMessage)
+{
+  if (aMessage.has_leader_heartbeat()) {
+    OnHeartbeat(aMessage);
+  } else if (aMessage.has_advice_call()) {
+    ServeAdvice(aMessage);
+  } else if (aMessage.has_advice_reply()) {
+    const proto::AdviceReply& reply = aMessage.advice_reply();
+    AdviceAnswer answer;
+    answer.m_ticket = reply.ticket();
+    answer.m_answered = reply.answered();
+    answer.m_validFor = std::chrono::milliseconds(reply.valid_for_ms());
+    for (const proto::AdvisedTargetMessage& good : reply.good()) {
+      answer.m_good.push_back(
+        AdvisedTarget{ TargetId(good.target()), good.permission() });
+    }
+    m_queue.Add([this, answer] {
+      if (m_leader) {
+        m_leader->OnAdvice(answer);
+      }
+    });
+  } else if (aMessage.has_host_alive()) {
+    m_queue.Add([this, host = aMessage.from()] {
+      if (m_leader) {
+        m_leader->OnHostAlive(host);
+      }
+    });
+  }
+}
+
+void JobHost::OnHeartbeat(const proto::JobPeerMessage& aMessage)
+{
+  const proto::LeaderHeartbeat& heartbeat = aMessage.leader_heartbeat();
+  const std::vector<std::string> successors(heartbeat.successor().begin(),
+                                            heartbeat.successor().end());
+  const Duration renewedAgo =
+    std::chrono::milliseconds(heartbeat.renewed_ago_ms());
+  m_queue.Add([this,
+               successors,
+               renewedAgo,
+               released = heartbeat.released(),
+               address = aMessage.address()] {
+    m_election.OnHeartbeat(successors, renewedAgo, released, BootClockNow());
+    if (m_heartbeats++ % kHeartbeatsPerAnswer == 0) {
+      proto::JobPeerMessage answer;
+      answer.mutable_host_alive();
+      m_peers.Send(address, std::move(answer));
+    }
+  });
+}
+
+void JobHost::ServeAdvice(const proto::JobPeerMessage& aMessage)
+{
+  const proto::AdviceCall& call = aMessage.advice_call();
+  AdviceRequest request;
+  request.m_ticket = call.ticket();
+  request.m_step = StepName{ JobId(call.step().job()),
+                             call.step().occurrence(),
+                             call.step().step() };
+  for (const std::string& target : call.target()) {
+    request.m_targets.emplace_back(target);
+  }
+  const Duration timeout = std::chrono::milliseconds(call.timeout_ms());
+  m_advice.Ask(
+    request,
+    timeout,
+    [this, address = aMessage.address()](const AdviceAnswer& aAnswer) {
+      proto::JobPeerMessage message;
+      proto::AdviceReply* reply = message.mutable_advice_reply();
+      reply->set_ticket(aAnswer.m_ticket);
+      reply->set_answered(aAnswer.m_answered);
+      reply->set_valid_for_ms(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+          aAnswer.m_validFor)
+          .count()));
+      for (const AdvisedTarget& good : aAnswer.m_good) {
+        proto::AdvisedTargetMessage* entry = reply->add_good();
+        entry->set_target(good.m_target.Text());
+        entry->set_permission(good.m_permission);
+      }
+      m_peers.Send(address, std::move(message));
+    });
+}
+
+LeaderSurroundings JobHost::SurroundingsOf(std::uint64_t aTerm)
+{
+  return LeaderSurroundings{ m_settings,
+                             m_ports.m_store,
+                             m_ports.m_orders,
+                             m_ports.m_documents,
+                             m_config,
+                             m_log,
+                             m_writer,
+                             m_peers,
+                             m_advice,
+                             [this, aTerm](std::function<void()> aTask) {
+                               m_queue.Add(
+                                 [this, aTerm, task = std::move(aTask)] {
+                                   if (m_leader && m_term == aTerm) {
+                                     task();
+                                   }
+                                 });
+                             } };
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobhost/job_host.h
@@ -0,0 +1,102 @@
+#ifndef LYCHEESTEP_JOB_HOST_H
+#define LYCHEESTEP_JOB_HOST_H
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "advice_worker.h"
+#include "commit_writer.h"
+#include "config_holder.h"
+#include "entry_desk.h"
+#include "event_log.h"
+#include "leader.h"
+#include "leader_election.h"
+#include "lycheestep/job_host_settings.h"
+#include "lycheestep/platform_documents.h"
+#include "peer_link.h"
+#include "table_watch.h"
+#include "task_queue.h"
+
+namespace lycheestep {
+
+// What surrounds a host; behind interfaces, so that the platform's protocols
+// stay outside. All outlive the host.
+struct HostPorts
+{
+  RowStore& m_store;
+  TargetOrders& m_orders;
+  // Null where the platform has no advisor.
+  Advisor* m_advisor;
+  const PlatformDocuments& m_documents;
+};
+
+// One host of the system: serves callers at all times, follows the
+// configuration, asks the advisor for whichever host leads, and leads itself
+// when no other host does. All hosts are the same.
+class JobHost
+{
+public:
+  JobHost(const JobHostSettings& aSettings, const HostPorts& aPorts);
+  ~JobHost();
+  JobHost(const JobHost&) = delete;
+  JobHost& operator=(const JobHost&) = delete;
+
+  // False when the address for peers is taken.
+  bool Start();
+
+  // Hands leading over and takes no part any more; callers are still served.
+  // Waits until that is done, for a second or two at most.
+  void StopLeading();
+
+  EntryDesk& Desk() { return m_desk; }
+  const ConfigHolder& Config() const { return m_config; }
+  EventLog& Log() { return m_log; }
+
+  // True when the host has a configuration and has reached the store lately.
+  bool CanServe() const;
+
+private:
+  void Control();
+  void Look();
+  void BecomeLeader(const LeaderReading& aReading);
+  void LoseLead(const char* aReason);
+  void DropRetired();
+  void Register();
+  void Unregister();
+  void OnConfigRows(const std::vector<Row>& aRows);
+  void OnPeerMessage(const proto::JobPeerMessage& aMessage);
+  void OnHeartbeat(const proto::JobPeerMessage& aMessage);
+  void ServeAdvice(const proto::JobPeerMessage& aMessage);
+  LeaderSurroundings SurroundingsOf(std::uint64_t aTerm);
+
+  const JobHostSettings m_settings;
+  const HostPorts m_ports;
+  const std::uint64_t m_incarnation;
+  EventLog m_log;
+  ConfigHolder m_config;
+  EntryDesk m_desk;
+  TaskQueue m_queue;
+  AdviceWorker m_advice;
+  PeerLink m_peers;
+  CommitWriter m_writer;
+  std::unique_ptr<TableWatch> m_configWatch;
+
+  // Used by the control thread only.
+  LeaderElection m_election;
+  std::unique_ptr<Leader> m_leader;
+  std::uint64_t m_term = 0;
+  std::vector<std::unique_ptr<Leader>> m_retired;
+  bool m_standsDown = false;
+  bool m_registered = false;
+  std::uint32_t m_heartbeats = 0;
+
+  std::thread m_thread;
+};
+
+} // namespace lycheestep
+
+#endif
--- /dev/null
+++ b/src/jobhost/leader.cpp
@@ -0,0 +1,529 @@
+#include "leader.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "advice_worker.h"
+#include "boot_clock.h"
+#include "commit_writer.h"
+#include "config_holder.h"
+#include "event_log.h"
+#include "jobs.pb.h"
+#include "lycheestep/job_host_settings.h"
+#include "lycheestep/platform_documents.h"
+#include "peer_link.h"
+
+namespace lycheestep {
+
+namespace {
+
+constexpr Duration kHeartbeat = std::chrono::milliseconds(250);
+
+// Heartbeats stop when the renewal is older than this.
+constexpr Duration kFreshRenewal = std::chrono::milliseconds(1000);
+
+// A host that was not heard of for this long is asked for nothing, and its
+// row is removed after the second.
+constexpr Duration kHostSilent = std::chrono::seconds(4);
+constexpr Duration kHostDead = std::chrono::minutes(2);
+
+// Between looks at what is due.
+constexpr Duration kBusyWait = std::chrono::milliseconds(4);
+constexpr Duration kIdleWait = std::chrono::milliseconds(25);
+
+// Hosts named as successors in each heartbeat.
+constexpr std::size_t kSuccessors = 5;
+
+std::vector<std::string> JobPartitions()
+{
+  std::vector<std::string> partitions;
+  for (std::size_t i = 0; i < kJobPartitions; ++i) {
+    partitions.push_back(JobPartition(i));
+  }
+  return partitions;
+}
+
+void EncodeStepName(const StepName& aStep, proto::StepNameMessage& aMessage)
+{
+  aMessage.set_job(aStep.m_job.Text());
+  aMessage.set_occurrence(aStep.m_occurrence);
+  aMessage.set_step(aStep.m_step);
+}
+
+std::uint64_t Milliseconds(Duration aDuration)
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+} // namespace
+
+Leader::Leader(const LeaderSurroundings& aSurroundings,
+               const JobSchedulerSettings& aScheduler,
+               Duration aFormerLeases,
+               TimePoint aNow)
+  : m_with(aSurroundings)
+  , m_scheduler(aScheduler, *this)
+  , m_spread(
+      [this](const std::string& aHost,
+             const AdviceRequest& aRequest,
+             Duration aTimeout) { SendAdvice(aHost, aRequest, aTimeout); },
+      [this](const AdviceAnswer& aAnswer) {
+        m_scheduler.OnAdvice(aAnswer, m_now);
+      })
+  , m_now(aNow)
+{
+  m_scheduler.Targets().SetFormerLeaseOver(aNow + aFormerLeases);
+  OnConfig();
+  StartWatches();
+}
+
+Leader::~Leader() = default;
+
+void Leader::SetTime(TimePoint aNow, WallTime aWallNow)
+{
+  m_now = aNow;
+  m_wallNow = aWallNow;
+  m_scheduler.SetTime(aNow, aWallNow);
+}
+
+void Leader::OnConfig()
+{
+  const auto config = m_with.m_config.Get();
+  if (config) {
+    m_scheduler.SetConfig(*config);
+    ApplyTargets();
+  }
+}
+
+void Leader::OnCommitted(std::uint64_t aVersion, Duration aStoreClock)
+{
+  m_scheduler.OnCommitted(aVersion, aStoreClock, m_now);
+}
+
+void Leader::OnAdvice(const AdviceAnswer& aAnswer)
+{
+  m_spread.OnAnswer(aAnswer);
+}
+
+void Leader::OnHostAlive(const std::string& aHost)
+{
+  const auto host = m_hosts.find(aHost);
+  if (host != m_hosts.end()) {
+    host->second.m_lastHeard = m_now;
+  }
+}
+
+void Leader::Tick()
+{
+  const bool valid = m_now < m_with.m_writer.ValidUntil();
+  if (valid == m_suspended) {
+    m_suspended = !valid;
+    Log(valid ? "leading-resumed" : "leading-suspended", "reason=renewal");
+  }
+  if (m_heartbeatAt <= m_now) {
+    m_heartbeatAt = m_now + kHeartbeat;
+    SendHeartbeats();
+    DropDeadHosts();
+  }
+  m_spread.Tick(m_now);
+  if (valid && m_loaded) {
+    m_scheduler.Step(m_now);
+  }
+  m_closedLines.erase(
+    std::remove_if(m_closedLines.begin(),
+                   m_closedLines.end(),
+                   [](const auto& aLine) { return aLine->IsFinished(); }),
+    m_closedLines.end());
+}
+
+Duration Leader::LongestWait() const
+{
+  return m_scheduler.IsBusy() ? kBusyWait : kIdleWait;
+}
+
+void Leader::StartWatches()
+{
+  const std::vector<std::string> whole = { "" };
+  const std::vector<std::string> spread = JobPartitions();
+  m_watches.push_back(Watch(kProgressTable, whole, &Leader::OnProgressRows));
+  m_watches.push_back(Watch(kJobTable, spread, &Leader::OnJobRows));
+  m_watches.push_back(Watch(kCancelTable, spread, &Leader::OnCancelRows));
+  m_watches.push_back(
+    Watch(m_with.m_documents.TargetTable(), whole, &Leader::OnTargetRows));
+  m_watches.push_back(Watch(kHostTable, whole, &Leader::OnHostRows));
+}
+
+std::unique_ptr<TableWatch> Leader::Watch(
+  const std::string& aTable,
+  const std::vector<std::string>& aPartitions,
+  void (Leader::*aOnRows)(const std::vector<Row>&, bool))
+{
+  const auto post = m_with.m_post;
+  return std::make_unique<TableWatch>(
+    aTable,
+    aPartitions,
+    m_with.m_store,
+    m_with.m_log,
+    [this, post, aOnRows](const std::vector<Row>& aRows, bool aWhole) {
+      post([this, aOnRows, aRows, aWhole] { (this->*aOnRows)(aRows, aWhole); });
+    });
+}
+
+void Leader::OnJobRows(const std::vector<Row>& aRows, bool aWhole)
+{
+  if (m_loaded) {
+    AddJobs(aRows);
+    return;
+  }
+  if (aWhole || !m_jobRows) {
+    m_jobRows = aRows;
+  } else {
+    m_jobRows->insert(m_jobRows->end(), aRows.begin(), aRows.end());
+  }
+  LoadIfComplete();
+}
+
+void Leader::OnCancelRows(const std::vector<Row>& aRows, bool aWhole)
+{
+  if (m_loaded) {
+    AddCancels(aRows);
+    return;
+  }
+  if (aWhole || !m_cancelRows) {
+    m_cancelRows = aRows;
+  } else {
+    m_cancelRows->insert(m_cancelRows->end(), aRows.begin(), aRows.end());
+  }
+  LoadIfComplete();
+}
+
+void Leader::OnProgressRows(const std::vector<Row>& aRows, bool aWhole)
+{
+  if (!m_loaded && aWhole) {
+    m_progressRows = aRows;
+    m_watches.front()->Stop(); // later changes are this host's own
+    LoadIfComplete();
+  }
+}
+
+void Leader::LoadIfComplete()
+{
+  if (!m_jobRows || !m_cancelRows || !m_progressRows) {
+    return;
+  }
+  m_loaded = true;
+  AddJobs(*m_jobRows);
+  for (const Row& row : *m_progressRows) {
+    const JobId job(row.m_key.m_key);
+    const auto progress = DecodeProgress(job, row.m_value);
+    if (progress) {
+      m_scheduler.OnProgress(job, *progress, m_now);
+    } else {
+      Log("progress-malformed", "job=" + job.Text());
+    }
+  }
+  AddCancels(*m_cancelRows);
+  Log("leader-loaded",
+      "jobs=" + std::to_string(m_jobRows->size()) +
+        " progress=" + std::to_string(m_progressRows->size()) +
+        " cancels=" + std::to_string(m_cancelRows->size()));
+  m_jobRows.reset();
+  m_cancelRows.reset();
+  m_progressRows.reset();
+  ApplyTargets();
+}
+
+void Leader::AddJobs(const std::vector<Row>& aRows)
+{
+  for (const Row& row : aRows) {
+    if (row.m_removed) {
+      continue;
+    }
+    const JobId job(row.m_key.m_key);
+    const auto stored = DecodeJob(row.m_value);
+    if (!stored) {
+      Log("job-malformed", "job=" + job.Text());
+      continue;
+    }
+    m_scheduler.OnJob(job, *stored, m_now);
+  }
+}
+
+void Leader::AddCancels(const std::vector<Row>& aRows)
+{
+  for (const Row& row : aRows) {
+    if (!row.m_removed) {
+      m_scheduler.OnCancel(JobId(row.m_key.m_key), m_now);
+    }
+  }
+}
+
+void Leader::OnTargetRows(const std::vector<Row>& aRows, bool aWhole)
+{
+  if (aWhole) {
+    m_records.clear();
+  }
+  for (const Row& row : aRows) {
+    const TargetId target(row.m_key.m_key);
+    const auto record =
+      row.m_removed ? std::nullopt : m_with.m_documents.ReadTarget(row);
+    if (record) {
+      m_records[target] = *record;
+      continue;
+    }
+    if (!row.m_removed) {
+      Log("target-row-malformed", "target=" + target.Text());
+    }
+    m_records.erase(target);
+  }
+  ApplyTargets();
+}
+
+void Leader::ApplyTargets()
+{
+  const auto config = m_with.m_config.Get();
+  if (!m_loaded || !config) {
+    return;
+  }
+  std::set<ServiceName> services;
+  for (const ServiceConfig& service : config->m_services) {
+    services.insert(service.m_name);
+  }
+  std::set<TargetId> usable;
+  for (const auto& [id, record] : m_records) {
+    if (services.count(record.m_service) > 0) {
+      usable.insert(id);
+      m_scheduler.OnTargetRecord(record, m_now);
+    }
+  }
+  for (const TargetId& id : m_known) {
+    if (usable.count(id) == 0) {
+      Log("target-gone", "target=" + id.Text());
+      m_scheduler.OnTargetGone(id, m_now);
+    }
+  }
+  m_known = std::move(usable);
+}
+
+void Leader::OnHostRows(const std::vector<Row>& aRows, bool aWhole)
+{
+  if (aWhole) {
+    m_hosts.clear();
+  }
+  for (const Row& row : aRows) {
+    const std::string& name = row.m_key.m_key;
+    proto::HostRow host;
+    const bool readable = !row.m_removed && host.ParseFromString(row.m_value);
+    if (!readable || name == m_with.m_settings.m_host) {
+      m_hosts.erase(name);
+      continue;
+    }
+    m_hosts[name] = PeerHost{
+      host.peer_address(), host.processor_share(), row.m_version, m_now
+    };
+  }
+}
+
+void Leader::SendHeartbeats()
+{
+  const TimePoint renewed =
+    m_with.m_writer.ValidUntil() - m_with.m_writer.Validity();
+  if (m_now - renewed > kFreshRenewal) {
+    return;
+  }
+  proto::JobPeerMessage message;
+  proto::LeaderHeartbeat* heartbeat = message.mutable_leader_heartbeat();
+  heartbeat->set_renewed_ago_ms(Milliseconds(m_now - renewed));
+  for (const std::string& host : Successors()) {
+    heartbeat->add_successor(host);
+  }
+  std::vector<std::string> live;
+  for (const auto& [name, host] : m_hosts) {
+    m_with.m_peers.Send(host.m_address, message);
+    if (m_now - host.m_lastHeard < kHostSilent) {
+      live.push_back(name);
+    }
+  }
+  m_spread.SetHosts(live);
+  m_scheduler.Advice().SetAskers(m_spread.HostCount(m_now));
+}
+
+void Leader::DropDeadHosts()
+{
+  for (auto it = m_hosts.begin(); it != m_hosts.end();) {
+    if (m_now - it->second.m_lastHeard < kHostDead) {
+      ++it;
+      continue;
+    }
+    Log("host-row-removed", "peer=" + it->first);
+    m_scheduler.RemoveRow(HostKey(it->first));
+    it = m_hosts.erase(it);
+  }
+}
+
+std::vector<std::string> Leader::Successors() const
+{
+  std::vector<std::pair<double, std::string>> ranked;
+  for (const auto& [name, host] : m_hosts) {
+    if (m_now - host.m_lastHeard < kHostSilent) {
+      ranked.emplace_back(-host.m_processorShare, name);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> successors;
+  for (const auto& [share, name] : ranked) {
+    if (successors.size() < kSuccessors) {
+      successors.push_back(name);
+    }
+  }
+  return successors;
+}
+
+void Leader::AnnounceRelease()
+{
+  proto::JobPeerMessage message;
+  proto::LeaderHeartbeat* heartbeat = message.mutable_leader_heartbeat();
+  heartbeat->set_released(true);
+  for (const std::string& host : Successors()) {
+    heartbeat->add_successor(host);
+  }
+  for (const auto& [name, host] : m_hosts) {
+    m_with.m_peers.Send(host.m_address, message);
+  }
+}
+
+void Leader::Retire()
+{
+  for (const auto& watch : m_watches) {
+    watch->Stop();
+  }
+  for (const auto& [id, line] : m_lines) {
+    line->Close();
+  }
+}
+
+bool Leader::IsFinished() const
+{
+  const auto lineDone = [](const auto& aLine) { return aLine->IsFinished(); };
+  return std::all_of(m_watches.begin(),
+                     m_watches.end(),
+                     [](const auto& aWatch) { return aWatch->IsFinished(); }) &&
+         std::all_of(m_closedLines.begin(), m_closedLines.end(), lineDone) &&
+         std::all_of(m_lines.begin(), m_lines.end(), [&](const auto& aEntry) {
+           return lineDone(aEntry.second);
+         });
+}
+
+void Leader::Commit(std::vector<RowWrite> aWrites,
+                    std::vector<RowKey> aRemovals)
+{
+  m_with.m_writer.Commit(
+    std::move(aWrites), std::move(aRemovals), m_scheduler.Pending());
+}
+
+void Leader::Start(const StartOrder& aOrder)
+{
+  LineTo(aOrder.m_to.m_target).Start(aOrder);
+}
+
+void Leader::Stop(const StopOrder& aOrder)
+{
+  LineTo(aOrder.m_to.m_target).Stop(aOrder);
+}
+
+void Leader::Pace(const PaceOrder& aOrder)
+{
+  LineTo(aOrder.m_to.m_target).Pace(aOrder);
+}
+
+void Leader::Hold(const HoldOrder& aOrder, HoldPath aPath)
+{
+  LineTo(aOrder.m_to.m_target).Hold(aOrder, aPath);
+}
+
+void Leader::Forget(const TargetId& aTarget)
+{
+  const auto line = m_lines.find(aTarget);
+  if (line != m_lines.end()) {
+    line->second->Close();
+    m_closedLines.push_back(std::move(line->second));
+    m_lines.erase(line);
+  }
+}
+
+void Leader::Ask(const AdviceRequest& aRequest, Duration aTimeout)
+{
+  m_spread.Ask(aRequest, aTimeout, m_now);
+}
+
+void Leader::SendAdvice(const std::string& aHost,
+                        const AdviceRequest& aRequest,
+                        Duration aTimeout)
+{
+  const auto host = m_hosts.find(aHost);
+  if (aHost.empty() || host == m_hosts.end()) {
+    const auto post = m_with.m_post;
+    m_with.m_advice.Ask(
+      aRequest, aTimeout, [this, post](const AdviceAnswer& aAnswer) {
+        post([this, aAnswer] { OnAdvice(aAnswer); });
+      });
+    return;
+  }
+  proto::JobPeerMessage message;
+  proto::AdviceCall* call = message.mutable_advice_call();
+  call->set_ticket(aRequest.m_ticket);
+  EncodeStepName(aRequest.m_step, *call->mutable_step());
+  for (const TargetId& target : aRequest.m_targets) {
+    call->add_target(target.Text());
+  }
+  call->set_timeout_ms(Milliseconds(aTimeout));
+  m_with.m_peers.Send(host->second.m_address, std::move(message));
+}
+
+void Leader::Log(const std::string& aEvent, const std::string& aFields)
+{
+  m_with.m_log.Write(aEvent, aFields);
+}
+
+TargetLine& Leader::LineTo(const TargetId& aTarget)
+{
+  std::unique_ptr<TargetLine>& line = m_lines[aTarget];
+  if (!line) {
+    CommitWriter& writer = m_with.m_writer;
+    line = std::make_unique<TargetLine>(
+      m_with.m_orders,
+      [&writer] { return BootClockNow() < writer.ValidUntil(); },
+      AnswersOf());
+  }
+  return *line;
+}
+
+TargetAnswers Leader::AnswersOf()
+{
+  const auto post = m_with.m_post;
+  TargetAnswers answers;
+  answers.m_started = [this, post](const StartOrder& aOrder,
+                                   const OrderAnswer& aAnswer) {
+    post([this, aOrder, aAnswer] {
+      m_scheduler.OnStartAnswer(aOrder, aAnswer, m_now);
+    });
+  };
+  answers.m_stopped = [this, post](const StopOrder& aOrder,
+                                   const OrderAnswer& aAnswer) {
+    post([this, aOrder, aAnswer] {
+      m_scheduler.OnStopAnswer(aOrder, aAnswer, m_now);
+    });
+  };
+  answers.m_held = [this, post](const HoldOrder& aOrder,
+                                HoldPath aPath,
+                                const HoldAnswer& aAnswer) {
+    post([this, aOrder, aPath, aAnswer] {
+      m_scheduler.OnHoldAnswer(aOrder, aPath, aAnswer, m_now);
+    });
+  };
+  return answers;
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobhost/leader.h
@@ -0,0 +1,150 @@
+#ifndef LYCHEESTEP_LEADER_H
+#define LYCHEESTEP_LEADER_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "advice_spread.h"
+#include "job_effects.h"
+#include "job_scheduler.h"
+#include "table_watch.h"
+#include "target_line.h"
+
+namespace lycheestep {
+
+class AdviceWorker;
+class CommitWriter;
+class ConfigHolder;
+class EventLog;
+class PeerLink;
+class PlatformDocuments;
+class TaskQueue;
+struct JobHostSettings;
+
+// What a leader works with; all outlive it.
+struct LeaderSurroundings
+{
+  const JobHostSettings& m_settings;
+  RowStore& m_store;
+  TargetOrders& m_orders;
+  const PlatformDocuments& m_documents;
+  const ConfigHolder& m_config;
+  EventLog& m_log;
+  CommitWriter& m_writer;
+  PeerLink& m_peers;
+  AdviceWorker& m_advice;
+  // Hands work to the control thread, which drops it if this leader is gone
+  // by then.
+  std::function<void(std::function<void()>)> m_post;
+};
+
+// Another host of the system, as its row says.
+struct PeerHost
+{
+  std::string m_address;
+  double m_processorShare = 0;
+  std::uint64_t m_rowVersion = 0;
+  TimePoint m_lastHeard;
+};
+
+// One term of this host as the leader: reads what was stored, then decides
+// with JobScheduler and carries its decisions out. Used on the control thread;
+// its helpers post to it.
+class Leader : public JobEffects
+{
+public:
+  // Leases of former leaders are over after aFormerLeases.
+  Leader(const LeaderSurroundings& aSurroundings,
+         const JobSchedulerSettings& aScheduler,
+         Duration aFormerLeases,
+         TimePoint aNow);
+  ~Leader() override;
+
+  void SetTime(TimePoint aNow, WallTime aWallNow);
+  void OnConfig();
+  void OnCommitted(std::uint64_t aVersion, Duration aStoreClock);
+  void OnAdvice(const AdviceAnswer& aAnswer);
+  void OnHostAlive(const std::string& aHost);
+
+  // Does what is due. Sends no orders after the right to lead has run out.
+  void Tick();
+
+  // How long the control thread may wait for an event.
+  Duration LongestWait() const;
+
+  // Tells all hosts that this one leads no longer.
+  void AnnounceRelease();
+
+  // Stops all helpers without waiting for them.
+  void Retire();
+
+  // True when the destructor need not wait for a helper.
+  bool IsFinished() const;
+
+  void Commit(std::vector<RowWrite> aWrites,
+              std::vector<RowKey> aRemovals) override;
+  void Start(const StartOrder& aOrder) override;
+  void Stop(const StopOrder& aOrder) override;
+  void Pace(const PaceOrder& aOrder) override;
+  void Hold(const HoldOrder& aOrder, HoldPath aPath) override;
+  void Forget(const TargetId& aTarget) override;
+  void Ask(const AdviceRequest& aRequest, Duration aTimeout) override;
+  void Log(const std::string& aEvent, const std::string& aFields) override;
+
+private:
+  void StartWatches();
+  std::unique_ptr<TableWatch> Watch(
+    const std::string& aTable,
+    const std::vector<std::string>& aPartitions,
+    void (Leader::*aOnRows)(const std::vector<Row>&, bool));
+  void OnJobRows(const std::vector<Row>& aRows, bool aWhole);
+  void OnCancelRows(const std::vector<Row>& aRows, bool aWhole);
+  void OnProgressRows(const std::vector<Row>& aRows, bool aWhole);
+  void OnTargetRows(const std::vector<Row>& aRows, bool aWhole);
+  void OnHostRows(const std::vector<Row>& aRows, bool aWhole);
+  void LoadIfComplete();
+  void AddJobs(const std::vector<Row>& aRows);
+  void AddCancels(const std::vector<Row>& aRows);
+  void ApplyTargets();
+  void SendHeartbeats();
+  void DropDeadHosts();
+  std::vector<std::string> Successors() const;
+  void SendAdvice(const std::string& aHost,
+                  const AdviceRequest& aRequest,
+                  Duration aTimeout);
+  TargetLine& LineTo(const TargetId& aTarget);
+  TargetAnswers AnswersOf();
+
+  const LeaderSurroundings m_with;
+  JobScheduler m_scheduler;
+  AdviceSpread m_spread;
+  TimePoint m_now;
+  WallTime m_wallNow{ 0 };
+  bool m_suspended = false;
+
+  // Rows that wait until all tables were read.
+  bool m_loaded = false;
+  std::optional<std::vector<Row>> m_jobRows;
+  std::optional<std::vector<Row>> m_cancelRows;
+  std::optional<std::vector<Row>> m_progressRows;
+
+  // Readable rows of targets, and those the scheduler was told of.
+  std::map<TargetId, TargetRecord> m_records;
+  std::set<TargetId> m_known;
+  std::map<std::string, PeerHost> m_hosts;
+  TimePoint m_heartbeatAt;
+
+  std::map<TargetId, std::unique_ptr<TargetLine>> m_lines;
+  std::vector<std::unique_ptr<TargetLine>> m_closedLines;
+  std::vector<std::unique_ptr<TableWatch>> m_watches;
+};
+
+} // namespace lycheestep
+
+#endif
--- /dev/null
+++ b/src/jobhost/leader_election.cpp
@@ -0,0 +1,114 @@
+#include "leader_election.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "job_rows.h"
+#include "jobs.pb.h"
+
+namespace lycheestep {
+
+namespace {
+
+// A leader that was not heard of for this long is looked after; each place
+// further down the line waits longer.
+constexpr Duration kSuspicion = std::chrono::milliseconds(800);
+constexpr Duration kPlaceDelay = std::chrono::milliseconds(150);
+constexpr std::size_t kMostPlaces = 10;
+
+// Who is not among the successors waits as if it were this far down.
+constexpr std::size_t kNoPlace = 6;
+
+// A row that was not renewed for this long is anybody's.
+constexpr Duration kStaleRow = std::chrono::milliseconds(1300);
+
+// Between looks while the leader stays silent.
+constexpr Duration kLookAgain = std::chrono::milliseconds(250);
+
+// A target's clock may be this many thousandths slow. The leader's reading of
+// the store's clock is as old as the store's answer was slow.
+constexpr std::int64_t kClockSlowPerMille = 21;
+constexpr Duration kLeaseMargin = std::chrono::seconds(1);
+
+} // namespace
+
+LeaderReading ReadLeaderRow(const RowAnswer& aAnswer)
+{
+  LeaderReading reading;
+  reading.m_storeClock = aAnswer.m_storeClock;
+  proto::LeaderRow row;
+  const bool found = !aAnswer.m_rows.empty() &&
+                     aAnswer.m_rows.front().m_key.m_key == LeaderKey().m_key;
+  if (!found) {
+    return reading;
+  }
+  reading.m_version = aAnswer.m_rows.front().m_version;
+  if (!row.ParseFromString(aAnswer.m_rows.front().m_value)) {
+    reading.m_age = Duration::max(); // nobody renews what can't be read
+    return reading;
+  }
+  reading.m_host = row.host();
+  reading.m_incarnation = row.incarnation();
+  reading.m_released = row.released();
+  reading.m_age =
+    aAnswer.m_storeClock - std::chrono::milliseconds(row.renewed_ms());
+  reading.m_lease = std::chrono::milliseconds(row.lease_ms());
+  reading.m_validity = std::chrono::milliseconds(row.validity_ms());
+  return reading;
+}
+
+LeaderElection::LeaderElection(std::string aHost, std::uint64_t aIncarnation)
+  : m_host(std::move(aHost))
+  , m_incarnation(aIncarnation)
+{
+}
+
+void LeaderElection::Begin(TimePoint aNow, Duration aFirstDelay)
+{
+  m_place = kNoPlace;
+  m_lookAt = aNow + aFirstDelay;
+}
+
+void LeaderElection::OnHeartbeat(const std::vector<std::string>& aSuccessors,
+                                 Duration aRenewedAgo,
+                                 bool aReleased,
+                                 TimePoint aNow)
+{
+  const auto own = std::find(aSuccessors.begin(), aSuccessors.end(), m_host);
+  const auto place = static_cast<std::size_t>(own - aSuccessors.begin());
+  m_place = own == aSuccessors.end() ? kNoPlace : std::min(place, kMostPlaces);
+  const Duration wait = kPlaceDelay * static_cast<std::int64_t>(m_place);
+  m_lookAt =
+    aReleased ? aNow + wait : aNow + kSuspicion + wait - aRenewedAgo / 2;
+}
+
+bool LeaderElection::OnReading(const LeaderReading& aReading, TimePoint aNow)
+{
+  const bool ownFormerLife =
+    aReading.m_host == m_host && aReading.m_incarnation != m_incarnation;
+  const bool vacant = aReading.m_version == 0 || aReading.m_released ||
+                      ownFormerLife || aReading.m_age > kStaleRow;
+  m_lookAt = aNow + kLookAgain;
+  return vacant;
+}
+
+void LeaderElection::OnFailure(TimePoint aNow)
+{
+  m_lookAt = aNow + kLookAgain;
+}
+
+Duration LeaderElection::FormerLeaseLeft(const LeaderReading& aReading)
+{
+  if (aReading.m_version == 0) {
+    return Duration::zero();
+  }
+  const Duration lease =
+    aReading.m_lease + aReading.m_lease * kClockSlowPerMille / 1000;
+  const Duration orders =
+    aReading.m_released ? Duration::zero() : aReading.m_validity;
+  const Duration age = std::min<Duration>(aReading.m_age, orders + lease);
+  return orders + lease + kLeaseMargin - age;
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobhost/table_watch.cpp
@@ -0,0 +1,138 @@
+#include "table_watch.h"
+
+#include <pthread.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "boot_clock.h"
+#include "event_log.h"
+
+namespace lycheestep {
+
+namespace {
+
+// One call of a feed waits this long for a change; a channel that has fallen
+// silent is noticed after both together.
+constexpr Duration kFeedWait = std::chrono::milliseconds(1200);
+constexpr Duration kCallTimeout = std::chrono::milliseconds(700);
+
+// Between calls while the store does not answer.
+constexpr Duration kRetryDelay = std::chrono::milliseconds(100);
+
+// The kernel takes names of threads up to this length.
+constexpr std::size_t kThreadNameLength = 15;
+
+} // namespace
+
+TableWatch::TableWatch(std::string aTable,
+                       std::vector<std::string> aPartitions,
+                       RowStore& aStore,
+                       EventLog& aLog,
+                       OnRows aOnRows)
+  : m_table(std::move(aTable))
+  , m_partitions(std::move(aPartitions))
+  , m_store(aStore)
+  , m_log(aLog)
+  , m_onRows(std::move(aOnRows))
+{
+  m_thread = std::thread([this] { Run(); });
+  const std::string name = "watch-" + m_table;
+  pthread_setname_np(m_thread.native_handle(),
+                     name.substr(0, kThreadNameLength).c_str());
+}
+
+TableWatch::~TableWatch()
+{
+  Stop();
+  m_thread.join();
+}
+
+void TableWatch::Run()
+{
+  while (!m_stopping) {
+    if (ReadAll()) {
+      Follow();
+    } else {
+      std::this_thread::sleep_for(kRetryDelay);
+    }
+  }
+  m_finished = true;
+}
+
+bool TableWatch::ReadAll()
+{
+  std::vector<Row> rows;
+  m_version = 0;
+  for (const std::string& partition : m_partitions) {
+    if (!ReadPartition(partition, rows)) {
+      return false;
+    }
+  }
+  if (!m_stopping) {
+    m_onRows(rows, true);
+  }
+  return true;
+}
+
+bool TableWatch::ReadPartition(const std::string& aPartition,
+                               std::vector<Row>& aRows)
+{
+  RowRange range;
+  range.m_table = m_table;
+  range.m_partition = aPartition;
+  RowAnswer answer;
+  do {
+    answer = m_store.Read(range, kCallTimeout);
+    NoteStore(answer.m_status);
+    if (answer.m_status != RowStatus::kOk || m_stopping) {
+      return false;
+    }
+    // Changes since the oldest of the reads come by the feed.
+    m_version =
+      m_version == 0 ? answer.m_version : std::min(m_version, answer.m_version);
+    if (!answer.m_rows.empty()) {
+      range.m_first = answer.m_rows.back().m_key.m_key + '\x01';
+    }
+    aRows.insert(aRows.end(), answer.m_rows.begin(), answer.m_rows.end());
+  } while (answer.m_more && !answer.m_rows.empty());
+  return true;
+}
+
+void TableWatch::Follow()
+{
+  while (!m_stopping) {
+    const RowAnswer answer =
+      m_store.Feed(m_table, m_version, kFeedWait, kCallTimeout);
+    NoteStore(answer.m_status);
+    if (answer.m_status == RowStatus::kHistoryLost) {
+      m_log.Write("feed-history-lost", "table=" + m_table);
+      return;
+    }
+    if (answer.m_status != RowStatus::kOk) {
+      std::this_thread::sleep_for(kRetryDelay);
+      continue;
+    }
+    m_version = std::max(m_version, answer.m_version);
+    if (!answer.m_rows.empty() && !m_stopping) {
+      m_onRows(answer.m_rows, false);
+    }
+  }
+}
+
+void TableWatch::NoteStore(RowStatus aStatus)
+{
+  const bool reachable =
+    aStatus == RowStatus::kOk || aStatus == RowStatus::kHistoryLost;
+  if (reachable) {
+    m_lastAnswer = BootClockNow().time_since_epoch().count();
+  }
+  if (reachable != m_reachable) {
+    m_reachable = reachable;
+    m_log.Write(reachable ? "store-regained" : "store-lost",
+                "watch=" + m_table);
+  }
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobhost/target_line.cpp
@@ -0,0 +1,102 @@
+#include "target_line.h"
+
+#include <pthread.h>
+
+#include <chrono>
+#include <utility>
+
+namespace lycheestep {
+
+namespace {
+
+// One order or hold, beyond the time that a hold waits for an end.
+constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
+
+// A thread without work looks this seldom whether it is to end.
+constexpr Duration kIdle = std::chrono::minutes(10);
+
+} // namespace
+
+TargetLine::TargetLine(TargetOrders& aOrders,
+                       std::function<bool()> aMayOrder,
+                       TargetAnswers aAnswers)
+  : m_orders(aOrders)
+  , m_mayOrder(std::move(aMayOrder))
+  , m_answers(std::move(aAnswers))
+{
+  m_watchThread = std::thread([this] { Run(m_watchQueue); });
+  pthread_setname_np(m_watchThread.native_handle(), "target-watch");
+  m_orderThread = std::thread([this] { Run(m_orderQueue); });
+  pthread_setname_np(m_orderThread.native_handle(), "target-order");
+}
+
+TargetLine::~TargetLine()
+{
+  Close();
+  m_watchThread.join();
+  m_orderThread.join();
+}
+
+void TargetLine::Start(const StartOrder& aOrder)
+{
+  m_orderQueue.Add([this, aOrder] {
+    // What is held back here never reached the target.
+    OrderAnswer answer;
+    answer.m_status = OrderStatus::kNotSent;
+    if (m_mayOrder()) {
+      answer = m_orders.Start(aOrder, kOrderTimeout);
+    }
+    m_answers.m_started(aOrder, answer);
+  });
+}
+
+void TargetLine::Stop(const StopOrder& aOrder)
+{
+  m_orderQueue.Add([this, aOrder] {
+    if (m_mayOrder()) {
+      m_answers.m_stopped(aOrder, m_orders.Stop(aOrder, kOrderTimeout));
+    }
+  });
+}
+
+void TargetLine::Pace(const PaceOrder& aOrder)
+{
+  m_orderQueue.Add([this, aOrder] {
+    if (m_mayOrder()) {
+      m_orders.Pace(aOrder, kOrderTimeout);
+    }
+  });
+}
+
+void TargetLine::Hold(const HoldOrder& aOrder, HoldPath aPath)
+{
+  TaskQueue& queue = aPath == HoldPath::kWatch ? m_watchQueue : m_orderQueue;
+  queue.Add([this, aOrder, aPath] {
+    HoldAnswer answer;
+    answer.m_status = OrderStatus::kNotSent;
+    if (m_mayOrder()) {
+      answer = m_orders.Hold(aOrder, kOrderTimeout);
+    }
+    m_answers.m_held(aOrder, aPath, answer);
+  });
+}
+
+void TargetLine::Close()
+{
+  m_watchQueue.Stop();
+  m_orderQueue.Stop();
+}
+
+void TargetLine::Run(TaskQueue& aQueue)
+{
+  while (!aQueue.IsStopped()) {
+    for (const TaskQueue::Task& task : aQueue.Take(kIdle)) {
+      if (!aQueue.IsStopped()) {
+        task();
+      }
+    }
+  }
+  --m_running;
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobhost/target_line.h
@@ -0,0 +1,62 @@
+#ifndef LYCHEESTEP_TARGET_LINE_H
+#define LYCHEESTEP_TARGET_LINE_H
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+#include "job_effects.h"
+#include "task_queue.h"
+
+namespace lycheestep {
+
+// What comes back from a target.
+struct TargetAnswers
+{
+  std::function<void(const StartOrder&, const OrderAnswer&)> m_started;
+  std::function<void(const StopOrder&, const OrderAnswer&)> m_stopped;
+  std::function<void(const HoldOrder&, HoldPath, const HoldAnswer&)> m_held;
+};
+
+// The two connections to one target, each with a thread of its own: one for
+// holds that wait for ends, the other for all that must not wait. Orders on
+// one connection keep their order.
+class TargetLine
+{
+public:
+  // aMayOrder says whether orders may still be sent; it is asked right before
+  // each one. The answers are called on the line's threads.
+  TargetLine(TargetOrders& aOrders,
+             std::function<bool()> aMayOrder,
+             TargetAnswers aAnswers);
+  ~TargetLine();
+  TargetLine(const TargetLine&) = delete;
+  TargetLine& operator=(const TargetLine&) = delete;
+
+  void Start(const StartOrder& aOrder);
+  void Stop(const StopOrder& aOrder);
+  void Pace(const PaceOrder& aOrder);
+  void Hold(const HoldOrder& aOrder, HoldPath aPath);
+
+  // Sends nothing more; the threads end with the call that they make.
+  void Close();
+
+  // True when the destructor need not wait.
+  bool IsFinished() const { return m_running == 0; }
+
+private:
+  void Run(TaskQueue& aQueue);
+
+  TargetOrders& m_orders;
+  const std::function<bool()> m_mayOrder;
+  const TargetAnswers m_answers;
+  TaskQueue m_watchQueue;
+  TaskQueue m_orderQueue;
+  std::atomic<int> m_running{ 2 };
+  std::thread m_watchThread;
+  std::thread m_orderThread;
+};
+
+} // namespace lycheestep
+
+#endif
--- /dev/null
+++ b/src/jobs/advice_desk.cpp
@@ -0,0 +1,294 @@
+#include "advice_desk.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "job_effects.h"
+#include "target_keeper.h"
+
+namespace lycheestep {
+
+namespace {
+
+// Calls under way for each host that can ask: one is served, one waits.
+constexpr std::size_t kCallsPerAsker = 2;
+
+// Targets named in one call.
+constexpr std::size_t kFewestNames = 3;
+constexpr std::size_t kMostNames = 40;
+
+// Share of targets assumed to be fit before anything is known of a queue, and
+// the weight of one answer.
+constexpr double kFirstFitShare = 0.4;
+constexpr double kFitShareWeight = 0.2;
+constexpr double kLeastFitShare = 0.1;
+
+// Spare names, so that one call is enough more often than not.
+constexpr double kNameReserve = 1.4;
+
+// Beyond the advisor's own time, for the call's way there and back.
+constexpr Duration kCallMargin = std::chrono::milliseconds(700);
+
+// After an answer that brought nothing.
+constexpr Duration kRetryDelay = std::chrono::milliseconds(150);
+
+} // namespace
+
+std::size_t TasksThatFit(const JobStep& aStep, const Resources& aFree)
+{
+  std::int64_t fit = aStep.m_count;
+  for (std::size_t i = 0; i < kResourceKinds; ++i) {
+    const auto kind = static_cast<ResourceKind>(i);
+    if (aStep.m_demand.Get(kind) > 0) {
+      fit = std::min(fit, aFree.Get(kind) / aStep.m_demand.Get(kind));
+    }
+  }
+  if (aStep.m_maxPerTarget > 0) {
+    fit = std::min<std::int64_t>(fit, aStep.m_maxPerTarget);
+  }
+  return fit > 0 ? static_cast<std::size_t>(fit) : 0;
+}
+
+bool LabelsAllow(const JobStep& aStep, const TargetState& aTarget)
+{
+  const std::string& label = aStep.m_requiredLabel;
+  return label.empty() || label == aTarget.m_record.m_kind ||
+         label == aTarget.m_record.m_rack.Text();
+}
+
+AdviceDesk::AdviceDesk(JobEffects& aEffects, const TargetKeeper& aKeeper)
+  : m_effects(aEffects)
+  , m_keeper(aKeeper)
+{
+}
+
+std::string AdviceDesk::PermissionFor(const StepName& aStep,
+                                      const TargetState& aTarget,
+                                      TimePoint aNow) const
+{
+  const auto step = m_steps.find(aStep);
+  if (step == m_steps.end()) {
+    return "";
+  }
+  const auto fit = step->second.m_fit.find(aTarget.m_record.m_target);
+  if (fit == step->second.m_fit.end()) {
+    return "";
+  }
+  const Permission& permission = fit->second;
+  const bool usable = permission.m_until > aNow &&
+                      permission.m_started == aTarget.m_record.m_started;
+  return usable ? permission.m_text : "";
+}
+
+bool AdviceDesk::IsUnfit(const StepName& aStep, const TargetId& aTarget) const
+{
+  const auto step = m_steps.find(aStep);
+  return step != m_steps.end() && step->second.m_asked.count(aTarget) > 0 &&
+         step->second.m_fit.count(aTarget) == 0;
+}
+
+bool AdviceDesk::IsFit(const StepName& aStep, const TargetId& aTarget) const
+{
+  const auto step = m_steps.find(aStep);
+  return step != m_steps.end() && step->second.m_fit.count(aTarget) > 0;
+}
+
+bool AdviceDesk::CanAsk() const
+{
+  return m_calls.size() < m_askers * kCallsPerAsker;
+}
+
+void AdviceDesk::Ask(const Job& aJob,
+                     const StepName& aStep,
+                     std::size_t aMissing,
+                     TimePoint aNow)
+{
+  DropOverdueCalls(aNow);
+  StepAdvice& advice = m_steps[aStep];
+  if (advice.m_call != 0 || advice.m_retryAt > aNow || !CanAsk()) {
+    return;
+  }
+  Wanted wanted = FindWanted(aJob, aStep, advice, aNow);
+  const auto targets = ChooseTargets(aJob, aStep, wanted, aMissing);
+  if (targets.empty()) {
+    return;
+  }
+  Call call;
+  call.m_step = aStep;
+  call.m_queue = aJob.m_terms.m_name;
+  AdviceRequest request;
+  request.m_ticket = ++m_lastCall;
+  request.m_step = aStep;
+  for (const TargetState* target : targets) {
+    request.m_targets.push_back(target->m_record.m_target);
+    call.m_targets.push_back(target->m_record.m_target);
+    call.m_started.push_back(target->m_record.m_started);
+  }
+  const AdviceTerms& terms = aJob.m_terms.m_advice;
+  const Duration turn =
+    terms.m_perCall +
+    terms.m_perTarget * static_cast<std::int64_t>(targets.size());
+  const Duration timeout =
+    turn * static_cast<std::int64_t>(kCallsPerAsker) + kCallMargin;
+  call.m_giveUpAt = aNow + timeout + kCallMargin;
+  advice.m_call = request.m_ticket;
+  m_calls[request.m_ticket] = call;
+  m_effects.Ask(request, timeout);
+}
+
+AdviceDesk::Wanted AdviceDesk::FindWanted(const Job& aJob,
+                                          const StepName& aStep,
+                                          const StepAdvice& aAdvice,
+                                          TimePoint aNow) const
+{
+  const JobStep& step = aJob.m_spec.m_steps[aStep.m_step];
+  Wanted wanted;
+  for (const auto& [id, target] : m_keeper.Targets()) {
+    const bool usable = target.TakesWork(aNow) &&
+                        target.m_record.m_service == aJob.m_terms.m_service &&
+                        LabelsAllow(step, target);
+    const std::size_t room = usable ? TasksThatFit(step, target.Free()) : 0;
+    if (room == 0) {
+      continue;
+    }
+    const bool asked = aAdvice.m_asked.count(id) > 0;
+    if (!asked) {
+      wanted.m_newTargets.push_back(&target);
+    } else if (aAdvice.m_fit.count(id) > 0) {
+      wanted.m_roomOnFit += room;
+      if (PermissionFor(aStep, target, aNow).empty()) {
+        wanted.m_renewals.push_back(&target);
+      }
+    }
+  }
+  return wanted;
+}
+
+std::vector<const TargetState*> AdviceDesk::ChooseTargets(
+  const Job& aJob,
+  const StepName& aStep,
+  Wanted& aWanted,
+  std::size_t aMissing) const
+{
+  const JobStep& step = aJob.m_spec.m_steps[aStep.m_step];
+  const bool enoughFit = aWanted.m_roomOnFit >= aMissing;
+  if (enoughFit) {
+    return aWanted.m_renewals;
+  }
+  // A gang that finds no room among the fit needs no permission yet.
+  std::vector<const TargetState*> chosen;
+  if (!step.m_gang) {
+    chosen = aWanted.m_renewals;
+  }
+  std::vector<const TargetState*>& fresh = aWanted.m_newTargets;
+  std::sort(fresh.begin(),
+            fresh.end(),
+            [&](const TargetState* aLeft, const TargetState* aRight) {
+              return TasksThatFit(step, aLeft->Free()) >
+                     TasksThatFit(step, aRight->Free());
+            });
+  const double share = FitShare(aJob.m_terms.m_name);
+  double found = static_cast<double>(aWanted.m_roomOnFit);
+  for (const TargetState* target : fresh) {
+    const bool enough = found >= static_cast<double>(aMissing) * kNameReserve &&
+                        chosen.size() >= kFewestNames;
+    if (enough || chosen.size() >= kMostNames) {
+      break;
+    }
+    chosen.push_back(target);
+    found += share * static_cast<double>(TasksThatFit(step, target->Free()));
+  }
+  return chosen;
+}
+
+void AdviceDesk::OnAnswer(const AdviceAnswer& aAnswer, TimePoint aNow)
+{
+  const auto found = m_calls.find(aAnswer.m_ticket);
+  if (found == m_calls.end()) {
+    return;
+  }
+  const Call call = found->second;
+  m_calls.erase(found);
+  const auto step = m_steps.find(call.m_step);
+  if (step == m_steps.end()) {
+    return; // the job is over
+  }
+  StepAdvice& advice = step->second;
+  advice.m_call = 0;
+  if (!aAnswer.m_answered) {
+    advice.m_retryAt = aNow + kRetryDelay;
+    return;
+  }
+  std::size_t fresh = 0;
+  std::size_t freshFit = 0;
+  for (std::size_t i = 0; i < call.m_targets.size(); ++i) {
+    const TargetId& target = call.m_targets[i];
+    const bool isNew = advice.m_asked.insert(target).second;
+    fresh += isNew ? 1 : 0;
+    const auto good = std::find_if(
+      aAnswer.m_good.begin(),
+      aAnswer.m_good.end(),
+      [&](const AdvisedTarget& aGood) { return aGood.m_target == target; });
+    if (good == aAnswer.m_good.end()) {
+      continue;
+    }
+    freshFit += isNew ? 1 : 0;
+    advice.m_fit[target] = Permission{ good->m_permission,
+                                       aNow + aAnswer.m_validFor,
+                                       call.m_started[i] };
+  }
+  if (fresh > 0) {
+    double& share =
+      m_fitShares.try_emplace(call.m_queue, kFirstFitShare).first->second;
+    const double seen =
+      static_cast<double>(freshFit) / static_cast<double>(fresh);
+    share += (seen - share) * kFitShareWeight;
+  }
+  if (aAnswer.m_good.empty()) {
+    advice.m_retryAt = aNow + kRetryDelay;
+  }
+}
+
+void AdviceDesk::Drop(const StepName& aStep, const TargetId& aTarget)
+{
+  const auto step = m_steps.find(aStep);
+  if (step != m_steps.end()) {
+    const auto fit = step->second.m_fit.find(aTarget);
+    if (fit != step->second.m_fit.end()) {
+      fit->second.m_until = TimePoint();
+    }
+  }
+}
+
+void AdviceDesk::Forget(const JobId& aJob)
+{
+  auto step = m_steps.lower_bound(StepName{ aJob, 0, 0 });
+  while (step != m_steps.end() && step->first.m_job == aJob) {
+    step = m_steps.erase(step);
+  }
+}
+
+double AdviceDesk::FitShare(const QueueName& aQueue) const
+{
+  const auto found = m_fitShares.find(aQueue);
+  const double share =
+    found != m_fitShares.end() ? found->second : kFirstFitShare;
+  return std::max(share, kLeastFitShare);
+}
+
+void AdviceDesk::DropOverdueCalls(TimePoint aNow)
+{
+  for (auto it = m_calls.begin(); it != m_calls.end();) {
+    if (it->second.m_giveUpAt > aNow) {
+      ++it;
+      continue;
+    }
+    const auto step = m_steps.find(it->second.m_step);
+    if (step != m_steps.end()) {
+      step->second.m_call = 0;
+    }
+    it = m_calls.erase(it);
+  }
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobs/advice_desk.h
@@ -0,0 +1,122 @@
+#ifndef LYCHEESTEP_ADVICE_DESK_H
+#define LYCHEESTEP_ADVICE_DESK_H
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "job.h"
+#include "lycheestep/advice.h"
+
+namespace lycheestep {
+
+class JobEffects;
+class TargetKeeper;
+struct TargetState;
+
+// Which targets may run which steps, as far as the advisor was asked. A
+// target's fitness for a step never changes, but the permission that a start
+// carries runs out and is asked for again.
+class AdviceDesk
+{
+public:
+  AdviceDesk(JobEffects& aEffects, const TargetKeeper& aKeeper);
+
+  // Hosts that can ask; each is served one call at a time.
+  void SetAskers(std::size_t aCount) { m_askers = aCount; }
+
+  // The permission to start the step on the target that is valid at aNow;
+  // empty when there is none.
+  std::string PermissionFor(const StepName& aStep,
+                            const TargetState& aTarget,
+                            TimePoint aNow) const;
+
+  // True when the target is known to be unfit for the step.
+  bool IsUnfit(const StepName& aStep, const TargetId& aTarget) const;
+  // True when it is known to be fit.
+  bool IsFit(const StepName& aStep, const TargetId& aTarget) const;
+
+  // Asks for what aMissing waiting tasks of the step need, if a host is free
+  // to ask.
+  void Ask(const Job& aJob,
+           const StepName& aStep,
+           std::size_t aMissing,
+           TimePoint aNow);
+
+  void OnAnswer(const AdviceAnswer& aAnswer, TimePoint aNow);
+
+  // The target refused a permission.
+  void Drop(const StepName& aStep, const TargetId& aTarget);
+
+  // Nothing more is asked for the job's steps.
+  void Forget(const JobId& aJob);
+
+  // Calls that can still be made at once.
+  bool CanAsk() const;
+
+private:
+  struct Permission
+  {
+    std::string m_text;
+    TimePoint m_until;
+    // The incarnation of the target that it holds for.
+    WallTime m_started{ 0 };
+  };
+
+  struct StepAdvice
+  {
+    std::set<TargetId> m_asked;
+    std::map<TargetId, Permission> m_fit;
+    // Zero: no call is under way.
+    std::uint64_t m_call = 0;
+    TimePoint m_retryAt;
+  };
+
+  struct Call
+  {
+    StepName m_step;
+    QueueName m_queue;
+    std::vector<TargetId> m_targets;
+    std::vector<WallTime> m_started;
+    TimePoint m_giveUpAt;
+  };
+
+  struct Wanted
+  {
+    std::vector<const TargetState*> m_renewals;
+    std::vector<const TargetState*> m_newTargets;
+    std::size_t m_roomOnFit = 0;
+  };
+
+  Wanted FindWanted(const Job& aJob,
+                    const StepName& aStep,
+                    const StepAdvice& aAdvice,
+                    TimePoint aNow) const;
+  std::vector<const TargetState*> ChooseTargets(const Job& aJob,
+                                                const StepName& aStep,
+                                                Wanted& aWanted,
+                                                std::size_t aMissing) const;
+  double FitShare(const QueueName& aQueue) const;
+  void DropOverdueCalls(TimePoint aNow);
+
+  JobEffects& m_effects;
+  const TargetKeeper& m_keeper;
+  std::size_t m_askers = 1;
+  std::map<StepName, StepAdvice> m_steps;
+  std::map<std::uint64_t, Call> m_calls;
+  // Share of the targets asked about that were fit, by queue.
+  std::map<QueueName, double> m_fitShares;
+  std::uint64_t m_lastCall = 0;
+};
+
+// How many tasks of the step fit into what is free on the target.
+std::size_t TasksThatFit(const JobStep& aStep, const Resources& aFree);
+
+// True when the step's tasks may run on the target as far as labels say.
+bool LabelsAllow(const JobStep& aStep, const TargetState& aTarget);
+
+} // namespace lycheestep
+
+#endif
--- /dev/null
+++ b/src/jobs/job_rows.cpp
@@ -0,0 +1,256 @@
+#include "job_rows.h"
+
+#include <chrono>
+
+#include <xxhash.h>
+
+#include "jobs.pb.h"
+
+namespace lycheestep {
+
+namespace {
+
+constexpr const char* kLeaderKey = "leader";
+
+std::uint64_t Microseconds(Duration aDuration)
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count());
+}
+
+Duration FromMicroseconds(std::uint64_t aCount)
+{
+  return std::chrono::microseconds(aCount);
+}
+
+void EncodeStep(const JobStep& aStep, proto::JobStepRow& aRow)
+{
+  aRow.set_count(aStep.m_count);
+  aRow.set_processors(aStep.m_demand.Get(ResourceKind::kProcessors));
+  aRow.set_memory(aStep.m_demand.Get(ResourceKind::kMemory));
+  aRow.set_accelerators(aStep.m_demand.Get(ResourceKind::kAccelerators));
+  aRow.set_estimate_us(Microseconds(aStep.m_estimate));
+  for (const std::uint32_t earlier : aStep.m_after) {
+    aRow.add_after(earlier);
+  }
+  aRow.set_checkpointing(aStep.m_checkpointing);
+  aRow.set_gang(aStep.m_gang);
+  aRow.set_same_rack(aStep.m_sameRack);
+  aRow.set_required_label(aStep.m_requiredLabel);
+  aRow.set_data_rack(aStep.m_dataRack);
+  aRow.set_max_per_target(aStep.m_maxPerTarget);
+  aRow.set_speculative(aStep.m_speculative);
+  aRow.set_long_running(aStep.m_longRunning);
+  aRow.set_image(aStep.m_image);
+  aRow.set_response_target_us(Microseconds(aStep.m_responseTarget));
+  aRow.set_fills_idle(aStep.m_fillsIdle);
+  aRow.set_may_miss(aStep.m_mayMiss);
+  aRow.set_has_may_miss(aStep.m_hasMayMiss);
+}
+
+JobStep DecodeStep(const proto::JobStepRow& aRow)
+{
+  JobStep step;
+  step.m_count = aRow.count();
+  step.m_demand =
+    Resources(aRow.processors(), aRow.memory(), aRow.accelerators(), 0, 0);
+  step.m_estimate = FromMicroseconds(aRow.estimate_us());
+  step.m_after.assign(aRow.after().begin(), aRow.after().end());
+  step.m_checkpointing = aRow.checkpointing();
+  step.m_gang = aRow.gang();
+  step.m_sameRack = aRow.same_rack();
+  step.m_requiredLabel = aRow.required_label();
+  step.m_dataRack = aRow.data_rack();
+  step.m_maxPerTarget = aRow.max_per_target();
+  step.m_speculative = aRow.speculative();
+  step.m_longRunning = aRow.long_running();
+  step.m_image = aRow.image();
+  step.m_responseTarget = FromMicroseconds(aRow.response_target_us());
+  step.m_fillsIdle = aRow.fills_idle();
+  step.m_mayMiss = aRow.may_miss();
+  step.m_hasMayMiss = aRow.has_may_miss();
+  return step;
+}
+
+void EncodeTerms(const QueueConfig& aQueue, proto::QueueTerms& aTerms)
+{
+  aTerms.set_service(aQueue.m_service.Text());
+  aTerms.set_priority(aQueue.m_priority);
+  aTerms.set_max_attempts(aQueue.m_maxAttempts);
+  aTerms.set_slack_factor(aQueue.m_slackFactor);
+  aTerms.set_latency_target_us(Microseconds(aQueue.m_latencyTarget));
+  aTerms.set_advice_required(aQueue.m_advice.m_required);
+  aTerms.set_advice_per_call_us(Microseconds(aQueue.m_advice.m_perCall));
+  aTerms.set_advice_per_target_us(Microseconds(aQueue.m_advice.m_perTarget));
+  aTerms.set_ticket_life_us(Microseconds(aQueue.m_advice.m_ticketLife));
+}
+
+QueueConfig DecodeTerms(const std::string& aQueue,
+                        const proto::QueueTerms& aTerms)
+{
+  QueueConfig queue;
+  queue.m_name = QueueName(aQueue);
+  queue.m_service = ServiceName(aTerms.service());
+  queue.m_priority = aTerms.priority();
+  queue.m_maxAttempts = aTerms.max_attempts();
+  queue.m_slackFactor = aTerms.slack_factor();
+  queue.m_latencyTarget = FromMicroseconds(aTerms.latency_target_us());
+  queue.m_advice.m_required = aTerms.advice_required();
+  queue.m_advice.m_perCall = FromMicroseconds(aTerms.advice_per_call_us());
+  queue.m_advice.m_perTarget = FromMicroseconds(aTerms.advice_per_target_us());
+  queue.m_advice.m_ticketLife = FromMicroseconds(aTerms.ticket_life_us());
+  return queue;
+}
+
+void EncodeTask(const TaskName& aName,
+                const JobTask& aTask,
+                proto::TaskProgressRow& aRow)
+{
+  aRow.set_occurrence(aName.m_step.m_occurrence);
+  aRow.set_step(aName.m_step.m_step);
+  aRow.set_index(aName.m_index);
+  aRow.set_run(aTask.m_run);
+  aRow.set_state(static_cast<std::uint32_t>(aTask.m_state));
+  aRow.set_failures(aTask.m_failures);
+  if (aTask.m_state != TaskState::kDone) {
+    aRow.set_checkpoint(aTask.m_checkpoint);
+  }
+  if (aTask.m_state == TaskState::kDispatched) {
+    aRow.set_target(aTask.m_target.Text());
+  }
+}
+
+StoredTask DecodeTask(const JobId& aJob, const proto::TaskProgressRow& aRow)
+{
+  StoredTask stored;
+  stored.m_name.m_step = StepName{ aJob, aRow.occurrence(), aRow.step() };
+  stored.m_name.m_index = aRow.index();
+  stored.m_task.m_state = static_cast<TaskState>(aRow.state());
+  stored.m_task.m_run = aRow.run();
+  stored.m_task.m_failures = aRow.failures();
+  stored.m_task.m_checkpoint = aRow.checkpoint();
+  stored.m_task.m_target = TargetId(aRow.target());
+  return stored;
+}
+
+std::string PartitionOf(const JobId& aJob)
+{
+  const std::string& text = aJob.Text();
+  return JobPartition(XXH32(text.data(), text.size(), 0) % kJobPartitions);
+}
+
+} // namespace
+
+std::string JobPartition(std::size_t aNumber)
+{
+  return "p" + std::to_string(aNumber);
+}
+
+RowKey JobKey(const JobId& aJob)
+{
+  return RowKey{ kJobTable, PartitionOf(aJob), aJob.Text() };
+}
+
+RowKey CancelKey(const JobId& aJob)
+{
+  return RowKey{ kCancelTable, PartitionOf(aJob), aJob.Text() };
+}
+
+RowKey ProgressKey(const JobId& aJob)
+{
+  return RowKey{ kProgressTable, "", aJob.Text() };
+}
+
+RowKey LeaderKey()
+{
+  return RowKey{ kLeaderTable, "", kLeaderKey };
+}
+
+RowKey HostKey(const std::string& aHost)
+{
+  return RowKey{ kHostTable, "", aHost };
+}
+
+std::string EncodeJob(const StoredJob& aJob)
+{
+  proto::JobRow row;
+  row.set_queue(aJob.m_terms.m_name.Text());
+  row.set_payload(aJob.m_spec.m_payload);
+  for (const JobStep& step : aJob.m_spec.m_steps) {
+    EncodeStep(step, *row.add_step());
+  }
+  row.set_occurrences(aJob.m_spec.m_occurrences);
+  row.set_first_due_ms(aJob.m_spec.m_firstDue.count());
+  row.set_interval_ms(aJob.m_spec.m_interval.count());
+  EncodeTerms(aJob.m_terms, *row.mutable_terms());
+  row.set_accepted_ms(aJob.m_acceptedAt.count());
+  return row.SerializeAsString();
+}
+
+std::optional<StoredJob> DecodeJob(const std::string& aBytes)
+{
+  proto::JobRow row;
+  if (!row.ParseFromString(aBytes)) {
+    return std::nullopt;
+  }
+  StoredJob job;
+  job.m_terms = DecodeTerms(row.queue(), row.terms());
+  job.m_acceptedAt = WallTime(row.accepted_ms());
+  job.m_spec.m_payload = row.payload();
+  for (const proto::JobStepRow& step : row.step()) {
+    job.m_spec.m_steps.push_back(DecodeStep(step));
+  }
+  job.m_spec.m_occurrences = row.occurrences();
+  job.m_spec.m_firstDue = WallTime(row.first_due_ms());
+  job.m_spec.m_interval = WallTime(row.interval_ms());
+  if (!IsWellFormed(job.m_spec)) {
+    return std::nullopt;
+  }
+  return job;
+}
+
+std::string EncodeProgress(const Job& aJob, Duration aStoreClock)
+{
+  proto::JobProgressRow row;
+  row.set_state(static_cast<std::uint32_t>(aJob.m_state));
+  if (aJob.IsOver()) {
+    const auto ended =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aStoreClock);
+    row.set_ended_ms(static_cast<std::uint64_t>(ended.count()));
+  }
+  row.set_occurrences_done(aJob.m_occurrencesDone);
+  if (aJob.m_state == JobState::kDone) {
+    return row.SerializeAsString(); // its tasks matter to nobody any more
+  }
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      const std::vector<JobTask>& tasks = occurrence.m_steps[s].m_tasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].m_run > 0 || tasks[i].m_state != TaskState::kWaiting) {
+          const TaskName name{ StepName{ aJob.m_id, number, s }, i };
+          EncodeTask(name, tasks[i], *row.add_task());
+        }
+      }
+    }
+  }
+  return row.SerializeAsString();
+}
+
+std::optional<StoredProgress> DecodeProgress(const JobId& aJob,
+                                             const std::string& aBytes)
+{
+  proto::JobProgressRow row;
+  if (!row.ParseFromString(aBytes)) {
+    return std::nullopt;
+  }
+  StoredProgress progress;
+  progress.m_state = static_cast<JobState>(row.state());
+  progress.m_occurrencesDone = row.occurrences_done();
+  progress.m_endedAt = std::chrono::milliseconds(row.ended_ms());
+  for (const proto::TaskProgressRow& task : row.task()) {
+    progress.m_tasks.push_back(DecodeTask(aJob, task));
+  }
+  return progress;
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobs/placement.cpp
@@ -0,0 +1,146 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+#include "target_state.h"
+
+namespace lycheestep {
+
+namespace {
+
+// Work that ends later than this many times its objective serves nobody.
+constexpr int kTooLateFactor = 3;
+
+// Order of candidates: smaller is better.
+using Score = std::tuple<bool, bool, double>;
+
+double FreeShare(const Resources& aFree, const TargetState& aTarget)
+{
+  return aFree.DominantShare(aTarget.m_record.m_capacity);
+}
+
+std::size_t TasksOn(const PlacementCandidate& aCandidate,
+                    const Resources& aDemand)
+{
+  std::int64_t fit = aCandidate.m_tasksLeft;
+  for (std::size_t i = 0; i < kResourceKinds; ++i) {
+    const auto kind = static_cast<ResourceKind>(i);
+    if (aDemand.Get(kind) > 0) {
+      fit = std::min(fit, aCandidate.m_free.Get(kind) / aDemand.Get(kind));
+    }
+  }
+  return fit > 0 ? static_cast<std::size_t>(fit) : 0;
+}
+
+// Fills the given candidates one by one, the one with the most room first, so
+// that the gang is spread over few targets.
+std::optional<std::vector<std::size_t>> Fill(
+  const std::vector<PlacementCandidate>& aCandidates,
+  std::vector<std::size_t> aUsable,
+  const Resources& aDemand,
+  std::size_t aCount)
+{
+  std::stable_sort(
+    aUsable.begin(), aUsable.end(), [&](std::size_t aLeft, std::size_t aRight) {
+      const PlacementCandidate& left = aCandidates[aLeft];
+      const PlacementCandidate& right = aCandidates[aRight];
+      if (left.m_nearData != right.m_nearData) {
+        return left.m_nearData;
+      }
+      return TasksOn(left, aDemand) > TasksOn(right, aDemand);
+    });
+  std::vector<std::size_t> chosen;
+  for (const std::size_t index : aUsable) {
+    const std::size_t room = TasksOn(aCandidates[index], aDemand);
+    const std::size_t taken = std::min(room, aCount - chosen.size());
+    chosen.insert(chosen.end(), taken, index);
+    if (chosen.size() == aCount) {
+      return chosen;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+Duration ObjectiveOf(const QueueConfig& aQueue, Duration aChain)
+{
+  const auto scaled = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, Duration::period>(aChain) *
+    aQueue.m_slackFactor);
+  return scaled + aQueue.m_latencyTarget;
+}
+
+StepRank RankOf(const QueueConfig& aQueue,
+                Duration aChain,
+                Duration aRemaining,
+                TimePoint aDue,
+                TimePoint aNow)
+{
+  const Duration objective = ObjectiveOf(aQueue, aChain);
+  const TimePoint end = aNow + aRemaining;
+  StepRank rank;
+  rank.m_priority = aQueue.m_priority;
+  rank.m_deadline = aDue + objective;
+  if (end > aDue + objective * kTooLateFactor) {
+    rank.m_lateness = StepRank::Lateness::kTooLate;
+  } else if (end > rank.m_deadline) {
+    rank.m_lateness = StepRank::Lateness::kLate;
+  }
+  return rank;
+}
+
+std::optional<std::size_t> ChooseTarget(
+  std::vector<PlacementCandidate>& aCandidates,
+  const Resources& aDemand,
+  const TargetId& aAvoid)
+{
+  std::optional<std::size_t> best;
+  Score bestScore;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const PlacementCandidate& candidate = aCandidates[i];
+    if (candidate.m_tasksLeft == 0 || !aDemand.FitsIn(candidate.m_free)) {
+      continue;
+    }
+    const bool avoided = candidate.m_target->m_record.m_target == aAvoid;
+    const Score score(avoided,
+                      !candidate.m_nearData,
+                      FreeShare(candidate.m_free, *candidate.m_target));
+    if (!best || score < bestScore) {
+      best = i;
+      bestScore = score;
+    }
+  }
+  if (best) {
+    aCandidates[*best].m_free -= aDemand;
+    --aCandidates[*best].m_tasksLeft;
+  }
+  return best;
+}
+
+std::optional<std::vector<std::size_t>> ChooseGang(
+  const std::vector<PlacementCandidate>& aCandidates,
+  const Resources& aDemand,
+  std::size_t aCount,
+  bool aSameRack)
+{
+  std::vector<std::size_t> all;
+  std::map<RackName, std::vector<std::size_t>> racks;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    all.push_back(i);
+    racks[aCandidates[i].m_target->m_record.m_rack].push_back(i);
+  }
+  if (aSameRack) {
+    for (const auto& [rack, members] : racks) {
+      auto chosen = Fill(aCandidates, members, aDemand, aCount);
+      if (chosen) {
+        return chosen;
+      }
+    }
+  }
+  return Fill(aCandidates, all, aDemand, aCount);
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobs/run_text.cpp
@@ -0,0 +1,52 @@
+#include "run_text.h"
+
+#include <charconv>
+
+namespace lycheestep {
+
+namespace {
+
+// Takes the number after the last dot off aText.
+std::optional<std::uint32_t> TakeLastNumber(std::string& aText)
+{
+  const std::size_t dot = aText.rfind('.');
+  if (dot == std::string::npos) {
+    return std::nullopt;
+  }
+  std::uint32_t number = 0;
+  const char* first = aText.data() + dot + 1;
+  const char* last = aText.data() + aText.size();
+  const auto [end, error] = std::from_chars(first, last, number);
+  if (error != std::errc() || end != last) {
+    return std::nullopt;
+  }
+  aText.resize(dot);
+  return number;
+}
+
+} // namespace
+
+std::string StepText(const StepName& aStep)
+{
+  return aStep.m_job.Text() + "." + std::to_string(aStep.m_occurrence) + "." +
+         std::to_string(aStep.m_step);
+}
+
+std::string TaskText(const TaskName& aTask)
+{
+  return StepText(aTask.m_step) + "." + std::to_string(aTask.m_index);
+}
+
+std::optional<TaskName> ParseTaskText(const std::string& aText)
+{
+  std::string rest = aText;
+  const auto index = TakeLastNumber(rest);
+  const auto step = index ? TakeLastNumber(rest) : std::nullopt;
+  const auto occurrence = step ? TakeLastNumber(rest) : std::nullopt;
+  if (!occurrence || rest.empty()) {
+    return std::nullopt;
+  }
+  return TaskName{ StepName{ JobId(rest), *occurrence, *step }, *index };
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobs/target_keeper.cpp
@@ -0,0 +1,625 @@
+#include "target_keeper.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "job_effects.h"
+#include "run_listener.h"
+#include "run_text.h"
+
+namespace lycheestep {
+
+namespace {
+
+// A target lists at most this many ends at once.
+constexpr std::size_t kEndsPerAnswer = 500;
+
+// Between holds of a target that did not answer the last one.
+constexpr Duration kFirstHoldRetry = std::chrono::milliseconds(100);
+constexpr Duration kLastHoldRetry = std::chrono::milliseconds(800);
+
+// A stop without effect is sent again after this.
+constexpr Duration kStopRepeat = std::chrono::milliseconds(400);
+
+// A target that refused a start rests for this, longer each time.
+constexpr Duration kFirstRest = std::chrono::milliseconds(300);
+constexpr std::uint32_t kRestDoublings = 4;
+
+// Holds go out this many times in one lease even if ends wait to be stored.
+constexpr int kHoldsPerLease = 4;
+
+Duration HoldRetry(std::uint32_t aFailures)
+{
+  const Duration delay = kFirstHoldRetry * (1U << std::min(aFailures, 4U));
+  return std::min(delay, kLastHoldRetry);
+}
+
+} // namespace
+
+TargetKeeper::TargetKeeper(const TargetKeeperSettings& aSettings,
+                           JobEffects& aEffects,
+                           RunListener& aListener)
+  : m_settings(aSettings)
+  , m_effects(aEffects)
+  , m_listener(aListener)
+{
+}
+
+void TargetKeeper::OnRecord(const TargetRecord& aRecord, TimePoint aNow)
+{
+  RetireEarlierLives(aRecord);
+  const auto [found, isNew] = m_targets.try_emplace(aRecord.m_target);
+  TargetState& target = found->second;
+  if (isNew) {
+    target.m_formerLeaseOver = m_formerLeaseOver;
+  }
+  const WallTime before = target.m_record.m_started;
+  const bool restarted = !isNew && before.count() != 0 &&
+                         aRecord.m_started.count() != 0 &&
+                         before != aRecord.m_started;
+  if (restarted && aRecord.m_started < before) {
+    return; // an older incarnation's word, delivered late
+  }
+  target.m_record = aRecord;
+  target.m_listed = true;
+  if (restarted) {
+    NewIncarnation(target, aRecord.m_started, aNow);
+  }
+}
+
+void TargetKeeper::RetireEarlierLives(const TargetRecord& aRecord)
+{
+  if (aRecord.m_machine.Empty()) {
+    return;
+  }
+  for (auto it = m_targets.begin(); it != m_targets.end();) {
+    TargetState& other = it->second;
+    const bool earlier = it->first != aRecord.m_target &&
+                         other.m_record.m_machine == aRecord.m_machine &&
+                         other.m_record.m_started < aRecord.m_started;
+    if (!earlier) {
+      ++it;
+      continue;
+    }
+    DropSentRuns(other);
+    m_effects.Forget(it->first);
+    it = m_targets.erase(it);
+  }
+}
+
+void TargetKeeper::OnGone(const TargetId& aTarget, TimePoint /*aNow*/)
+{
+  const auto found = m_targets.find(aTarget);
+  if (found != m_targets.end()) {
+    found->second.m_listed = false;
+  }
+}
+
+void TargetKeeper::Expect(const TargetId& aTarget,
+                          const RunName& aRun,
+                          const Resources& aDemand)
+{
+  const auto [found, isNew] = m_targets.try_emplace(aTarget);
+  TargetState& target = found->second;
+  if (isNew) {
+    target.m_record.m_target = aTarget;
+    target.m_formerLeaseOver = m_formerLeaseOver;
+  }
+  TargetRun run;
+  run.m_demand = aDemand;
+  run.m_sent = true;
+  if (target.m_runs.emplace(aRun, run).second) {
+    target.m_used += aDemand;
+  }
+}
+
+void TargetKeeper::Reserve(const TargetId& aTarget,
+                           const RunName& aRun,
+                           const Resources& aDemand)
+{
+  TargetState& target = m_targets.at(aTarget);
+  TargetRun run;
+  run.m_demand = aDemand;
+  if (target.m_runs.emplace(aRun, run).second) {
+    target.m_used += aDemand;
+  }
+}
+
+void TargetKeeper::CancelReservation(const TargetId& aTarget,
+                                     const RunName& aRun)
+{
+  const auto found = m_targets.find(aTarget);
+  if (found != m_targets.end()) {
+    DropRun(found->second, aRun);
+  }
+}
+
+bool TargetKeeper::Send(const TargetId& aTarget,
+                        const RunName& aRun,
+                        const std::string& aPayload,
+                        const std::string& aCheckpoint,
+                        const std::string& aTicket,
+                        TimePoint aNow)
+{
+  const auto found = m_targets.find(aTarget);
+  if (found == m_targets.end()) {
+    return false;
+  }
+  TargetState& target = found->second;
+  const auto run = target.m_runs.find(aRun);
+  if (run == target.m_runs.end()) {
+    return false;
+  }
+  if (!target.TakesWork(aNow)) {
+    DropRun(target, aRun);
+    return false;
+  }
+  StartOrder order;
+  order.m_to = AddressOf(target);
+  order.m_run = aRun;
+  order.m_payload = aPayload;
+  order.m_checkpoint = aCheckpoint;
+  order.m_ticket = aTicket;
+  order.m_leaseEnd = LeaseEndFor(target, aNow);
+  target.m_fenceUsed = true;
+  run->second.m_sent = true;
+  run->second.m_startedAt = aNow;
+  m_effects.Start(order);
+  return true;
+}
+
+void TargetKeeper::Stop(const TargetId& aTarget,
+                        const RunName& aRun,
+                        TimePoint aNow)
+{
+  const auto found = m_targets.find(aTarget);
+  if (found == m_targets.end()) {
+    return;
+  }
+  TargetState& target = found->second;
+  const auto run = target.m_runs.find(aRun);
+  if (run == target.m_runs.end()) {
+    return;
+  }
+  if (!run->second.m_sent) {
+    DropRun(target, aRun);
+    return;
+  }
+  run->second.m_stopWanted = true;
+  RepeatStops(target, aNow);
+}
+
+void TargetKeeper::OnStartAnswer(const StartOrder& aOrder,
+                                 const OrderAnswer& aAnswer,
+                                 TimePoint aNow)
+{
+  const auto found = m_targets.find(aOrder.m_to.m_target);
+  if (found == m_targets.end()) {
+    return;
+  }
+  TargetState& target = found->second;
+  const auto run = target.m_runs.find(aOrder.m_run);
+  const bool current = aOrder.m_to.m_fence == target.m_fence &&
+                       target.m_phase == TargetPhase::kHeld;
+  if (!current || run == target.m_runs.end() || run->second.m_confirmed) {
+    return; // settled already, or by the listing that is under way
+  }
+  switch (aAnswer.m_status) {
+    case OrderStatus::kDone:
+      run->second.m_confirmed = true;
+      target.m_refusals = 0;
+      return;
+    case OrderStatus::kFenced:
+      m_wantsFence = true;
+      Distrust(target, "fenced");
+      return;
+    case OrderStatus::kUnknown:
+      Distrust(target, "start without answer");
+      return;
+    case OrderStatus::kOtherTarget:
+      Distrust(target, "another incarnation answered");
+      return;
+    case OrderStatus::kNoRoom:
+      Distrust(target, "no room where there should be");
+      break;
+    case OrderStatus::kUnhealthy:
+    case OrderStatus::kNotSent:
+      target.m_restUntil =
+        aNow + kFirstRest * (1U << std::min(target.m_refusals, kRestDoublings));
+      ++target.m_refusals;
+      break;
+    default:
+      break;
+  }
+  DropRun(target, aOrder.m_run);
+  m_listener.OnRunOver(aOrder.m_to.m_target, aOrder.m_run, aAnswer.m_status);
+}
+
+void TargetKeeper::OnStopAnswer(const StopOrder& aOrder,
+                                const OrderAnswer& aAnswer,
+                                TimePoint /*aNow*/)
+{
+  const auto found = m_targets.find(aOrder.m_to.m_target);
+  if (found == m_targets.end()) {
+    return;
+  }
+  TargetState& target = found->second;
+  const bool current = aOrder.m_to.m_fence == target.m_fence;
+  if (current && aAnswer.m_status == OrderStatus::kFenced) {
+    m_wantsFence = true;
+    Distrust(target, "fenced");
+  }
+}
+
+void TargetKeeper::OnHoldAnswer(const HoldOrder& aOrder,
+                                HoldPath aPath,
+                                const HoldAnswer& aAnswer,
+                                TimePoint aNow)
+{
+  const auto found = m_targets.find(aOrder.m_to.m_target);
+  if (found == m_targets.end()) {
+    return;
+  }
+  TargetState& target = found->second;
+  (aPath == HoldPath::kWatch ? target.m_watchBusy : target.m_takeBusy) = false;
+  if (aAnswer.m_status != OrderStatus::kDone) {
+    OnHoldFailed(target, aOrder, aAnswer.m_status, aNow);
+    return;
+  }
+  const WallTime known = target.m_record.m_started;
+  const bool otherLife = known.count() != 0 && aAnswer.m_started.count() != 0 &&
+                         known != aAnswer.m_started;
+  if (otherLife) {
+    if (known < aAnswer.m_started) {
+      NewIncarnation(target, aAnswer.m_started, aNow);
+    }
+    return;
+  }
+  if (aOrder.m_to.m_address != target.m_record.m_address) {
+    return;
+  }
+  target.m_holdFailures = 0;
+  NoteClock(target, aAnswer.m_targetClock, aNow);
+  ReadEnds(target, aAnswer, aNow);
+  const bool taken = aPath == HoldPath::kOrders &&
+                     target.m_phase == TargetPhase::kTaking &&
+                     aOrder.m_to.m_fence == target.m_fence;
+  ReadRunning(target, aAnswer, aPath, aNow);
+  if (!taken) {
+    return;
+  }
+  if (aAnswer.m_ended.size() >= kEndsPerAnswer) {
+    target.m_phase = TargetPhase::kUntaken; // list the others first
+    return;
+  }
+  DropAbsentRuns(target, aAnswer);
+  target.m_phase = TargetPhase::kHeld;
+  m_effects.Log("target-taken",
+                "target=" + aOrder.m_to.m_target.Text() +
+                  " fence=" + std::to_string(target.m_fence) +
+                  " running=" + std::to_string(aAnswer.m_running.size()) +
+                  " ended=" + std::to_string(aAnswer.m_ended.size()));
+}
+
+void TargetKeeper::OnHoldFailed(TargetState& aTarget,
+                                const HoldOrder& aOrder,
+                                OrderStatus aStatus,
+                                TimePoint aNow)
+{
+  if (aOrder.m_to.m_fence != aTarget.m_fence) {
+    return;
+  }
+  if (aTarget.m_phase == TargetPhase::kTaking) {
+    aTarget.m_phase = TargetPhase::kUntaken;
+  }
+  if (aStatus == OrderStatus::kFenced) {
+    m_wantsFence = true;
+    Distrust(aTarget, "fenced");
+  }
+  if (aTarget.m_holdFailures == 0) {
+    m_effects.Log("target-silent",
+                  "target=" + aTarget.m_record.m_target.Text() +
+                    " status=" + ToString(aStatus));
+  }
+  aTarget.m_retryAt = aNow + HoldRetry(aTarget.m_holdFailures);
+  ++aTarget.m_holdFailures;
+}
+
+void TargetKeeper::NoteCommitBegun()
+{
+  m_committing.clear();
+  for (const auto& [id, target] : m_targets) {
+    if (target.m_endsSeen != target.m_endsStored) {
+      m_committing[id] = target.m_endsSeen;
+    }
+  }
+}
+
+void TargetKeeper::NoteCommitDone()
+{
+  for (const auto& [id, seen] : m_committing) {
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+      found->second.m_endsStored = seen;
+    }
+  }
+  m_committing.clear();
+}
+
+bool TargetKeeper::HasUnstoredEnds() const
+{
+  return std::any_of(
+    m_targets.begin(), m_targets.end(), [](const auto& aEntry) {
+      return aEntry.second.m_endsSeen != aEntry.second.m_endsStored;
+    });
+}
+
+void TargetKeeper::Tick(TimePoint aNow)
+{
+  m_wantsFence = false;
+  for (auto it = m_targets.begin(); it != m_targets.end();) {
+    TargetState& target = it->second;
+    GiveUpLapsed(target, aNow);
+    const bool needed = target.m_listed || !target.m_runs.empty() ||
+                        target.m_endsSeen != target.m_endsStored;
+    if (!needed) {
+      m_effects.Forget(it->first);
+      it = m_targets.erase(it);
+      continue;
+    }
+    const bool reachable =
+      !target.m_record.m_address.empty() && target.m_retryAt <= aNow;
+    if (reachable && target.m_phase == TargetPhase::kUntaken &&
+        !target.m_takeBusy) {
+      Take(target, aNow);
+    } else if (reachable && HoldIsDue(target, aNow)) {
+      SendHold(target, aNow);
+    }
+    RepeatStops(target, aNow);
+    ++it;
+  }
+}
+
+const TargetState* TargetKeeper::Find(const TargetId& aTarget) const
+{
+  const auto found = m_targets.find(aTarget);
+  return found != m_targets.end() ? &found->second : nullptr;
+}
+
+void TargetKeeper::Take(TargetState& aTarget, TimePoint aNow)
+{
+  const bool stale = aTarget.m_fence == 0 || aTarget.m_fenceUsed;
+  if (stale && m_nextFence <= aTarget.m_fence) {
+    m_wantsFence = true;
+    return;
+  }
+  aTarget.m_fence = std::max(aTarget.m_fence, m_nextFence);
+  aTarget.m_fenceUsed = false;
+  aTarget.m_phase = TargetPhase::kTaking;
+  aTarget.m_takeBusy = true;
+  HoldOrder order;
+  order.m_to = AddressOf(aTarget);
+  order.m_forgetEnds = aTarget.m_endsStored;
+  if (aTarget.m_clockKnown) {
+    order.m_leaseEnd = LeaseEndFor(aTarget, aNow);
+  }
+  m_effects.Hold(order, HoldPath::kOrders);
+}
+
+void TargetKeeper::Distrust(TargetState& aTarget, const char* aReason)
+{
+  aTarget.m_phase = TargetPhase::kUntaken;
+  m_effects.Log("target-uncertain",
+                "target=" + aTarget.m_record.m_target.Text() + " reason=\"" +
+                  aReason + "\"");
+}
+
+void TargetKeeper::SendHold(TargetState& aTarget, TimePoint aNow)
+{
+  HoldOrder order;
+  order.m_to = AddressOf(aTarget);
+  order.m_leaseEnd = LeaseEndFor(aTarget, aNow);
+  order.m_forgetEnds = aTarget.m_endsStored;
+  const bool endsWait = aTarget.m_endsSeen != aTarget.m_endsStored;
+  order.m_wait = endsWait ? Duration::zero() : m_settings.m_holdWait;
+  aTarget.m_watchBusy = true;
+  aTarget.m_lastHoldSent = aNow;
+  m_effects.Hold(order, HoldPath::kWatch);
+}
+
+bool TargetKeeper::HoldIsDue(const TargetState& aTarget, TimePoint aNow) const
+{
+  if (aTarget.m_phase != TargetPhase::kHeld || aTarget.m_watchBusy) {
+    return false;
+  }
+  const bool endsWait = aTarget.m_endsSeen != aTarget.m_endsStored;
+  const Duration longest = m_settings.m_lease / kHoldsPerLease;
+  return !endsWait || aNow - aTarget.m_lastHoldSent >= longest;
+}
+
+void TargetKeeper::NoteClock(TargetState& aTarget,
+                             TargetTime aClock,
+                             TimePoint aNow)
+{
+  if (!aTarget.m_clockKnown || aTarget.m_clock < aClock) {
+    aTarget.m_clockKnown = true;
+    aTarget.m_clock = aClock;
+    aTarget.m_clockAt = aNow;
+  }
+}
+
+void TargetKeeper::NewIncarnation(TargetState& aTarget,
+                                  WallTime aStarted,
+                                  TimePoint aNow)
+{
+  m_effects.Log("target-restarted",
+                "target=" + aTarget.m_record.m_target.Text() +
+                  " started=" + std::to_string(aStarted.count()));
+  aTarget.m_record.m_started = aStarted;
+  aTarget.m_phase = TargetPhase::kUntaken;
+  aTarget.m_clockKnown = false;
+  aTarget.m_leaseEnd = TargetTime(0);
+  // A start that was under way may yet reach the new incarnation.
+  aTarget.m_formerLeaseOver = aNow + m_settings.m_longestLease;
+  aTarget.m_endsSeen = 0;
+  aTarget.m_endsStored = 0;
+  aTarget.m_holdFailures = 0;
+  aTarget.m_retryAt = aNow;
+  m_committing.erase(aTarget.m_record.m_target);
+}
+
+void TargetKeeper::ReadEnds(TargetState& aTarget,
+                            const HoldAnswer& aAnswer,
+                            TimePoint aNow)
+{
+  for (const EndedTask& ended : aAnswer.m_ended) {
+    if (ended.m_number <= aTarget.m_endsSeen) {
+      continue;
+    }
+    aTarget.m_endsSeen = ended.m_number;
+    DropRun(aTarget, ended.m_run);
+    m_listener.OnRunEnded(aTarget.m_record.m_target, ended, aNow);
+  }
+}
+
+void TargetKeeper::ReadRunning(TargetState& aTarget,
+                               const HoldAnswer& aAnswer,
+                               HoldPath aPath,
+                               TimePoint aNow)
+{
+  std::set<RunName> listed;
+  for (const RunningTask& task : aAnswer.m_running) {
+    listed.insert(task.m_run);
+    const auto run = aTarget.m_runs.find(task.m_run);
+    if (run == aTarget.m_runs.end()) {
+      AddUnknownRun(aTarget, task.m_run);
+      continue;
+    }
+    if (!run->second.m_confirmed) {
+      run->second.m_confirmed = true;
+      run->second.m_startedAt = std::max(run->second.m_startedAt, aNow);
+    }
+    run->second.m_percentDone = task.m_percentDone;
+    if (!run->second.m_unknown) {
+      m_listener.OnRunSeen(aTarget.m_record.m_target, task, aNow);
+    }
+  }
+  if (aPath != HoldPath::kWatch) {
+    return;
+  }
+  // Answers on one path come in order, so an unknown run that is no longer
+  // listed is over.
+  for (auto it = aTarget.m_runs.begin(); it != aTarget.m_runs.end();) {
+    const bool over = it->second.m_unknown && listed.count(it->first) == 0;
+    if (over) {
+      aTarget.m_used -= it->second.m_demand;
+    }
+    it = over ? aTarget.m_runs.erase(it) : std::next(it);
+  }
+}
+
+void TargetKeeper::AddUnknownRun(TargetState& aTarget, const RunName& aRun)
+{
+  m_effects.Log("run-unknown",
+                "target=" + aTarget.m_record.m_target.Text() + " task=" +
+                  TaskText(aRun.m_task) + " run=" + std::to_string(aRun.m_run));
+  TargetRun run;
+  // Its size is not known, so nothing else is sent there until it is over.
+  run.m_demand = aTarget.m_record.m_capacity;
+  run.m_sent = true;
+  run.m_confirmed = true;
+  run.m_unknown = true;
+  run.m_stopWanted = true;
+  aTarget.m_runs.emplace(aRun, run);
+  aTarget.m_used += run.m_demand;
+}
+
+void TargetKeeper::DropAbsentRuns(TargetState& aTarget,
+                                  const HoldAnswer& aAnswer)
+{
+  std::set<RunName> listed;
+  for (const RunningTask& task : aAnswer.m_running) {
+    listed.insert(task.m_run);
+  }
+  std::vector<RunName> absent;
+  for (const auto& [name, run] : aTarget.m_runs) {
+    if (run.m_sent && listed.count(name) == 0) {
+      absent.push_back(name);
+    }
+  }
+  for (const RunName& name : absent) {
+    DropRun(aTarget, name);
+    m_listener.OnRunOver(
+      aTarget.m_record.m_target, name, OrderStatus::kUnknown);
+  }
+}
+
+void TargetKeeper::DropSentRuns(TargetState& aTarget)
+{
+  std::vector<RunName> sent;
+  for (const auto& [name, run] : aTarget.m_runs) {
+    if (run.m_sent) {
+      sent.push_back(name);
+    }
+  }
+  for (const RunName& name : sent) {
+    DropRun(aTarget, name);
+    m_listener.OnRunOver(
+      aTarget.m_record.m_target, name, OrderStatus::kUnknown);
+  }
+}
+
+void TargetKeeper::DropRun(TargetState& aTarget, const RunName& aRun)
+{
+  const auto found = aTarget.m_runs.find(aRun);
+  if (found != aTarget.m_runs.end()) {
+    aTarget.m_used -= found->second.m_demand;
+    aTarget.m_runs.erase(found);
+  }
+}
+
+void TargetKeeper::GiveUpLapsed(TargetState& aTarget, TimePoint aNow)
+{
+  const bool anySent =
+    std::any_of(aTarget.m_runs.begin(),
+                aTarget.m_runs.end(),
+                [](const auto& aRun) { return aRun.second.m_sent; });
+  if (!anySent || aTarget.LeaseOver() > aNow) {
+    return;
+  }
+  Distrust(aTarget, "its lease is over");
+  aTarget.m_fenceUsed = true;
+  DropSentRuns(aTarget);
+}
+
+void TargetKeeper::RepeatStops(TargetState& aTarget, TimePoint aNow)
+{
+  if (aTarget.m_phase != TargetPhase::kHeld) {
+    return;
+  }
+  for (auto& [name, run] : aTarget.m_runs) {
+    if (run.m_stopWanted && aNow - run.m_stopSentAt >= kStopRepeat) {
+      run.m_stopSentAt = aNow;
+      m_effects.Stop(StopOrder{ AddressOf(aTarget), name });
+    }
+  }
+}
+
+TargetTime TargetKeeper::LeaseEndFor(TargetState& aTarget, TimePoint aNow) const
+{
+  const auto lease =
+    std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.m_lease);
+  const TargetTime end = aTarget.ClockAtLeast(aNow) + lease;
+  aTarget.m_leaseEnd = std::max(aTarget.m_leaseEnd, end);
+  return aTarget.m_leaseEnd;
+}
+
+OrderAddress TargetKeeper::AddressOf(const TargetState& aTarget) const
+{
+  return OrderAddress{ aTarget.m_record.m_target,
+                       aTarget.m_record.m_address,
+                       aTarget.m_fence };
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobs/target_keeper.h
@@ -0,0 +1,140 @@
+#ifndef LYCHEESTEP_TARGET_KEEPER_H
+#define LYCHEESTEP_TARGET_KEEPER_H
+
+#include <map>
+#include <string>
+
+#include "job_effects.h"
+#include "target_state.h"
+
+namespace lycheestep {
+
+class RunListener;
+
+// What the keeper of targets needs to know.
+struct TargetKeeperSettings
+{
+  // Lease that each hold gives.
+  Duration m_lease = std::chrono::seconds(8);
+  // Longest lease that a target grants, with a margin.
+  Duration m_longestLease = std::chrono::milliseconds(10400);
+  // Longest wait of one hold for an end.
+  Duration m_holdWait = std::chrono::milliseconds(1500);
+};
+
+// Takes targets, keeps their leases and the account of their room, and says
+// what became of runs. Whatever is uncertain about a target (an order without
+// answer, another incarnation, a new leader) is settled in one way: take it
+// under a higher fencing token, list what it has, and only then go on.
+class TargetKeeper
+{
+public:
+  TargetKeeper(const TargetKeeperSettings& aSettings,
+               JobEffects& aEffects,
+               RunListener& aListener);
+
+  // The token under which targets are taken from now on; it only grows.
+  void SetFence(FencingToken aFence) { m_nextFence = aFence; }
+
+  // Leases that an earlier leader gave are over at aTime.
+  void SetFormerLeaseOver(TimePoint aTime) { m_formerLeaseOver = aTime; }
+
+  // The platform's list says this of a target, or that it is gone.
+  void OnRecord(const TargetRecord& aRecord, TimePoint aNow);
+  void OnGone(const TargetId& aTarget, TimePoint aNow);
+
+  // A run that an earlier leader may have started on a target.
+  void Expect(const TargetId& aTarget,
+              const RunName& aRun,
+              const Resources& aDemand);
+
+  // Takes room for a run that is about to be started.
+  void Reserve(const TargetId& aTarget,
+               const RunName& aRun,
+               const Resources& aDemand);
+
+  // Gives room back of a run whose start was never sent.
+  void CancelReservation(const TargetId& aTarget, const RunName& aRun);
+
+  // Sends a reserved run. False if the target can't be trusted with it any
+  // more; its room is free again then.
+  bool Send(const TargetId& aTarget,
+            const RunName& aRun,
+            const std::string& aPayload,
+            const std::string& aCheckpoint,
+            const std::string& aTicket,
+            TimePoint aNow);
+
+  // Stops a run wherever it is in its life on the target.
+  void Stop(const TargetId& aTarget, const RunName& aRun, TimePoint aNow);
+
+  void OnStartAnswer(const StartOrder& aOrder,
+                     const OrderAnswer& aAnswer,
+                     TimePoint aNow);
+  void OnStopAnswer(const StopOrder& aOrder,
+                    const OrderAnswer& aAnswer,
+                    TimePoint aNow);
+  void OnHoldAnswer(const HoldOrder& aOrder,
+                    HoldPath aPath,
+                    const HoldAnswer& aAnswer,
+                    TimePoint aNow);
+
+  // All ends that were reported before the last commit began are stored.
+  // NoteCommitBegun marks the point.
+  void NoteCommitBegun();
+  void NoteCommitDone();
+
+  // Sends the holds that are due and gives up runs whose lease is over.
+  void Tick(TimePoint aNow);
+
+  // Someone else may have a higher token, or a target waits for a new one.
+  bool WantsFence() const { return m_wantsFence; }
+
+  const std::map<TargetId, TargetState>& Targets() const { return m_targets; }
+  const TargetState* Find(const TargetId& aTarget) const;
+
+  // True while some end waits to be stored.
+  bool HasUnstoredEnds() const;
+
+private:
+  void Take(TargetState& aTarget, TimePoint aNow);
+  void Distrust(TargetState& aTarget, const char* aReason);
+  void SendHold(TargetState& aTarget, TimePoint aNow);
+  void NoteClock(TargetState& aTarget, TargetTime aClock, TimePoint aNow);
+  void NewIncarnation(TargetState& aTarget, WallTime aStarted, TimePoint aNow);
+  void RetireEarlierLives(const TargetRecord& aRecord);
+  void OnHoldFailed(TargetState& aTarget,
+                    const HoldOrder& aOrder,
+                    OrderStatus aStatus,
+                    TimePoint aNow);
+  void ReadEnds(TargetState& aTarget,
+                const HoldAnswer& aAnswer,
+                TimePoint aNow);
+  void ReadRunning(TargetState& aTarget,
+                   const HoldAnswer& aAnswer,
+                   HoldPath aPath,
+                   TimePoint aNow);
+  void AddUnknownRun(TargetState& aTarget, const RunName& aRun);
+  void DropSentRuns(TargetState& aTarget);
+  void DropAbsentRuns(TargetState& aTarget, const HoldAnswer& aAnswer);
+  void DropRun(TargetState& aTarget, const RunName& aRun);
+  void GiveUpLapsed(TargetState& aTarget, TimePoint aNow);
+  void RepeatStops(TargetState& aTarget, TimePoint aNow);
+  bool HoldIsDue(const TargetState& aTarget, TimePoint aNow) const;
+  TargetTime LeaseEndFor(TargetState& aTarget, TimePoint aNow) const;
+  OrderAddress AddressOf(const TargetState& aTarget) const;
+
+  const TargetKeeperSettings m_settings;
+  JobEffects& m_effects;
+  RunListener& m_listener;
+  std::map<TargetId, TargetState> m_targets;
+  // Ends seen when the commit under way began, by target.
+  std::map<TargetId, std::uint64_t> m_committing;
+  FencingToken m_nextFence = 0;
+  TimePoint m_formerLeaseOver;
+  bool m_wantsFence = false;
+};
+
+} // namespace lycheestep
+
+#endif
--- a/src/lycheestep/command_line.cpp
+++ b/src/lycheestep/command_line.cpp
@@ -19,6 +19,7 @@
   R"(lycheestep: a scheduler for cells of unlike work
 
 Usage:
+  lycheestep host [--settings FILE]
   lycheestep entry --settings FILE
   lycheestep local [--catalogue FILE] [--port PORT] [--log-level LEVEL]
   lycheestep check FILE... [--json]
@@ -50,6 +51,7 @@
   lycheestep --help
 
 Commands:
+  host      Run one host that schedules jobs on the users' platform.
   entry     Run one entry host.
   local     Run one entry host with stand-ins for everything around it.
   check     Check settings and catalogues; name all that is wrong.
@@ -68,7 +70,8 @@
   status    The host's own state.
 
 Options:
-  --settings FILE    Settings of the entry host.
+  --settings FILE    Settings of the host. Default of host: the file that the
+                     platform names in $LYCHEESTEP_NODE_FILE.
   --catalogue FILE   Catalogue to try; a built-in example if not given.
   --port PORT        Port to listen on [default: 8080].
   --log-level LEVEL  debug, info, warn or error [default: info].
@@ -96,8 +99,9 @@
   4 sent, but the effect is not known
 )";
 
-constexpr std::array<std::pair<const char*, Command>, 18> kCommands{
-  { { "entry", Command::kEntry },
+constexpr std::array<std::pair<const char*, Command>, 19> kCommands{
+  { { "host", Command::kHost },
+    { "entry", Command::kEntry },
     { "local", Command::kLocal },
     { "check", Command::kCheck },
     { "apply", Command::kApply },
@@ -174,7 +178,8 @@
   if (!aCommandLine.m_files.empty()) {
     aCommandLine.m_file = aCommandLine.m_files.front();
   }
-  if (aCommandLine.m_command == Command::kEntry) {
+  if (aCommandLine.m_command == Command::kEntry ||
+      aCommandLine.m_command == Command::kHost) {
     aCommandLine.m_file = TextOf(aArguments, "--settings");
   }
 }
--- a/src/lycheestep/command_line.h
+++ b/src/lycheestep/command_line.h
@@ -15,6 +15,7 @@
 {
   kHelp,
   kVersion,
+  kHost,
   kEntry,
   kLocal,
   kCheck,
@@ -38,7 +39,7 @@
 struct CommandLine
 {
   Command m_command = Command::kHelp;
-  // kEntry: the settings. kApply, kDiff: the catalogue. kCheck: m_files.
+  // kEntry, kHost: the settings. kApply, kDiff: the catalogue. kCheck: m_files.
   std::string m_file;
   std::vector<std::string> m_files;
   // kLocal: the catalogue; empty for the built-in one.
--- a/src/lycheestep/commands.h
+++ b/src/lycheestep/commands.h
@@ -12,7 +12,8 @@
 // Each function runs one subcommand, prints its result and returns the exit
 // code of the process.
 
-// entry and local: run until a signal ends the process.
+// host, entry and local: run until a signal ends the process.
+ExitCode RunHostCommand(const CommandLine& aCommandLine, Output& aOutput);
 ExitCode RunEntryCommand(const CommandLine& aCommandLine, Output& aOutput);
 ExitCode RunLocalCommand(const CommandLine& aCommandLine, Output& aOutput);
 
--- a/src/lycheestep/host_commands.cpp
+++ b/src/lycheestep/host_commands.cpp
@@ -8,6 +8,7 @@
 #include "lycheestep/host_process.h"
 #include "lycheestep/process_settings.h"
 #include "output.h"
+#include "platform_main.h"
 #include "text_file.h"
 
 namespace lycheestep {
@@ -51,6 +52,17 @@
 
 } // namespace
 
+ExitCode RunHostCommand(const CommandLine& aCommandLine, Output& aOutput)
+{
+  const std::string file =
+    aCommandLine.m_file.empty() ? PlatformSettingsFile() : aCommandLine.m_file;
+  if (file.empty()) {
+    aOutput.Error("--settings FILE: must be given");
+    return ExitCode::kInvalid;
+  }
+  return static_cast<ExitCode>(RunOnPlatform(file));
+}
+
 ExitCode RunEntryCommand(const CommandLine& aCommandLine, Output& aOutput)
 {
   const auto text = ReadTextFile(aCommandLine.m_file);
--- a/src/lycheestep/main.cpp
+++ b/src/lycheestep/main.cpp
@@ -89,6 +89,8 @@
     case Command::kVersion:
       aOutput.Line(std::string("lycheestep ") + LYCHEESTEP_VERSION);
       return ExitCode::kDone;
+    case Command::kHost:
+      return RunHostCommand(aCommandLine, aOutput);
     case Command::kEntry:
       return RunEntryCommand(aCommandLine, aOutput);
     case Command::kLocal:
--- a/src/proto/generate.sh
+++ b/src/proto/generate.sh
@@ -2,4 +2,4 @@
 # Makes the committed protobuf code anew from the .proto files.
 set -euo pipefail
 cd "$(dirname "$0")"
-protoc --cpp_out=. peer.proto rows.proto
+protoc --cpp_out=. jobs.proto peer.proto rows.proto
