Place from what a step may use; spread advice by the time that hosts are busy

Cause: after take-overs the leader used its whole share of the processor: each pass looked at all targets for all ready steps, every 4 ms. Calls for advice timed out in turn, as a short call behind two long ones had only its own time, and first messages to a host that was being connected were dropped. A released leader's row was not written if a write was under way at the signal.

Change: ready steps keep what ranks them; a step without valid permissions costs one look-up; calls go to the host that is free first, and their limit counts its queue; peers keep a few frames while they connect; the released row is always written.

--- a/src/http/connection_stream.cpp
+++ b/src/http/connection_stream.cpp
@@ -105,7 +105,8 @@
   aPort = 0;
 }
 
-bool ConnectionStream::Poll(short aEvents, std::chrono::milliseconds aTime) const
+bool ConnectionStream::Poll(short aEvents,
+                            std::chrono::milliseconds aTime) const
 {
   pollfd item{};
   item.fd = m_socket;
--- a/src/jobhost/advice_spread.cpp
+++ b/src/jobhost/advice_spread.cpp
@@ -11,6 +11,14 @@
 // A host that did not answer is asked again after this.
 constexpr Duration kLeftOut = std::chrono::seconds(2);
 
+// A call is sent this long before its host is free.
+constexpr Duration kLookAhead = std::chrono::milliseconds(15);
+
+// The way to a host, to the advisor and back; and what a call may take longer
+// than it should.
+constexpr Duration kWay = std::chrono::milliseconds(8);
+constexpr Duration kMargin = std::chrono::milliseconds(800);
+
 } // namespace
 
 AdviceSpread::AdviceSpread(Send aSend, Answer aAnswer)
@@ -32,33 +40,53 @@
   }
 }
 
+bool AdviceSpread::CanAsk(TimePoint aNow) const
+{
+  const auto* host = FirstFree(aNow);
+  return host != nullptr && host->second.m_busyUntil <= aNow + kLookAhead;
+}
+
 void AdviceSpread::Ask(const AdviceRequest& aRequest,
-                       Duration aTimeout,
+                       Duration aTurn,
                        TimePoint aNow)
 {
-  auto best = m_hosts.end();
-  for (auto it = m_hosts.begin(); it != m_hosts.end(); ++it) {
-    const bool usable = it->second.m_leftOutUntil <= aNow || it->first.empty();
-    const bool better =
-      best == m_hosts.end() || it->second.m_calls < best->second.m_calls;
-    if (usable && better) {
-      best = it;
+  const auto* first = FirstFree(aNow);
+  const std::string name = first != nullptr ? first->first : std::string();
+  Host& host = m_hosts.at(name);
+  host.m_busyUntil = std::max(host.m_busyUntil, aNow) + aTurn + kWay;
+  ++host.m_calls;
+  const Duration timeout = host.m_busyUntil - aNow + kMargin;
+  m_calls[aRequest.m_ticket] = Call{ name, aNow + timeout };
+  m_send(name, aRequest, timeout);
+}
+
+const std::pair<const std::string, AdviceSpread::Host>* AdviceSpread::FirstFree(
+  TimePoint aNow) const
+{
+  const std::pair<const std::string, Host>* best = nullptr;
+  for (const auto& entry : m_hosts) {
+    const bool usable = entry.second.m_leftOutUntil <= aNow;
+    if (usable && (best == nullptr ||
+                   entry.second.m_busyUntil < best->second.m_busyUntil)) {
+      best = &entry;
     }
   }
-  ++best->second.m_calls;
-  m_calls[aRequest.m_ticket] = Call{ best->first, aNow + aTimeout };
-  m_send(best->first, aRequest, aTimeout);
+  return best;
 }
 
-void AdviceSpread::OnAnswer(const AdviceAnswer& aAnswer)
+void AdviceSpread::OnAnswer(const AdviceAnswer& aAnswer, TimePoint aNow)
 {
   const auto call = m_calls.find(aAnswer.m_ticket);
   if (call == m_calls.end()) {
     return;
   }
-  const auto host = m_hosts.find(call->second.m_host);
-  if (host != m_hosts.end() && host->second.m_calls > 0) {
-    --host->second.m_calls;
+  const auto found = m_hosts.find(call->second.m_host);
+  if (found != m_hosts.end() && found->second.m_calls > 0) {
+    Host& host = found->second;
+    --host.m_calls;
+    if (host.m_calls == 0) {
+      host.m_busyUntil = aNow;
+    }
   }
   m_calls.erase(call);
   m_answer(aAnswer);
@@ -79,16 +107,8 @@
   for (const std::uint64_t ticket : overdue) {
     AdviceAnswer answer;
     answer.m_ticket = ticket;
-    OnAnswer(answer);
+    OnAnswer(answer, aNow);
   }
 }
 
-std::size_t AdviceSpread::HostCount(TimePoint aNow) const
-{
-  return static_cast<std::size_t>(
-    std::count_if(m_hosts.begin(), m_hosts.end(), [aNow](const auto& aHost) {
-      return aHost.first.empty() || aHost.second.m_leftOutUntil <= aNow;
-    }));
-}
-
 } // namespace lycheestep
--- a/src/jobhost/advice_spread.h
+++ b/src/jobhost/advice_spread.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lycheestep/advice.h"
@@ -13,8 +14,8 @@
 namespace lycheestep {
 
 // Spreads calls for advice over hosts, as the advisor serves one call of each
-// host at a time. Each call goes to the host with the fewest under way. Used
-// by the control thread only.
+// host at a time. Each call goes to the host that is free first. Used by the
+// control thread only.
 class AdviceSpread
 {
 public:
@@ -30,21 +31,24 @@
   // The other hosts that live.
   void SetHosts(const std::vector<std::string>& aHosts);
 
-  void Ask(const AdviceRequest& aRequest, Duration aTimeout, TimePoint aNow);
+  // True when a host is free, or will be by the time that a call reaches it.
+  bool CanAsk(TimePoint aNow) const;
+
+  // The advisor needs aTurn for the call.
+  void Ask(const AdviceRequest& aRequest, Duration aTurn, TimePoint aNow);
 
   // An answer came, from whichever host. Unknown ones are ignored.
-  void OnAnswer(const AdviceAnswer& aAnswer);
+  void OnAnswer(const AdviceAnswer& aAnswer, TimePoint aNow);
 
   // Gives up calls without answer, and leaves their hosts out for a while.
   void Tick(TimePoint aNow);
 
-  // Hosts that can be asked, this one included.
-  std::size_t HostCount(TimePoint aNow) const;
-
 private:
   struct Host
   {
     std::size_t m_calls = 0;
+    // When its calls are answered, as far as can be told.
+    TimePoint m_busyUntil;
     TimePoint m_leftOutUntil;
   };
 
@@ -54,6 +58,9 @@
     TimePoint m_until;
   };
 
+  // The host that is free first; null when all are left out.
+  const std::pair<const std::string, Host>* FirstFree(TimePoint aNow) const;
+
   const Send m_send;
   const Answer m_answer;
   // The empty name is this host.
--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -163,8 +163,9 @@
       batch = std::move(*m_queued);
       m_queued.reset();
     }
+    const bool releases = m_released;
     WriteUntilDone(lock, batch);
-    if (m_released && !m_queued) {
+    if (releases && !m_queued) {
       m_leading = false;
       m_changed.notify_all();
     }
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -104,7 +104,7 @@
 
 void Leader::OnAdvice(const AdviceAnswer& aAnswer)
 {
-  m_spread.OnAnswer(aAnswer);
+  m_spread.OnAnswer(aAnswer, m_now);
 }
 
 void Leader::OnHostAlive(const std::string& aHost)
@@ -112,6 +112,7 @@
   const auto host = m_hosts.find(aHost);
   if (host != m_hosts.end()) {
     host->second.m_lastHeard = m_now;
+    host->second.m_heard = true;
   }
 }
 
@@ -342,12 +343,16 @@
   std::vector<std::string> live;
   for (const auto& [name, host] : m_hosts) {
     m_with.m_peers.Send(host.m_address, message);
-    if (m_now - host.m_lastHeard < kHostSilent) {
+    if (IsLive(host)) {
       live.push_back(name);
     }
   }
   m_spread.SetHosts(live);
-  m_scheduler.Advice().SetAskers(m_spread.HostCount(m_now));
+}
+
+bool Leader::IsLive(const PeerHost& aHost) const
+{
+  return aHost.m_heard && m_now - aHost.m_lastHeard < kHostSilent;
 }
 
 void Leader::DropDeadHosts()
@@ -367,7 +372,7 @@
 {
   std::vector<std::pair<double, std::string>> ranked;
   for (const auto& [name, host] : m_hosts) {
-    if (m_now - host.m_lastHeard < kHostSilent) {
+    if (IsLive(host)) {
       ranked.emplace_back(-host.m_processorShare, name);
     }
   }
@@ -453,9 +458,14 @@
   }
 }
 
-void Leader::Ask(const AdviceRequest& aRequest, Duration aTimeout)
+bool Leader::CanAsk() const
+{
+  return m_spread.CanAsk(m_now);
+}
+
+void Leader::Ask(const AdviceRequest& aRequest, Duration aTurn)
 {
-  m_spread.Ask(aRequest, aTimeout, m_now);
+  m_spread.Ask(aRequest, aTurn, m_now);
 }
 
 void Leader::SendAdvice(const std::string& aHost,
@@ -471,6 +481,8 @@
       });
     return;
   }
+  Log("advice-sent",
+      "peer=" + aHost + " call=" + std::to_string(aRequest.m_ticket));
   proto::JobPeerMessage message;
   proto::AdviceCall* call = message.mutable_advice_call();
   call->set_ticket(aRequest.m_ticket);
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -50,7 +50,10 @@
   std::string m_address;
   double m_processorShare = 0;
   std::uint64_t m_rowVersion = 0;
+  // When it answered a heartbeat, or when its row was read.
   TimePoint m_lastHeard;
+  // It answered in this term.
+  bool m_heard = false;
 };
 
 // One term of this host as the leader: reads what was stored, then decides
@@ -94,7 +97,8 @@
   void Pace(const PaceOrder& aOrder) override;
   void Hold(const HoldOrder& aOrder, HoldPath aPath) override;
   void Forget(const TargetId& aTarget) override;
-  void Ask(const AdviceRequest& aRequest, Duration aTimeout) override;
+  bool CanAsk() const override;
+  void Ask(const AdviceRequest& aRequest, Duration aTurn) override;
   void Log(const std::string& aEvent, const std::string& aFields) override;
 
 private:
@@ -114,6 +118,7 @@
   void ApplyTargets();
   void SendHeartbeats();
   void DropDeadHosts();
+  bool IsLive(const PeerHost& aHost) const;
   std::vector<std::string> Successors() const;
   void SendAdvice(const std::string& aHost,
                   const AdviceRequest& aRequest,
--- a/src/jobs/advice_desk.cpp
+++ b/src/jobs/advice_desk.cpp
@@ -4,15 +4,13 @@
 #include <cmath>
 
 #include "job_effects.h"
+#include "run_text.h"
 #include "target_keeper.h"
 
 namespace lycheestep {
 
 namespace {
 
-// Calls under way for each host that can ask: one is served, one waits.
-constexpr std::size_t kCallsPerAsker = 2;
-
 // Targets named in one call.
 constexpr std::size_t kFewestNames = 3;
 constexpr std::size_t kMostNames = 40;
@@ -26,9 +24,6 @@
 // Spare names, so that one call is enough more often than not.
 constexpr double kNameReserve = 1.4;
 
-// Beyond the advisor's own time, for the call's way there and back.
-constexpr Duration kCallMargin = std::chrono::milliseconds(700);
-
 // After an answer that brought nothing.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(150);
 
@@ -80,22 +75,33 @@
   return usable ? permission.m_text : "";
 }
 
-bool AdviceDesk::IsUnfit(const StepName& aStep, const TargetId& aTarget) const
+bool AdviceDesk::HasPermission(const StepName& aStep, TimePoint aNow) const
 {
   const auto step = m_steps.find(aStep);
-  return step != m_steps.end() && step->second.m_asked.count(aTarget) > 0 &&
-         step->second.m_fit.count(aTarget) == 0;
+  return step != m_steps.end() &&
+         std::any_of(
+           step->second.m_fit.begin(),
+           step->second.m_fit.end(),
+           [aNow](const auto& aFit) { return aFit.second.m_until > aNow; });
 }
 
-bool AdviceDesk::IsFit(const StepName& aStep, const TargetId& aTarget) const
+void AdviceDesk::ForEachPermitted(
+  const StepName& aStep,
+  TimePoint aNow,
+  const std::function<void(const TargetState&)>& aUse) const
 {
   const auto step = m_steps.find(aStep);
-  return step != m_steps.end() && step->second.m_fit.count(aTarget) > 0;
-}
-
-bool AdviceDesk::CanAsk() const
-{
-  return m_calls.size() < m_askers * kCallsPerAsker;
+  if (step == m_steps.end()) {
+    return;
+  }
+  for (const auto& [id, permission] : step->second.m_fit) {
+    const TargetState* target = m_keeper.Find(id);
+    const bool usable = target != nullptr && permission.m_until > aNow &&
+                        permission.m_started == target->m_record.m_started;
+    if (usable) {
+      aUse(*target);
+    }
+  }
 }
 
 void AdviceDesk::Ask(const Job& aJob,
@@ -103,9 +109,8 @@
                      std::size_t aMissing,
                      TimePoint aNow)
 {
-  DropOverdueCalls(aNow);
   StepAdvice& advice = m_steps[aStep];
-  if (advice.m_call != 0 || advice.m_retryAt > aNow || !CanAsk()) {
+  if (advice.m_call != 0 || advice.m_retryAt > aNow || !m_effects.CanAsk()) {
     return;
   }
   Wanted wanted = FindWanted(aJob, aStep, advice, aNow);
@@ -128,12 +133,14 @@
   const Duration turn =
     terms.m_perCall +
     terms.m_perTarget * static_cast<std::int64_t>(targets.size());
-  const Duration timeout =
-    turn * static_cast<std::int64_t>(kCallsPerAsker) + kCallMargin;
-  call.m_giveUpAt = aNow + timeout + kCallMargin;
+  m_effects.Log("advice-asked",
+                "step=" + StepText(aStep) +
+                  " call=" + std::to_string(request.m_ticket) +
+                  " targets=" + std::to_string(targets.size()) +
+                  " missing=" + std::to_string(aMissing));
   advice.m_call = request.m_ticket;
   m_calls[request.m_ticket] = call;
-  m_effects.Ask(request, timeout);
+  m_effects.Ask(request, turn);
 }
 
 AdviceDesk::Wanted AdviceDesk::FindWanted(const Job& aJob,
@@ -215,6 +222,11 @@
   }
   StepAdvice& advice = step->second;
   advice.m_call = 0;
+  m_effects.Log("advice-answered",
+                "step=" + StepText(call.m_step) +
+                  " call=" + std::to_string(aAnswer.m_ticket) +
+                  " answered=" + (aAnswer.m_answered ? "yes" : "no") +
+                  " fit=" + std::to_string(aAnswer.m_good.size()));
   if (!aAnswer.m_answered) {
     advice.m_retryAt = aNow + kRetryDelay;
     return;
@@ -276,19 +288,4 @@
   return std::max(share, kLeastFitShare);
 }
 
-void AdviceDesk::DropOverdueCalls(TimePoint aNow)
-{
-  for (auto it = m_calls.begin(); it != m_calls.end();) {
-    if (it->second.m_giveUpAt > aNow) {
-      ++it;
-      continue;
-    }
-    const auto step = m_steps.find(it->second.m_step);
-    if (step != m_steps.end()) {
-      step->second.m_call = 0;
-    }
-    it = m_calls.erase(it);
-  }
-}
-
 } // namespace lycheestep
--- a/src/jobs/advice_desk.h
+++ b/src/jobs/advice_desk.h
@@ -2,6 +2,7 @@
 #define LYCHEESTEP_ADVICE_DESK_H
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -24,19 +25,20 @@
 public:
   AdviceDesk(JobEffects& aEffects, const TargetKeeper& aKeeper);
 
-  // Hosts that can ask; each is served one call at a time.
-  void SetAskers(std::size_t aCount) { m_askers = aCount; }
-
   // The permission to start the step on the target that is valid at aNow;
   // empty when there is none.
   std::string PermissionFor(const StepName& aStep,
                             const TargetState& aTarget,
                             TimePoint aNow) const;
 
-  // True when the target is known to be unfit for the step.
-  bool IsUnfit(const StepName& aStep, const TargetId& aTarget) const;
-  // True when it is known to be fit.
-  bool IsFit(const StepName& aStep, const TargetId& aTarget) const;
+  // True when some permission for the step is valid at aNow.
+  bool HasPermission(const StepName& aStep, TimePoint aNow) const;
+
+  // Calls aUse for each target that the step may be started on at aNow.
+  void ForEachPermitted(
+    const StepName& aStep,
+    TimePoint aNow,
+    const std::function<void(const TargetState&)>& aUse) const;
 
   // Asks for what aMissing waiting tasks of the step need, if a host is free
   // to ask.
@@ -53,9 +55,6 @@
   // Nothing more is asked for the job's steps.
   void Forget(const JobId& aJob);
 
-  // Calls that can still be made at once.
-  bool CanAsk() const;
-
 private:
   struct Permission
   {
@@ -80,7 +79,6 @@
     QueueName m_queue;
     std::vector<TargetId> m_targets;
     std::vector<WallTime> m_started;
-    TimePoint m_giveUpAt;
   };
 
   struct Wanted
@@ -99,11 +97,9 @@
                                                 Wanted& aWanted,
                                                 std::size_t aMissing) const;
   double FitShare(const QueueName& aQueue) const;
-  void DropOverdueCalls(TimePoint aNow);
 
   JobEffects& m_effects;
   const TargetKeeper& m_keeper;
-  std::size_t m_askers = 1;
   std::map<StepName, StepAdvice> m_steps;
   std::map<std::uint64_t, Call> m_calls;
   // Share of the targets asked about that were fit, by queue.
--- a/src/jobs/job_effects.h
+++ b/src/jobs/job_effects.h
@@ -38,9 +38,12 @@
   // Drops the connections to a target that is no longer needed.
   virtual void Forget(const TargetId& aTarget) = 0;
 
-  // Asks the advisor, by this host or another one. aTimeout includes the time
-  // that the call waits for its turn.
-  virtual void Ask(const AdviceRequest& aRequest, Duration aTimeout) = 0;
+  // True when some host is free, or nearly, to ask the advisor.
+  virtual bool CanAsk() const = 0;
+
+  // Asks the advisor, by this host or another one. The advisor needs aTurn for
+  // the call. An answer always comes, though it may say that there was none.
+  virtual void Ask(const AdviceRequest& aRequest, Duration aTurn) = 0;
 
   // One line of the log: what happened, as "name=value" pairs after it.
   virtual void Log(const std::string& aEvent, const std::string& aFields) = 0;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -21,7 +21,7 @@
 
 // Commits and placements are bundled over this time.
 constexpr Duration kCommitGap = std::chrono::milliseconds(8);
-constexpr Duration kPlacementGap = std::chrono::milliseconds(4);
+constexpr Duration kPlacementGap = std::chrono::milliseconds(8);
 
 // Placements are looked at anew after this even if nothing has changed, for
 // permissions and pauses that have run out.
@@ -400,19 +400,31 @@
 void JobScheduler::RefreshReady(Job& aJob)
 {
   for (auto& [number, occurrence] : aJob.m_occurrences) {
+    Duration remaining = Duration::zero();
+    bool remainingKnown = false;
     for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
       const StepName name{ aJob.m_id, number, s };
-      const StepProgress& progress = occurrence.m_steps[s];
+      StepProgress& progress = occurrence.m_steps[s];
       const bool gangHeldUp =
         aJob.m_spec.m_steps[s].m_gang && progress.m_dispatched > 0;
-      const bool ready = !aJob.IsOver() && progress.AnyWaiting() &&
-                         !gangHeldUp &&
-                         PredecessorsDone(aJob.m_spec, occurrence, s);
-      if (ready) {
-        m_ready.insert(name);
-      } else {
+      const bool isReady = !aJob.IsOver() && progress.AnyWaiting() &&
+                           !gangHeldUp &&
+                           PredecessorsDone(aJob.m_spec, occurrence, s);
+      if (!isReady) {
         m_ready.erase(name);
+        continue;
+      }
+      if (!remainingKnown) {
+        remaining = RemainingChain(aJob.m_spec, occurrence);
+        remainingKnown = true;
       }
+      ReadyStep& ready = m_ready[name];
+      ready.m_name = name;
+      ready.m_job = &aJob;
+      ready.m_step = &aJob.m_spec.m_steps[s];
+      ready.m_progress = &progress;
+      ready.m_due = DueAt(aJob, number);
+      ready.m_remaining = remaining;
     }
   }
   m_placementDue = true;
@@ -588,32 +600,21 @@
   }
 }
 
-std::vector<JobScheduler::ReadyStep> JobScheduler::RankReady(TimePoint aNow)
+std::vector<JobScheduler::ReadyStep*> JobScheduler::RankReady(TimePoint aNow)
 {
-  std::vector<ReadyStep> steps;
+  std::vector<ReadyStep*> steps;
   steps.reserve(m_ready.size());
-  for (const StepName& name : m_ready) {
-    Job& job = m_jobs.at(name.m_job);
-    const JobOccurrence& occurrence = job.m_occurrences.at(name.m_occurrence);
-    ReadyStep step;
-    step.m_name = name;
-    step.m_job = &job;
-    step.m_rank = RankOf(job.m_terms,
-                         job.m_chain,
-                         RemainingChain(job.m_spec, occurrence),
-                         DueAt(job, name.m_occurrence),
-                         aNow);
-    steps.push_back(step);
-  }
-  std::sort(steps.begin(),
-            steps.end(),
-            [](const ReadyStep& aLeft, const ReadyStep& aRight) {
-              if (aLeft.m_rank < aRight.m_rank) {
-                return true;
-              }
-              return !(aRight.m_rank < aLeft.m_rank) &&
-                     aLeft.m_name < aRight.m_name;
-            });
+  for (auto& [name, step] : m_ready) {
+    const Job& job = *step.m_job;
+    step.m_rank =
+      RankOf(job.m_terms, job.m_chain, step.m_remaining, step.m_due, aNow);
+    steps.push_back(&step);
+  }
+  std::stable_sort(steps.begin(),
+                   steps.end(),
+                   [](const ReadyStep* aLeft, const ReadyStep* aRight) {
+                     return aLeft->m_rank < aRight->m_rank;
+                   });
   return steps;
 }
 
@@ -621,18 +622,25 @@
 {
   m_placementDue = false;
   m_lastPlacement = aNow;
-  for (const ReadyStep& step : RankReady(aNow)) {
-    PlaceStep(step, aNow);
+  for (const ReadyStep* step : RankReady(aNow)) {
+    const bool adviceNeeded = step->m_job->m_terms.m_advice.m_required;
+    const bool hopeful =
+      !adviceNeeded || m_effects.CanAsk() ||
+      m_advice.HasPermission(step->m_name, aNow + kPermissionAtPlacement);
+    if (hopeful) {
+      // A copy, as a step that is placed whole is ready no longer.
+      PlaceStep(ReadyStep(*step), aNow);
+    }
   }
 }
 
 void JobScheduler::PlaceStep(const ReadyStep& aStep, TimePoint aNow)
 {
-  Job& job = *aStep.m_job;
-  const JobStep& step = job.m_spec.m_steps[aStep.m_name.m_step];
   std::vector<PlacementCandidate> candidates = Candidates(aStep, aNow);
-  const std::size_t missing = step.m_gang ? PlaceGang(aStep, candidates)
-                                          : PlaceTasks(aStep, candidates, aNow);
+  const std::size_t missing = aStep.m_step->m_gang
+                                ? PlaceGang(aStep, candidates)
+                                : PlaceTasks(aStep, candidates, aNow);
+  const Job& job = *aStep.m_job;
   if (missing > 0 && job.m_terms.m_advice.m_required) {
     m_advice.Ask(job, aStep.m_name, missing, aNow);
   }
@@ -641,35 +649,42 @@
 std::vector<PlacementCandidate> JobScheduler::Candidates(const ReadyStep& aStep,
                                                          TimePoint aNow) const
 {
-  const Job& job = *aStep.m_job;
-  const JobStep& step = job.m_spec.m_steps[aStep.m_name.m_step];
-  const Resources demand = DemandOf(step);
   std::vector<PlacementCandidate> candidates;
-  for (const auto& [id, target] : m_keeper.Targets()) {
-    const bool usable = target.TakesWork(aNow) &&
-                        target.m_record.m_service == job.m_terms.m_service &&
-                        demand.FitsIn(target.Free()) &&
-                        LabelsAllow(step, target);
-    const bool permitted =
-      usable &&
-      (!job.m_terms.m_advice.m_required ||
-       !m_advice
-          .PermissionFor(aStep.m_name, target, aNow + kPermissionAtPlacement)
-          .empty());
-    if (!permitted) {
-      continue;
+  const auto add = [&](const TargetState& aTarget) {
+    AddCandidate(aStep, aTarget, aNow, candidates);
+  };
+  if (aStep.m_job->m_terms.m_advice.m_required) {
+    m_advice.ForEachPermitted(aStep.m_name, aNow + kPermissionAtPlacement, add);
+  } else {
+    for (const auto& [id, target] : m_keeper.Targets()) {
+      add(target);
     }
-    PlacementCandidate candidate;
-    candidate.m_target = &target;
-    candidate.m_free = target.Free();
-    candidate.m_tasksLeft = TasksAllowed(aStep.m_name, step, target);
-    candidate.m_nearData = step.m_dataRack.empty() ||
-                           step.m_dataRack == target.m_record.m_rack.Text();
-    candidates.push_back(candidate);
   }
   return candidates;
 }
 
+void JobScheduler::AddCandidate(const ReadyStep& aStep,
+                                const TargetState& aTarget,
+                                TimePoint aNow,
+                                std::vector<PlacementCandidate>& aCandidates)
+{
+  const JobStep& step = *aStep.m_step;
+  const bool usable =
+    aTarget.TakesWork(aNow) &&
+    aTarget.m_record.m_service == aStep.m_job->m_terms.m_service &&
+    DemandOf(step).FitsIn(aTarget.Free()) && LabelsAllow(step, aTarget);
+  if (!usable) {
+    return;
+  }
+  PlacementCandidate candidate;
+  candidate.m_target = &aTarget;
+  candidate.m_free = aTarget.Free();
+  candidate.m_tasksLeft = TasksAllowed(aStep.m_name, step, aTarget);
+  candidate.m_nearData = step.m_dataRack.empty() ||
+                         step.m_dataRack == aTarget.m_record.m_rack.Text();
+  aCandidates.push_back(candidate);
+}
+
 std::uint32_t JobScheduler::TasksAllowed(const StepName& aName,
                                          const JobStep& aStep,
                                          const TargetState& aTarget)
@@ -691,10 +706,8 @@
   std::vector<PlacementCandidate>& aCandidates,
   TimePoint aNow)
 {
-  Job& job = *aStep.m_job;
-  const JobStep& step = job.m_spec.m_steps[aStep.m_name.m_step];
-  StepProgress& progress = job.m_occurrences.at(aStep.m_name.m_occurrence)
-                             .m_steps[aStep.m_name.m_step];
+  const JobStep& step = *aStep.m_step;
+  StepProgress& progress = *aStep.m_progress;
   const Resources demand = DemandOf(step);
   std::size_t missing = 0;
   for (std::uint32_t i = 0; i < progress.m_tasks.size(); ++i) {
@@ -723,10 +736,8 @@
   const ReadyStep& aStep,
   const std::vector<PlacementCandidate>& aCandidates)
 {
-  Job& job = *aStep.m_job;
-  const JobStep& step = job.m_spec.m_steps[aStep.m_name.m_step];
-  StepProgress& progress = job.m_occurrences.at(aStep.m_name.m_occurrence)
-                             .m_steps[aStep.m_name.m_step];
+  const JobStep& step = *aStep.m_step;
+  StepProgress& progress = *aStep.m_progress;
   const auto chosen =
     ChooseGang(aCandidates, DemandOf(step), step.m_count, step.m_sameRack);
   if (!chosen) {
@@ -746,10 +757,8 @@
                             std::uint32_t aRun,
                             const TargetId& aTarget)
 {
-  Job& job = *aStep.m_job;
-  const JobStep& step = job.m_spec.m_steps[aStep.m_name.m_step];
-  StepProgress& progress = job.m_occurrences.at(aStep.m_name.m_occurrence)
-                             .m_steps[aStep.m_name.m_step];
+  const JobStep& step = *aStep.m_step;
+  StepProgress& progress = *aStep.m_progress;
   JobTask& task = progress.m_tasks[aIndex];
   task.m_state = TaskState::kDispatched;
   task.m_run = aRun;
@@ -761,6 +770,7 @@
   const RunName run{ TaskName{ aStep.m_name, aIndex }, aRun };
   m_keeper.Reserve(aTarget, run, DemandOf(step));
   m_placed.push_back(run);
+  Job& job = *aStep.m_job;
   if (job.m_state == JobState::kQueued) {
     job.m_state = JobState::kRunning;
   }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -83,7 +83,6 @@
 
   TargetKeeper& Targets() { return m_keeper; }
   const TargetKeeper& Targets() const { return m_keeper; }
-  AdviceDesk& Advice() { return m_advice; }
 
   // The commit under way is stored; aFence is the version of the leader's
   // row, aStoreClock the store's clock then.
@@ -118,12 +117,17 @@
     JobTask* m_task = nullptr;
   };
 
-  // A step that has work to place.
+  // A step that has work to place. The pointers hold while it is ready.
   struct ReadyStep
   {
-    StepRank m_rank;
     StepName m_name;
     Job* m_job = nullptr;
+    const JobStep* m_step = nullptr;
+    StepProgress* m_progress = nullptr;
+    TimePoint m_due;
+    // By estimates, until the end of the occurrence.
+    Duration m_remaining = Duration::zero();
+    StepRank m_rank;
   };
 
   TaskRef FindTask(const TaskName& aName);
@@ -149,10 +153,15 @@
   static Resources DemandOf(const JobStep& aStep);
 
   void PlaceAll(TimePoint aNow);
-  std::vector<ReadyStep> RankReady(TimePoint aNow);
+  // The ready steps in the order in which they get room.
+  std::vector<ReadyStep*> RankReady(TimePoint aNow);
   void PlaceStep(const ReadyStep& aStep, TimePoint aNow);
   std::vector<PlacementCandidate> Candidates(const ReadyStep& aStep,
                                              TimePoint aNow) const;
+  static void AddCandidate(const ReadyStep& aStep,
+                           const TargetState& aTarget,
+                           TimePoint aNow,
+                           std::vector<PlacementCandidate>& aCandidates);
   std::size_t PlaceTasks(const ReadyStep& aStep,
                          std::vector<PlacementCandidate>& aCandidates,
                          TimePoint aNow);
@@ -179,7 +188,7 @@
   AdviceDesk m_advice;
   ClusterConfig m_config;
   std::map<JobId, Job> m_jobs;
-  std::set<StepName> m_ready;
+  std::map<StepName, ReadyStep> m_ready;
   // Jobs of which occurrences are still to come.
   std::set<JobId> m_timed;
   // Jobs that are over, and when their rows may go.
--- a/src/peers.service/peer_socket.cpp
+++ b/src/peers.service/peer_socket.cpp
@@ -12,6 +12,7 @@
 
 // Frames that may wait on one connection.
 constexpr int kQueueLimit = 1000;
+constexpr int kKeptWhileApart = 100;
 // Times of ZeroMQ are in milliseconds.
 constexpr int kReconnectFirst = 100;
 constexpr int kReconnectLast = 2000;
@@ -49,12 +50,16 @@
 
 PeerSocket PeerSocket::Connect(void* aContext,
                                const std::string& aEndpoint,
-                               const PeerKeyPair& aKeys)
+                               const PeerKeyPair& aKeys,
+                               WhileApart aWhileApart)
 {
   PeerSocket socket(zmq_socket(aContext, ZMQ_DEALER));
   socket.SetKeys(aKeys, false);
-  // Nothing waits for a host that is not connected.
-  socket.SetNumber(ZMQ_IMMEDIATE, 1);
+  if (aWhileApart == WhileApart::kDrop) {
+    socket.SetNumber(ZMQ_IMMEDIATE, 1);
+  } else {
+    socket.SetNumber(ZMQ_SNDHWM, kKeptWhileApart);
+  }
   socket.SetNumber(ZMQ_RECONNECT_IVL, kReconnectFirst);
   socket.SetNumber(ZMQ_RECONNECT_IVL_MAX, kReconnectLast);
   socket.SetNumber(ZMQ_HEARTBEAT_IVL, kHeartbeat);
--- a/src/peers.service/peer_socket.h
+++ b/src/peers.service/peer_socket.h
@@ -27,10 +27,18 @@
                            const PeerKeyPair& aKeys,
                            std::size_t aFrameLimit);
 
+  // What becomes of frames while the other host is not connected.
+  enum class WhileApart
+  {
+    kDrop,
+    kKeepSome, // a few are kept, so that the first ones are not lost
+  };
+
   // Connects in the background, again and again.
   static PeerSocket Connect(void* aContext,
                             const std::string& aEndpoint,
-                            const PeerKeyPair& aKeys);
+                            const PeerKeyPair& aKeys,
+                            WhileApart aWhileApart = WhileApart::kDrop);
 
   ~PeerSocket();
   PeerSocket(PeerSocket&& aOther) noexcept;
