Tell only known counts, and take over from a slow store's leader with patience

Calls for advice piled up at hosts whose expected end had passed. With the store slow by 98 times, hosts took the lead from leaders that only waited for it, and new leaders read eight partitions one after the other.

Change: the leader's row says whether counts are known, and a host answers 503 when they are not or are old; at most two calls a host; staleness of the leader's row allows for the time that the read took; partitions are read at the same time; a new leader's first heartbeat is answered at once.

--- a/src/jobhost/advice_spread.cpp
+++ b/src/jobhost/advice_spread.cpp
@@ -11,6 +11,9 @@
 // A host that did not answer is asked again after this.
 constexpr Duration kLeftOut = std::chrono::seconds(2);
 
+// Calls under way at one host: one is served, and the next is on its way.
+constexpr std::size_t kCallsPerHost = 2;
+
 // A call is sent this long before its host is free.
 constexpr Duration kLookAhead = std::chrono::milliseconds(15);
 
@@ -65,7 +68,8 @@
 {
   const std::pair<const std::string, Host>* best = nullptr;
   for (const auto& entry : m_hosts) {
-    const bool usable = entry.second.m_leftOutUntil <= aNow;
+    const bool usable = entry.second.m_leftOutUntil <= aNow &&
+                        entry.second.m_calls < kCallsPerHost;
     if (usable && (best == nullptr ||
                    entry.second.m_busyUntil < best->second.m_busyUntil)) {
       best = &entry;
--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -58,9 +58,7 @@
   m_thread.join();
 }
 
-bool CommitWriter::Lead(std::uint64_t aVersion,
-                        Duration aStoreClock,
-                        const PendingCounts& aPending)
+bool CommitWriter::Lead(std::uint64_t aVersion, Duration aStoreClock)
 {
   const TimePoint sent = BootClockNow();
   RowTransaction transaction;
@@ -69,7 +67,7 @@
     m_version = aVersion;
     m_storeClock = aStoreClock;
     m_storeClockAt = sent;
-    m_pending = aPending;
+    m_pending.reset();
     m_released = false;
     m_queued.reset();
     transaction = MakeTransaction(Batch(), sent);
@@ -104,8 +102,7 @@
 }
 
 void CommitWriter::Commit(std::vector<RowWrite> aWrites,
-                          std::vector<RowKey> aRemovals,
-                          PendingCounts aPending)
+                          std::vector<RowKey> aRemovals)
 {
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -114,11 +111,16 @@
     batch.m_removals = std::move(aRemovals);
     batch.m_isCommit = true;
     m_queued = std::move(batch);
-    m_pending = std::move(aPending);
   }
   m_changed.notify_all();
 }
 
+void CommitWriter::SetPending(PendingCounts aPending)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_pending = std::move(aPending);
+}
+
 void CommitWriter::Release(Duration aLongest)
 {
   std::unique_lock<std::mutex> lock(m_mutex);
@@ -239,7 +241,8 @@
   row.set_released(m_released);
   row.set_lease_ms(Milliseconds(m_identity.m_lease));
   row.set_validity_ms(Milliseconds(m_identity.m_validity));
-  for (const auto& [queue, pending] : m_pending) {
+  row.set_pending_known(m_pending.has_value());
+  for (const auto& [queue, pending] : m_pending.value_or(PendingCounts())) {
     proto::QueuePending* entry = row.add_pending();
     entry->set_queue(queue.Text());
     entry->set_pending(pending);
--- a/src/jobhost/commit_writer.h
+++ b/src/jobhost/commit_writer.h
@@ -55,14 +55,13 @@
   // Tries to lead, on condition that the leader's row is at aVersion. True
   // when this host leads from now on. Called from the control thread while it
   // does not lead.
-  bool Lead(std::uint64_t aVersion,
-            Duration aStoreClock,
-            const PendingCounts& aPending);
+  bool Lead(std::uint64_t aVersion, Duration aStoreClock);
 
   // Queues a commit; one at a time.
-  void Commit(std::vector<RowWrite> aWrites,
-              std::vector<RowKey> aRemovals,
-              PendingCounts aPending);
+  void Commit(std::vector<RowWrite> aWrites, std::vector<RowKey> aRemovals);
+
+  // The counts that renewals carry from now on.
+  void SetPending(PendingCounts aPending);
 
   // Gives up leading: what is queued is written with a row that says so, and
   // the writer stops. Waits for at most aLongest.
@@ -106,7 +105,8 @@
   bool m_released = false;
   bool m_stopping = false;
   std::optional<Batch> m_queued;
-  PendingCounts m_pending;
+  // Unknown until the jobs were read.
+  std::optional<PendingCounts> m_pending;
   std::uint64_t m_version = 0;
   // A reading of the store's clock, and when it came in.
   Duration m_storeClock = Duration::zero();
--- a/src/jobhost/entry_desk.cpp
+++ b/src/jobhost/entry_desk.cpp
@@ -17,6 +17,9 @@
 constexpr Duration kRequestLimit = std::chrono::milliseconds(1500);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(80);
 
+// Counts of waiting jobs that are older are not told.
+constexpr Duration kOldestCounts = std::chrono::milliseconds(1800);
+
 const char* ToString(EntryStatus aStatus)
 {
   switch (aStatus) {
@@ -127,15 +130,22 @@
 {
   PendingAnswer answer;
   std::optional<Row> row;
-  if (ReadRow(LeaderKey(), row) != RowStatus::kOk) {
+  Duration storeClock = Duration::zero();
+  if (ReadRow(LeaderKey(), row, &storeClock) != RowStatus::kOk) {
     answer.m_status = EntryStatus::kNotTaken;
     return answer;
   }
-  answer.m_status = EntryStatus::kOk;
   proto::LeaderRow leader;
-  if (!row || !leader.ParseFromString(row->m_value)) {
+  const bool known =
+    row && leader.ParseFromString(row->m_value) && leader.pending_known();
+  const Duration age =
+    storeClock - std::chrono::milliseconds(leader.renewed_ms());
+  if (!known || age > kOldestCounts) {
+    // Nobody counts just now; an old number would be wrong.
+    answer.m_status = EntryStatus::kNotTaken;
     return answer;
   }
+  answer.m_status = EntryStatus::kOk;
   for (const proto::QueuePending& entry : leader.pending()) {
     if (entry.queue() == aQueue.Text()) {
       answer.m_pending = entry.pending();
@@ -144,7 +154,9 @@
   return answer;
 }
 
-RowStatus EntryDesk::ReadRow(const RowKey& aKey, std::optional<Row>& aRow)
+RowStatus EntryDesk::ReadRow(const RowKey& aKey,
+                             std::optional<Row>& aRow,
+                             Duration* aStoreClock)
 {
   RowRange range;
   range.m_table = aKey.m_table;
@@ -158,6 +170,9 @@
     if (answer.m_status == RowStatus::kOk) {
       const bool found = !answer.m_rows.empty() &&
                          answer.m_rows.front().m_key.m_key == aKey.m_key;
+      if (aStoreClock != nullptr) {
+        *aStoreClock = answer.m_storeClock;
+      }
       aRow = found ? std::optional<Row>(answer.m_rows.front()) : std::nullopt;
       return RowStatus::kOk;
     }
--- a/src/jobhost/entry_desk.h
+++ b/src/jobhost/entry_desk.h
@@ -53,8 +53,11 @@
 private:
   // Writes under a condition until it is known to stand, or time is up.
   EntryStatus StoreOnce(const RowTransaction& aTransaction);
-  // Reads one row; no row with kOk when there is none.
-  RowStatus ReadRow(const RowKey& aKey, std::optional<Row>& aRow);
+  // Reads one row; no row with kOk when there is none. aStoreClock, if given,
+  // gets the store's clock at the answer.
+  RowStatus ReadRow(const RowKey& aKey,
+                    std::optional<Row>& aRow,
+                    Duration* aStoreClock = nullptr);
 
   RowStore& m_store;
   EventLog& m_log;
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -193,12 +193,14 @@
   range.m_table = LeaderKey().m_table;
   range.m_first = LeaderKey().m_key;
   range.m_limit = 1;
+  const TimePoint sent = BootClockNow();
   const RowAnswer answer = m_ports.m_store.Read(range, kCallTimeout);
   if (answer.m_status != RowStatus::kOk) {
     m_election.OnFailure(BootClockNow());
     return;
   }
-  const LeaderReading reading = ReadLeaderRow(answer);
+  LeaderReading reading = ReadLeaderRow(answer);
+  reading.m_callTime = BootClockNow() - sent;
   if (!m_election.OnReading(reading, BootClockNow())) {
     return;
   }
@@ -210,7 +212,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(reading.m_age)
           .count()) +
       " released=" + (reading.m_released ? "yes" : "no"));
-  if (m_writer.Lead(reading.m_version, reading.m_storeClock, {})) {
+  if (m_writer.Lead(reading.m_version, reading.m_storeClock)) {
     BecomeLeader(reading);
   } else {
     m_election.OnFailure(BootClockNow());
@@ -326,13 +328,19 @@
                                             heartbeat.successor().end());
   const Duration renewedAgo =
     std::chrono::milliseconds(heartbeat.renewed_ago_ms());
+  if (heartbeat.released()) {
+    m_log.Write("leader-released", "peer=" + aMessage.from());
+  }
   m_queue.Add([this,
                successors,
                renewedAgo,
                released = heartbeat.released(),
-               address = aMessage.address()] {
+               address = aMessage.address(),
+               leader = aMessage.incarnation()] {
     m_election.OnHeartbeat(successors, renewedAgo, released, BootClockNow());
-    if (m_heartbeats++ % kHeartbeatsPerAnswer == 0) {
+    const bool newLeader = leader != m_leaderHeard;
+    m_leaderHeard = leader;
+    if (newLeader || m_heartbeats++ % kHeartbeatsPerAnswer == 0) {
       proto::JobPeerMessage answer;
       answer.mutable_host_alive();
       m_peers.Send(address, std::move(answer));
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -93,6 +93,8 @@
   bool m_standsDown = false;
   bool m_registered = false;
   std::uint32_t m_heartbeats = 0;
+  // Incarnation of the leader that was heard of last.
+  std::uint64_t m_leaderHeard = 0;
 
   std::thread m_thread;
 };
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -21,7 +21,10 @@
 constexpr Duration kHeartbeat = std::chrono::milliseconds(250);
 
 // Heartbeats stop when the renewal is older than this.
-constexpr Duration kFreshRenewal = std::chrono::milliseconds(1000);
+constexpr Duration kFreshRenewal = std::chrono::milliseconds(1500);
+
+// Counts of waiting jobs are made anew after this.
+constexpr Duration kPendingPeriod = std::chrono::milliseconds(150);
 
 // A host that was not heard of for this long is asked for nothing, and its
 // row is removed after the second.
@@ -129,6 +132,10 @@
     DropDeadHosts();
   }
   m_spread.Tick(m_now);
+  if (m_loaded && m_pendingAt <= m_now) {
+    m_pendingAt = m_now + kPendingPeriod;
+    m_with.m_writer.SetPending(m_scheduler.Pending());
+  }
   if (valid && m_loaded) {
     m_scheduler.Step(m_now);
   }
@@ -424,8 +431,7 @@
 void Leader::Commit(std::vector<RowWrite> aWrites,
                     std::vector<RowKey> aRemovals)
 {
-  m_with.m_writer.Commit(
-    std::move(aWrites), std::move(aRemovals), m_scheduler.Pending());
+  m_with.m_writer.Commit(std::move(aWrites), std::move(aRemovals));
 }
 
 void Leader::Start(const StartOrder& aOrder)
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -144,6 +144,7 @@
   std::set<TargetId> m_known;
   std::map<std::string, PeerHost> m_hosts;
   TimePoint m_heartbeatAt;
+  TimePoint m_pendingAt;
 
   std::map<TargetId, std::unique_ptr<TargetLine>> m_lines;
   std::vector<std::unique_ptr<TargetLine>> m_closedLines;
--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -18,10 +18,12 @@
 constexpr std::size_t kMostPlaces = 10;
 
 // Who is not among the successors waits as if it were this far down.
-constexpr std::size_t kNoPlace = 6;
+constexpr std::size_t kNoPlace = 4;
 
-// A row that was not renewed for this long is anybody's.
+// A row that was not renewed for this long is anybody's. A store that answers
+// slowly slows renewals as well: each takes as long as the read did.
 constexpr Duration kStaleRow = std::chrono::milliseconds(1300);
+constexpr int kSlowCallsAllowed = 4;
 
 // Between looks while the leader stays silent.
 constexpr Duration kLookAgain = std::chrono::milliseconds(250);
@@ -87,8 +89,9 @@
 {
   const bool ownFormerLife =
     aReading.m_host == m_host && aReading.m_incarnation != m_incarnation;
-  const bool vacant = aReading.m_version == 0 || aReading.m_released ||
-                      ownFormerLife || aReading.m_age > kStaleRow;
+  const bool vacant =
+    aReading.m_version == 0 || aReading.m_released || ownFormerLife ||
+    aReading.m_age > kStaleRow + aReading.m_callTime * kSlowCallsAllowed;
   m_lookAt = aNow + kLookAgain;
   return vacant;
 }
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -24,6 +24,8 @@
   Duration m_lease = Duration::zero();
   Duration m_validity = Duration::zero();
   Duration m_storeClock = Duration::zero();
+  // How long the store took for the read.
+  Duration m_callTime = Duration::zero();
 };
 
 // What the store's answer to a read of the leader's row says.
--- a/src/jobhost/table_watch.cpp
+++ b/src/jobhost/table_watch.cpp
@@ -8,6 +8,7 @@
 
 #include "boot_clock.h"
 #include "event_log.h"
+#include "worker_pool.h"
 
 namespace lycheestep {
 
@@ -63,12 +64,27 @@
 
 bool TableWatch::ReadAll()
 {
+  // The store may take long for each answer, so the partitions are read at
+  // the same time.
+  std::vector<PartitionRows> read(m_partitions.size());
+  {
+    WorkerPool pool("watch-read", std::max<std::size_t>(1, read.size() - 1));
+    for (std::size_t i = 1; i < read.size(); ++i) {
+      pool.Run([this, i, &read] { read[i] = ReadPartition(m_partitions[i]); });
+    }
+    read[0] = ReadPartition(m_partitions[0]);
+    pool.Finish();
+  }
   std::vector<Row> rows;
-  m_version = 0;
-  for (const std::string& partition : m_partitions) {
-    if (!ReadPartition(partition, rows)) {
+  m_version = read[0].m_version;
+  for (const PartitionRows& partition : read) {
+    NoteStore(partition.m_status);
+    if (partition.m_status != RowStatus::kOk) {
       return false;
     }
+    // Changes since the oldest of the reads come by the feed.
+    m_version = std::min(m_version, partition.m_version);
+    rows.insert(rows.end(), partition.m_rows.begin(), partition.m_rows.end());
   }
   if (!m_stopping) {
     m_onRows(rows, true);
@@ -76,28 +92,30 @@
   return true;
 }
 
-bool TableWatch::ReadPartition(const std::string& aPartition,
-                               std::vector<Row>& aRows)
+TableWatch::PartitionRows TableWatch::ReadPartition(
+  const std::string& aPartition) const
 {
+  PartitionRows read;
   RowRange range;
   range.m_table = m_table;
   range.m_partition = aPartition;
   RowAnswer answer;
   do {
     answer = m_store.Read(range, kCallTimeout);
-    NoteStore(answer.m_status);
+    read.m_status = answer.m_status;
     if (answer.m_status != RowStatus::kOk || m_stopping) {
-      return false;
+      return read;
+    }
+    if (read.m_rows.empty()) {
+      read.m_version = answer.m_version;
     }
-    // Changes since the oldest of the reads come by the feed.
-    m_version =
-      m_version == 0 ? answer.m_version : std::min(m_version, answer.m_version);
     if (!answer.m_rows.empty()) {
       range.m_first = answer.m_rows.back().m_key.m_key + '\x01';
     }
-    aRows.insert(aRows.end(), answer.m_rows.begin(), answer.m_rows.end());
+    read.m_rows.insert(
+      read.m_rows.end(), answer.m_rows.begin(), answer.m_rows.end());
   } while (answer.m_more && !answer.m_rows.empty());
-  return true;
+  return read;
 }
 
 void TableWatch::Follow()
--- a/src/jobhost/table_watch.h
+++ b/src/jobhost/table_watch.h
@@ -43,9 +43,18 @@
   bool IsFinished() const { return m_finished; }
 
 private:
+  // One partition, as a series of reads found it.
+  struct PartitionRows
+  {
+    RowStatus m_status = RowStatus::kUnknown;
+    // The store's version at the first of the reads.
+    std::uint64_t m_version = 0;
+    std::vector<Row> m_rows;
+  };
+
   void Run();
   bool ReadAll();
-  bool ReadPartition(const std::string& aPartition, std::vector<Row>& aRows);
+  PartitionRows ReadPartition(const std::string& aPartition) const;
   void Follow();
   void NoteStore(RowStatus aStatus);
 
