Reach the store by way of another host while the own way fails

Ruled out: a wider limit for callers' requests, which only held them longer.

Change: RelayedStore carries calls over a peer after two failures in a row, and tries its own way again each 0.7 s. Only calls that surely had no effect are tried on the other way. Callers are held for at most 1 s.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -208,6 +208,7 @@
       if (row == answer.m_rows.end() || !IsOwnRow(*row)) {
         m_leading = false;
         aLock.unlock();
+        m_log.Write("commit-refused", "reason=\"another host's row\"");
         m_onLost();
         aLock.lock();
         return;
--- a/src/jobhost/entry_desk.cpp
+++ b/src/jobhost/entry_desk.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 // One call to the store, and all calls for one request of a caller.
-constexpr Duration kCallTimeout = std::chrono::milliseconds(700);
-constexpr Duration kRequestLimit = std::chrono::milliseconds(1500);
-constexpr Duration kRetryDelay = std::chrono::milliseconds(80);
+constexpr Duration kCallTimeout = std::chrono::milliseconds(500);
+constexpr Duration kRequestLimit = std::chrono::milliseconds(1000);
+constexpr Duration kRetryDelay = std::chrono::milliseconds(60);
 
 // Counts of waiting jobs that are older are not told.
 constexpr Duration kOldestCounts = std::chrono::milliseconds(1800);
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -32,6 +32,9 @@
 // A host that has not reached the store for this long is not ready.
 constexpr Duration kStoreSilence = std::chrono::milliseconds(3500);
 
+// Calls of other hosts to the store that are carried out at once.
+constexpr std::size_t kRelayThreads = 16;
+
 // A stopping leader waits this long for its last write.
 constexpr Duration kReleaseLimit = std::chrono::milliseconds(1200);
 
@@ -76,8 +79,15 @@
   , m_ports(aPorts)
   , m_incarnation(NewIncarnation())
   , m_log(aSettings.m_host)
-  , m_desk(aPorts.m_store, m_log)
+  , m_store(
+      aPorts.m_store,
+      m_log,
+      [this](const std::string& aAddress, proto::JobPeerMessage aMessage) {
+        m_peers.Send(aAddress, std::move(aMessage));
+      })
+  , m_desk(m_store, m_log)
   , m_advice(aPorts.m_advisor)
+  , m_relayPool("relay", kRelayThreads)
   , m_peers(aSettings.m_host,
             m_incarnation,
             aSettings.m_peers.Text(),
@@ -88,7 +98,7 @@
             })
   , m_writer(
       IdentityOf(aSettings, m_incarnation),
-      aPorts.m_store,
+      m_store,
       m_log,
       [this](std::uint64_t aVersion, Duration aStoreClock) {
         m_queue.Add([this, aVersion, aStoreClock] {
@@ -109,6 +119,7 @@
     m_thread.join();
   }
   m_configWatch.reset();
+  m_relayPool.Stop();
   if (m_leader) {
     m_leader->Retire();
   }
@@ -125,7 +136,7 @@
   m_configWatch = std::make_unique<TableWatch>(
     m_ports.m_documents.ConfigTable(),
     std::vector<std::string>{ "" },
-    m_ports.m_store,
+    m_store,
     m_log,
     [this](const std::vector<Row>& aRows, bool /*aWhole*/) {
       OnConfigRows(aRows);
@@ -194,7 +205,7 @@
   range.m_first = LeaderKey().m_key;
   range.m_limit = 1;
   const TimePoint sent = BootClockNow();
-  const RowAnswer answer = m_ports.m_store.Read(range, kCallTimeout);
+  const RowAnswer answer = m_store.Read(range, kCallTimeout);
   if (answer.m_status != RowStatus::kOk) {
     m_election.OnFailure(BootClockNow());
     return;
@@ -262,15 +273,15 @@
   RowTransaction transaction;
   transaction.m_writes.push_back(
     RowWrite{ HostKey(m_settings.m_host), row.SerializeAsString() });
-  m_registered = m_ports.m_store.Transact(transaction, kCallTimeout).m_status ==
-                 RowStatus::kOk;
+  m_registered =
+    m_store.Transact(transaction, kCallTimeout).m_status == RowStatus::kOk;
 }
 
 void JobHost::Unregister()
 {
   RowTransaction transaction;
   transaction.m_removals.push_back(HostKey(m_settings.m_host));
-  m_ports.m_store.Transact(transaction, kCallTimeout);
+  m_store.Transact(transaction, kCallTimeout);
 }
 
 void JobHost::OnConfigRows(const std::vector<Row>& aRows)
@@ -312,6 +323,10 @@
         m_leader->OnAdvice(answer);
       }
     });
+  } else if (aMessage.has_store_call()) {
+    ServeStore(aMessage);
+  } else if (aMessage.has_store_reply()) {
+    m_store.OnReply(aMessage.store_reply());
   } else if (aMessage.has_host_alive()) {
     m_queue.Add([this, host = aMessage.from()] {
       if (m_leader) {
@@ -328,6 +343,13 @@
                                             heartbeat.successor().end());
   const Duration renewedAgo =
     std::chrono::milliseconds(heartbeat.renewed_ago_ms());
+  std::vector<std::string> relays(heartbeat.relay_address().begin(),
+                                  heartbeat.relay_address().end());
+  relays.erase(
+    std::remove(relays.begin(), relays.end(), m_settings.m_peers.Text()),
+    relays.end());
+  relays.insert(relays.begin(), aMessage.address());
+  m_store.SetRelays(std::move(relays));
   if (heartbeat.released()) {
     m_log.Write("leader-released", "peer=" + aMessage.from());
   }
@@ -348,6 +370,13 @@
   });
 }
 
+void JobHost::ServeStore(const proto::JobPeerMessage& aMessage)
+{
+  m_relayPool.Run([this, aMessage] {
+    m_peers.Send(aMessage.address(), m_store.Serve(aMessage.store_call()));
+  });
+}
+
 void JobHost::ServeAdvice(const proto::JobPeerMessage& aMessage)
 {
   const proto::AdviceCall& call = aMessage.advice_call();
@@ -388,7 +417,7 @@
 LeaderSurroundings JobHost::SurroundingsOf(std::uint64_t aTerm)
 {
   return LeaderSurroundings{ m_settings,
-                             m_ports.m_store,
+                             m_store,
                              m_ports.m_orders,
                              m_ports.m_documents,
                              m_config,
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -18,8 +18,10 @@
 #include "lycheestep/job_host_settings.h"
 #include "lycheestep/platform_documents.h"
 #include "peer_link.h"
+#include "relayed_store.h"
 #include "table_watch.h"
 #include "task_queue.h"
+#include "worker_pool.h"
 
 namespace lycheestep {
 
@@ -71,6 +73,7 @@
   void OnPeerMessage(const proto::JobPeerMessage& aMessage);
   void OnHeartbeat(const proto::JobPeerMessage& aMessage);
   void ServeAdvice(const proto::JobPeerMessage& aMessage);
+  void ServeStore(const proto::JobPeerMessage& aMessage);
   LeaderSurroundings SurroundingsOf(std::uint64_t aTerm);
 
   const JobHostSettings m_settings;
@@ -78,9 +81,12 @@
   const std::uint64_t m_incarnation;
   EventLog m_log;
   ConfigHolder m_config;
+  RelayedStore m_store;
   EntryDesk m_desk;
   TaskQueue m_queue;
   AdviceWorker m_advice;
+  // Carries out other hosts' calls to the store.
+  WorkerPool m_relayPool;
   PeerLink m_peers;
   CommitWriter m_writer;
   std::unique_ptr<TableWatch> m_configWatch;
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -13,6 +13,7 @@
 #include "lycheestep/job_host_settings.h"
 #include "lycheestep/platform_documents.h"
 #include "peer_link.h"
+#include "relayed_store.h"
 
 namespace lycheestep {
 
@@ -35,6 +36,9 @@
 constexpr Duration kBusyWait = std::chrono::milliseconds(4);
 constexpr Duration kIdleWait = std::chrono::milliseconds(25);
 
+// Hosts named in each heartbeat for calls to the store.
+constexpr int kRelaysNamed = 5;
+
 // Hosts named as successors in each heartbeat.
 constexpr std::size_t kSuccessors = 5;
 
@@ -348,12 +352,22 @@
     heartbeat->add_successor(host);
   }
   std::vector<std::string> live;
+  std::vector<std::string> relays;
   for (const auto& [name, host] : m_hosts) {
-    m_with.m_peers.Send(host.m_address, message);
     if (IsLive(host)) {
       live.push_back(name);
+      relays.push_back(host.m_address);
+    }
+  }
+  for (const std::string& relay : relays) {
+    if (heartbeat->relay_address_size() < kRelaysNamed) {
+      heartbeat->add_relay_address(relay);
     }
   }
+  for (const auto& [name, host] : m_hosts) {
+    m_with.m_peers.Send(host.m_address, message);
+  }
+  m_with.m_store.SetRelays(std::move(relays));
   m_spread.SetHosts(live);
 }
 
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -24,6 +24,7 @@
 class EventLog;
 class PeerLink;
 class PlatformDocuments;
+class RelayedStore;
 class TaskQueue;
 struct JobHostSettings;
 
@@ -31,7 +32,7 @@
 struct LeaderSurroundings
 {
   const JobHostSettings& m_settings;
-  RowStore& m_store;
+  RelayedStore& m_store;
   TargetOrders& m_orders;
   const PlatformDocuments& m_documents;
   const ConfigHolder& m_config;
--- a/src/jobhost/peer_link.cpp
+++ b/src/jobhost/peer_link.cpp
@@ -17,7 +17,7 @@
 constexpr const char* kWakeEndpoint = "inproc://wake";
 
 // Largest message between hosts, in bytes.
-constexpr std::size_t kFrameLimit = 65536;
+constexpr std::size_t kFrameLimit = 2097152;
 
 // Messages that may wait to be sent.
 constexpr std::size_t kQueueLimit = 2000;
--- a/src/jobs/job_cell_test.cpp
+++ b/src/jobs/job_cell_test.cpp
@@ -225,6 +225,7 @@
 {
   JobCellModel cell(8, 4);
   std::vector<JobId> jobs;
+  jobs.reserve(12);
   for (int i = 0; i < 12; ++i) {
     jobs.push_back(cell.Submit(TwoSteps(8)));
   }
@@ -278,8 +279,8 @@
       cell.TraceTo(&std::cout);
     }
     std::vector<JobId> jobs;
-    const auto moves = *rc::gen::container<std::vector<int>>(
-      rc::gen::inRange(0, 12));
+    const auto moves =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12));
     for (const int move : moves) {
       const auto target = *rc::gen::inRange<std::size_t>(0, targets);
       switch (move) {
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -62,9 +62,9 @@
 
   void SetTime()
   {
-    m_scheduler.SetTime(
-      m_cell.m_now,
-      kWallStart + std::chrono::duration_cast<WallTime>(m_cell.Now()));
+    m_scheduler.SetTime(m_cell.m_now,
+                        kWallStart +
+                          std::chrono::duration_cast<WallTime>(m_cell.Now()));
   }
 
   // Tells the scheduler something after a way, if it still lives then.
@@ -81,9 +81,8 @@
   void Commit(std::vector<RowWrite> aWrites,
               std::vector<RowKey> /*aRemovals*/) override
   {
-    m_cell.At(m_cell.Way(), [this, writes = std::move(aWrites)] {
-      Write(writes);
-    });
+    m_cell.At(m_cell.Way(),
+              [this, writes = std::move(aWrites)] { Write(writes); });
   }
 
   void Start(const StartOrder& aOrder) override
@@ -157,8 +156,7 @@
       answer.m_answered = true;
       answer.m_validFor = std::chrono::milliseconds(1500);
       for (const TargetId& target : aRequest.m_targets) {
-        const std::string text =
-          StepText(aRequest.m_step) + target.Text();
+        const std::string text = StepText(aRequest.m_step) + target.Text();
         // One target is fit for everything, so that every job can end.
         if (target.Text() == "target-0" ||
             std::hash<std::string>()(text) % 2 == 0) {
@@ -172,9 +170,9 @@
   void Log(const std::string& aEvent, const std::string& aFields) override
   {
     if (m_cell.m_trace != nullptr) {
-      *m_cell.m_trace << std::chrono::duration_cast<WallTime>(m_cell.Now())
-                           .count()
-                      << " " << aEvent << " " << aFields << "\n";
+      *m_cell.m_trace
+        << std::chrono::duration_cast<WallTime>(m_cell.Now()).count() << " "
+        << aEvent << " " << aFields << "\n";
     }
   }
 
@@ -266,8 +264,8 @@
     }
     const WallTime incarnation = target->Record().m_started;
     if (m_cell.Chance(m_cell.m_faults.m_lateOrders)) {
-      std::uniform_int_distribution<Duration::rep> delay(
-        kEarliestLate.count(), kLatestLate.count());
+      std::uniform_int_distribution<Duration::rep> delay(kEarliestLate.count(),
+                                                         kLatestLate.count());
       m_cell.At(Duration(delay(m_cell.m_random)), [=] {
         // What a process has not carried out yet ends with it.
         if (target->Record().m_started == incarnation) {
@@ -298,7 +296,7 @@
                  HoldPath aPath,
                  TimePoint aUntil,
                  WallTime aIncarnation,
-                 Done aDone)
+                 const Done& aDone)
   {
     std::size_t index = 0;
     const JobTargetModel* target = TargetAt(aOrder.m_to, &index);
@@ -378,7 +376,7 @@
 
 JobId JobCellModel::Submit(const JobSpec& aSpec)
 {
-  const JobId job("job" + std::to_string(++m_lastJob));
+  JobId job("job" + std::to_string(++m_lastJob));
   StoredJob stored;
   stored.m_terms = m_queue;
   stored.m_spec = aSpec;
@@ -398,9 +396,8 @@
   m_cancels.insert(aJob);
   m_cancelledAt.try_emplace(aJob, m_now);
   Term& term = *m_terms.back();
-  term.Tell(Way(), [this, &term, aJob] {
-    term.Scheduler().OnCancel(aJob, m_now);
-  });
+  term.Tell(Way(),
+            [this, &term, aJob] { term.Scheduler().OnCancel(aJob, m_now); });
 }
 
 void JobCellModel::ChangeLeader()
@@ -447,10 +444,9 @@
   m_read.erase(aTarget);
   m_seen.erase(aTarget);
   Term& term = *m_terms.back();
-  term.Tell(kRestartTime,
-            [this, &term, record = target.Record()] {
-              term.Scheduler().OnTargetRecord(record, m_now);
-            });
+  term.Tell(kRestartTime, [this, &term, record = target.Record()] {
+    term.Scheduler().OnTargetRecord(record, m_now);
+  });
 }
 
 void JobCellModel::CutTarget(std::size_t aTarget, bool aCut)
@@ -506,9 +502,8 @@
 JobState JobCellModel::StateOf(const JobId& aJob) const
 {
   const auto row = m_progress.find(aJob);
-  const auto progress = row != m_progress.end()
-                          ? DecodeProgress(aJob, row->second)
-                          : std::nullopt;
+  const auto progress =
+    row != m_progress.end() ? DecodeProgress(aJob, row->second) : std::nullopt;
   return progress ? progress->m_state : JobState::kQueued;
 }
 
@@ -640,9 +635,10 @@
     }
   }
   for (const auto& [gang, members] : gangs) {
-    const std::size_t size =
-      members.front().first->Running().at(members.front().second)
-        .m_plan.m_gangSize;
+    const std::size_t size = members.front()
+                               .first->Running()
+                               .at(members.front().second)
+                               .m_plan.m_gangSize;
     const bool begun = m_begunGangs.count(gang) > 0;
     if (members.size() == size && !begun) {
       m_begunGangs.insert(gang);
@@ -663,8 +659,8 @@
                           .m_spec.m_steps[aRun.m_task.m_step.m_step];
   const std::string text =
     step.m_gang ? StepText(aRun.m_task.m_step) : TaskText(aRun.m_task);
-  const std::size_t draw = std::hash<std::string>()(
-    text + "/" + std::to_string(aRun.m_run));
+  const std::size_t draw =
+    std::hash<std::string>()(text + "/" + std::to_string(aRun.m_run));
   RunPlan plan;
   plan.m_demand = step.m_demand;
   plan.m_workTime = step.m_estimate / 2 + step.m_estimate * (draw % 100) / 100;
--- a/src/standin/job_target_model.cpp
+++ b/src/standin/job_target_model.cpp
@@ -54,8 +54,8 @@
   ModelRun run;
   run.m_plan = m_planner(aOrder.m_run);
   run.m_startedAt = aNow;
-  run.m_endsAt = run.m_plan.m_gangSize > 1 ? TimePoint::max()
-                                           : aNow + run.m_plan.m_workTime;
+  run.m_endsAt =
+    run.m_plan.m_gangSize > 1 ? TimePoint::max() : aNow + run.m_plan.m_workTime;
   m_onStart(*this, aOrder.m_run, aNow);
   m_running[aOrder.m_run] = run;
   return answer;
