Rest targets on which tasks fail in a row; take a dead leader's place at once

Change: two failures in a row on a target keep new tasks away for 1.5 s, longer each time. A host that misses heartbeats for 0.55 s asks whether the leader's process still listens; if it does not, the row need not be stale.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 // The row is renewed after this when there is nothing else to write.
-constexpr Duration kRenewal = std::chrono::milliseconds(350);
+constexpr Duration kRenewal = std::chrono::milliseconds(250);
 
 // One call to the store.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -11,6 +11,7 @@
 #include "boot_clock.h"
 #include "job_rows.h"
 #include "jobs.pb.h"
+#include "peer_probe.h"
 
 namespace lycheestep {
 
@@ -26,8 +27,11 @@
 // One read of the leader's row, and one write of the host's own row.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(600);
 
+// For the question whether a silent leader's process has ended.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(60);
+
 // Without a leader's duties the control thread wakes this often.
-constexpr Duration kLongestWait = std::chrono::milliseconds(200);
+constexpr Duration kLongestWait = std::chrono::milliseconds(100);
 
 // A host that has not reached the store for this long is not ready.
 constexpr Duration kStoreSilence = std::chrono::milliseconds(3500);
@@ -212,6 +216,8 @@
   }
   LeaderReading reading = ReadLeaderRow(answer);
   reading.m_callTime = BootClockNow() - sent;
+  reading.m_ended = reading.m_incarnation == m_leaderHeard &&
+                    IsProcessGone(m_leaderAddress, kProbeTimeout);
   if (!m_election.OnReading(reading, BootClockNow())) {
     return;
   }
@@ -222,7 +228,8 @@
       std::to_string(
         std::chrono::duration_cast<std::chrono::milliseconds>(reading.m_age)
           .count()) +
-      " released=" + (reading.m_released ? "yes" : "no"));
+      " released=" + (reading.m_released ? "yes" : "no") +
+      " process_gone=" + (reading.m_ended ? "yes" : "no"));
   if (m_writer.Lead(reading.m_version, reading.m_storeClock)) {
     BecomeLeader(reading);
   } else {
@@ -362,6 +369,7 @@
     m_election.OnHeartbeat(successors, renewedAgo, released, BootClockNow());
     const bool newLeader = leader != m_leaderHeard;
     m_leaderHeard = leader;
+    m_leaderAddress = address;
     if (newLeader || m_heartbeats++ % kHeartbeatsPerAnswer == 0) {
       proto::JobPeerMessage answer;
       answer.mutable_host_alive();
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEESTEP_JOB_HOST_H
 #define LYCHEESTEP_JOB_HOST_H
 
-#include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -99,8 +99,9 @@
   bool m_standsDown = false;
   bool m_registered = false;
   std::uint32_t m_heartbeats = 0;
-  // Incarnation of the leader that was heard of last.
+  // Incarnation of the leader that was heard of last, and where it listens.
   std::uint64_t m_leaderHeard = 0;
+  std::string m_leaderAddress;
 
   std::thread m_thread;
 };
--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -13,8 +13,8 @@
 
 // A leader that was not heard of for this long is looked after; each place
 // further down the line waits longer.
-constexpr Duration kSuspicion = std::chrono::milliseconds(800);
-constexpr Duration kPlaceDelay = std::chrono::milliseconds(150);
+constexpr Duration kSuspicion = std::chrono::milliseconds(550);
+constexpr Duration kPlaceDelay = std::chrono::milliseconds(120);
 constexpr std::size_t kMostPlaces = 10;
 
 // Who is not among the successors waits as if it were this far down.
@@ -22,11 +22,11 @@
 
 // A row that was not renewed for this long is anybody's. A store that answers
 // slowly slows renewals as well: each takes as long as the read did.
-constexpr Duration kStaleRow = std::chrono::milliseconds(1300);
+constexpr Duration kStaleRow = std::chrono::milliseconds(1000);
 constexpr int kSlowCallsAllowed = 4;
 
 // Between looks while the leader stays silent.
-constexpr Duration kLookAgain = std::chrono::milliseconds(250);
+constexpr Duration kLookAgain = std::chrono::milliseconds(200);
 
 // A target's clock may be this many thousandths slow. The leader's reading of
 // the store's clock is as old as the store's answer was slow.
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -26,6 +26,8 @@
   Duration m_storeClock = Duration::zero();
   // How long the store took for the read.
   Duration m_callTime = Duration::zero();
+  // The leader's process is known to have ended.
+  bool m_ended = false;
 };
 
 // What the store's answer to a read of the leader's row says.
--- a/src/jobhost/relayed_store.cpp
+++ b/src/jobhost/relayed_store.cpp
@@ -57,9 +57,8 @@
   read->set_partition(aRange.m_partition);
   read->set_first(aRange.m_first);
   read->set_limit(aRange.m_limit);
-  return CallEither([&] { return m_direct.Read(aRange, aTimeout); },
-                    std::move(call),
-                    aTimeout);
+  return CallEither(
+    [&] { return m_direct.Read(aRange, aTimeout); }, std::move(call), aTimeout);
 }
 
 RowAnswer RelayedStore::Feed(const std::string& aTable,
@@ -102,8 +101,8 @@
   const Duration timeout = std::chrono::milliseconds(aCall.timeout_ms());
   RowAnswer answer;
   if (aCall.has_transaction()) {
-    answer = m_direct.Transact(DecodeTransactionMessage(aCall.transaction()),
-                               timeout);
+    answer =
+      m_direct.Transact(DecodeTransactionMessage(aCall.transaction()), timeout);
   } else if (aCall.has_read()) {
     RowRange range;
     range.m_table = aCall.read().table();
@@ -136,10 +135,10 @@
   // Only what surely had no effect is tried on another way; a lost answer is
   // the caller's to settle.
   const Duration left = aTimeout - (BootClockNow() - begun);
-  if (answer.m_status != RowStatus::kRefused || left <= Duration::zero()) {
-    return answer;
+  if (answer.m_status == RowStatus::kRefused && left > Duration::zero()) {
+    answer = CallRelay(std::move(aCall), left);
   }
-  return CallRelay(std::move(aCall), left);
+  return answer;
 }
 
 RowAnswer RelayedStore::CallRelay(proto::StoreCall aCall, Duration aTimeout)
@@ -198,8 +197,7 @@
   ++m_failures;
   if (m_failures == kFailuresToRelay) {
     m_directAgainAt = aNow + kDirectPause;
-    m_log.Write("store-by-relay",
-                "relays=" + std::to_string(m_relays.size()));
+    m_log.Write("store-by-relay", "relays=" + std::to_string(m_relays.size()));
   }
 }
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -192,7 +192,7 @@
                     " target=" + aOrder.m_to.m_target.Text() +
                     " status=" + ToString(aAnswer.m_status));
   } else {
-    MarkBegun(aOrder.m_run.m_task.m_step.m_job);
+    NoteStarted(aOrder.m_run, aNow);
   }
   m_keeper.OnStartAnswer(aOrder, aAnswer, aNow);
 }
@@ -281,11 +281,7 @@
   if (!current || ref.m_task->m_state != TaskState::kDispatched) {
     return;
   }
-  MarkBegun(ref.m_job->m_id);
-  if (!ref.m_task->m_seenRunning) {
-    ref.m_task->m_seenRunning = true;
-    ref.m_task->m_startedAt = aNow;
-  }
+  NoteStarted(aTask.m_run, aNow);
   KeepCheckpoint(ref, aTask.m_checkpoint);
 }
 
@@ -325,6 +321,7 @@
     KeepCheckpoint(ref, aTask.m_checkpoint);
   }
   if (aTask.m_end == RunEnd::kDone && !ref.m_step->m_longRunning) {
+    m_keeper.NoteTaskDone(aTarget);
     if (!newest) {
       // The work is done, though this run had been given up.
       StopNewerRuns(ref, name);
@@ -339,6 +336,7 @@
     return; // given up before, and counted then
   }
   if (aTask.m_end == RunEnd::kFailed) {
+    m_keeper.NoteTaskFailed(aTarget, aNow);
     FailTask(ref, name);
     return;
   }
@@ -405,6 +403,22 @@
   return ref;
 }
 
+void JobScheduler::NoteStarted(const RunName& aRun, TimePoint aNow)
+{
+  const TaskRef ref = FindTask(aRun.m_task);
+  const bool current = ref.m_task != nullptr &&
+                       ref.m_task->m_run == aRun.m_run &&
+                       ref.m_task->m_state == TaskState::kDispatched;
+  if (!current) {
+    return;
+  }
+  MarkBegun(aRun.m_task.m_step.m_job);
+  if (!ref.m_task->m_seenRunning) {
+    ref.m_task->m_seenRunning = true;
+    ref.m_task->m_startedAt = aNow;
+  }
+}
+
 // A job has begun when a target has it, not when it was sent there. That is
 // stored with the next change.
 void JobScheduler::MarkBegun(const JobId& aJob)
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -132,6 +132,7 @@
 
   TaskRef FindTask(const TaskName& aName);
   void MarkBegun(const JobId& aJob);
+  void NoteStarted(const RunName& aRun, TimePoint aNow);
   void MarkChanged(Job& aJob);
   void RefreshReady(Job& aJob);
   void OpenOccurrences(Job& aJob, WallTime aWallNow);
--- a/src/jobs/target_keeper.cpp
+++ b/src/jobs/target_keeper.cpp
@@ -26,6 +26,10 @@
 constexpr Duration kFirstRest = std::chrono::milliseconds(300);
 constexpr std::uint32_t kRestDoublings = 4;
 
+// A target on which so many tasks failed in a row gets no others for a while.
+constexpr std::uint32_t kFailuresToRest = 2;
+constexpr Duration kFailureRest = std::chrono::milliseconds(1500);
+
 // Holds go out this many times in one lease even if ends wait to be stored.
 constexpr int kHoldsPerLease = 4;
 
@@ -362,6 +366,33 @@
     });
 }
 
+void TargetKeeper::NoteTaskDone(const TargetId& aTarget)
+{
+  const auto found = m_targets.find(aTarget);
+  if (found != m_targets.end()) {
+    found->second.m_failedInARow = 0;
+  }
+}
+
+void TargetKeeper::NoteTaskFailed(const TargetId& aTarget, TimePoint aNow)
+{
+  const auto found = m_targets.find(aTarget);
+  if (found == m_targets.end()) {
+    return;
+  }
+  TargetState& target = found->second;
+  ++target.m_failedInARow;
+  if (target.m_failedInARow < kFailuresToRest) {
+    return;
+  }
+  const std::uint32_t more = target.m_failedInARow - kFailuresToRest;
+  target.m_restUntil =
+    aNow + kFailureRest * (1U << std::min(more, kRestDoublings));
+  m_effects.Log("target-rests",
+                "target=" + aTarget.Text() + " failures_in_a_row=" +
+                  std::to_string(target.m_failedInARow));
+}
+
 void TargetKeeper::Tick(TimePoint aNow)
 {
   m_wantsFence = false;
--- a/src/jobs/target_keeper.h
+++ b/src/jobs/target_keeper.h
@@ -85,6 +85,10 @@
   void NoteCommitBegun();
   void NoteCommitDone();
 
+  // A task ended well on a target, or failed there.
+  void NoteTaskDone(const TargetId& aTarget);
+  void NoteTaskFailed(const TargetId& aTarget, TimePoint aNow);
+
   // Sends the holds that are due and gives up runs whose lease is over.
   void Tick(TimePoint aNow);
 
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -73,9 +73,11 @@
   // The last hold on this path came back, so the incarnation is known.
   bool m_answersHolds = false;
 
-  // Starts are held back until then, after the target refused some.
+  // Starts are held back until then, after the target refused some or tasks
+  // failed there in a row.
   TimePoint m_restUntil;
   std::uint32_t m_refusals = 0;
+  std::uint32_t m_failedInARow = 0;
 
   // What is free. Negative when runs of unknown size may be there.
   Resources Free() const { return m_record.m_capacity - m_used; }
