After an outage of the store let the living leader renew first; keep gangs off targets where they failed

Change: the first look after an unreadable row only says that the store is back; a gang goes first where no member of it failed. Both tests failed before.

--- a/src/jobhost/advice_spread_test.cpp
+++ b/src/jobhost/advice_spread_test.cpp
@@ -16,13 +16,12 @@
 {
 protected:
   AdviceSpreadTest()
-    : m_spread(
-        [this](const std::string& aHost,
-               const AdviceRequest& /*aRequest*/,
-               Duration /*aTimeout*/) { m_sent.push_back(aHost); },
-        [this](const AdviceAnswer& aAnswer) {
-          m_answered.push_back(aAnswer.m_answered);
-        })
+    : m_spread([this](const std::string& aHost,
+                      const AdviceRequest& /*aRequest*/,
+                      Duration /*aTimeout*/) { m_sent.push_back(aHost); },
+               [this](const AdviceAnswer& aAnswer) {
+                 m_answered.push_back(aAnswer.m_answered);
+               })
   {
     m_spread.SetHosts({ "b", "c" });
   }
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -212,7 +212,7 @@
   const TimePoint sent = BootClockNow();
   const RowAnswer answer = m_store.Read(range, kCallTimeout);
   if (answer.m_status != RowStatus::kOk) {
-    m_election.OnFailure(BootClockNow());
+    m_election.OnUnreadable(BootClockNow());
     return;
   }
   LeaderReading reading = ReadLeaderRow(answer);
@@ -234,7 +234,7 @@
   if (m_writer.Lead(reading.m_version, reading.m_storeClock)) {
     BecomeLeader(reading);
   } else {
-    m_election.OnFailure(BootClockNow());
+    m_election.OnBeaten(BootClockNow());
   }
 }
 
--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -28,6 +28,9 @@
 // Between looks while the leader stays silent.
 constexpr Duration kLookAgain = std::chrono::milliseconds(200);
 
+// The first look after the store was away only says that it is back.
+constexpr Duration kLookAfterOutage = std::chrono::milliseconds(400);
+
 // A target's clock may be this many thousandths slow. The leader's reading of
 // the store's clock is as old as the store's answer was slow.
 constexpr std::int64_t kClockSlowPerMille = 21;
@@ -89,15 +92,23 @@
 {
   const bool ownFormerLife =
     aReading.m_host == m_host && aReading.m_incarnation != m_incarnation;
-  const bool vacant =
-    aReading.m_version == 0 || aReading.m_released || aReading.m_ended ||
-    ownFormerLife ||
+  const bool given = aReading.m_version == 0 || aReading.m_released ||
+                     aReading.m_ended || ownFormerLife;
+  const bool stale =
     aReading.m_age > kStaleRow + aReading.m_callTime * kSlowCallsAllowed;
+  // A store that was away made every row old: the leader renews first.
+  const bool storeWasAway = std::exchange(m_readFailed, false);
+  m_lookAt = aNow + (storeWasAway ? kLookAfterOutage : kLookAgain);
+  return given || (stale && !storeWasAway);
+}
+
+void LeaderElection::OnUnreadable(TimePoint aNow)
+{
+  m_readFailed = true;
   m_lookAt = aNow + kLookAgain;
-  return vacant;
 }
 
-void LeaderElection::OnFailure(TimePoint aNow)
+void LeaderElection::OnBeaten(TimePoint aNow)
 {
   m_lookAt = aNow + kLookAgain;
 }
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -57,8 +57,11 @@
   // The row was read; true when this host is to try to lead.
   bool OnReading(const LeaderReading& aReading, TimePoint aNow);
 
-  // The row could not be read, or another host was faster.
-  void OnFailure(TimePoint aNow);
+  // The row could not be read.
+  void OnUnreadable(TimePoint aNow);
+
+  // Another host was faster.
+  void OnBeaten(TimePoint aNow);
 
   // From aNow on, when leases that the former leader gave are surely over.
   static Duration FormerLeaseLeft(const LeaderReading& aReading);
@@ -69,6 +72,8 @@
   // Place among the successors that the leader named last.
   std::size_t m_place = 0;
   TimePoint m_lookAt;
+  // The last look did not reach the store.
+  bool m_readFailed = false;
 };
 
 } // namespace lycheestep
--- a/src/jobhost/leader_election_test.cpp
+++ b/src/jobhost/leader_election_test.cpp
@@ -81,6 +81,19 @@
   EXPECT_TRUE(election.OnReading(reading, TimePoint(seconds(100))));
 }
 
+// Found in the incident of ozolini-rake: after an outage of the store a host
+// took the lead from a leader that was just about to renew.
+TEST(LeaderElection, LeaderRenewsFirstAfterAnOutageOfTheStore)
+{
+  LeaderElection election("b", 1);
+  TimePoint now{ seconds(100) };
+  election.OnUnreadable(now);
+  now = election.NextLook();
+  EXPECT_FALSE(election.OnReading(ReadingOf("a", seconds(4)), now));
+  now = election.NextLook();
+  EXPECT_TRUE(election.OnReading(ReadingOf("a", seconds(4)), now));
+}
+
 TEST(LeaderElection, FormerLeasesCoverOrdersThatMayStillBeSent)
 {
   EXPECT_EQ(LeaderElection::FormerLeaseLeft(LeaderReading()), Duration::zero());
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,8 @@
   // Runs of a gang that failed, and the last of them.
   std::uint32_t m_gangFailures = 0;
   std::uint32_t m_failedRun = 0;
+  // Where members of the gang failed.
+  std::set<TargetId> m_failedOn;
   // Run numbers up to this one are used up; the members of a gang share one.
   std::uint32_t m_lastRun = 0;
 
--- a/src/jobs/job_cell_test.cpp
+++ b/src/jobs/job_cell_test.cpp
@@ -235,6 +235,18 @@
   EXPECT_THAT(cell.Broken(), testing::IsEmpty());
 }
 
+// Seen on phanviet-ops scale-2: a gang was tried three times where it failed.
+TEST(JobCell, TargetThatFailsEverythingDoesNotUseUpTheAttempts)
+{
+  JobCellModel cell(16, 4);
+  cell.Queue().m_maxAttempts = 2;
+  cell.FailOnTarget(0);
+  cell.Run(milliseconds(200));
+  const JobId job = cell.Submit(Gang(2));
+  cell.Run(seconds(10));
+  EXPECT_EQ(cell.StateOf(job), JobState::kDone);
+}
+
 TEST(JobCell, WorkThatFillsIdleTimeKeepsAwayFromWorkThatServes)
 {
   JobCellModel cell(15, 1);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "job_scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "job_effects.h"
@@ -571,6 +572,7 @@
       progress.m_failedRun = aRef.m_task->m_run;
       ++progress.m_gangFailures;
     }
+    progress.m_failedOn.insert(aRef.m_task->m_target);
     failures = progress.m_gangFailures;
     for (JobTask& member : progress.m_tasks) {
       member.m_failures = failures;
@@ -845,15 +847,29 @@
 {
   const JobStep& step = *aStep.m_step;
   StepProgress& progress = *aStep.m_progress;
-  const auto chosen =
-    ChooseGang(aCandidates, DemandOf(step), step.m_count, step.m_sameRack);
+  // Away from where it failed, if there is room for it elsewhere.
+  std::vector<PlacementCandidate> others;
+  std::copy_if(aCandidates.begin(),
+               aCandidates.end(),
+               std::back_inserter(others),
+               [&progress](const PlacementCandidate& aCandidate) {
+                 return progress.m_failedOn.count(
+                          aCandidate.m_target->m_record.m_target) == 0;
+               });
+  const std::vector<PlacementCandidate>* from = &others;
+  auto chosen =
+    ChooseGang(others, DemandOf(step), step.m_count, step.m_sameRack);
+  if (!chosen && others.size() < aCandidates.size()) {
+    from = &aCandidates;
+    chosen =
+      ChooseGang(aCandidates, DemandOf(step), step.m_count, step.m_sameRack);
+  }
   if (!chosen) {
     return step.m_count;
   }
   const std::uint32_t run = progress.m_lastRun + 1;
   for (std::uint32_t i = 0; i < step.m_count; ++i) {
-    Dispatch(
-      aStep, i, run, aCandidates[(*chosen)[i]].m_target->m_record.m_target);
+    Dispatch(aStep, i, run, (*from)[(*chosen)[i]].m_target->m_record.m_target);
   }
   m_ready.erase(aStep.m_name);
   return 0;
--- a/src/metrics.service/metrics_registry.cpp
+++ b/src/metrics.service/metrics_registry.cpp
@@ -104,8 +104,8 @@
 }
 
 void MetricsRegistry::Count(const std::string& aName,
-                           const std::string& aLabel,
-                           std::uint64_t aAmount)
+                            const std::string& aLabel,
+                            std::uint64_t aAmount)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_counters[aName][aLabel] += aAmount;
@@ -118,16 +118,16 @@
 }
 
 void MetricsRegistry::Observe(const std::string& aName,
-                             const std::string& aLabel,
-                             Duration aValue)
+                              const std::string& aLabel,
+                              Duration aValue)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
   ObserveLocked(aName, aLabel, aValue);
 }
 
 void MetricsRegistry::ObserveLocked(const std::string& aName,
-                                   const std::string& aLabel,
-                                   Duration aValue)
+                                    const std::string& aLabel,
+                                    Duration aValue)
 {
   const double seconds = std::chrono::duration<double>(aValue).count();
   Distribution& distribution = m_distributions[aName][aLabel];
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -55,6 +55,8 @@
   // A target can't be reached and does not list itself, but works on.
   void CutTarget(std::size_t aTarget, bool aCut);
   void DrainTarget(std::size_t aTarget);
+  // All tasks on the target fail.
+  void FailOnTarget(std::size_t aTarget) { m_targets[aTarget]->FailAll(true); }
   // Tasks on the target stand still.
   void HangTarget(std::size_t aTarget) { m_targets[aTarget]->Hang(true); }
 
--- a/src/standin/job_target_model.cpp
+++ b/src/standin/job_target_model.cpp
@@ -128,8 +128,13 @@
     if (lapsed) {
       ends.emplace_back(name, RunEnd::kLapsed);
     } else if (run.m_endsAt <= aNow) {
-      const RunEnd worked =
-        run.m_plan.m_fails ? RunEnd::kFailed : RunEnd::kDone;
+      const bool fails = run.m_plan.m_fails || m_failsAll;
+      const bool brokenSoon =
+        m_failsAll && run.m_plan.m_gangSize > 1 && name.m_task.m_index > 0;
+      if (brokenSoon) {
+        continue; // the first member fails, and that breaks its gang
+      }
+      const RunEnd worked = fails ? RunEnd::kFailed : RunEnd::kDone;
       ends.emplace_back(name, run.m_stopping ? RunEnd::kStopped : worked);
     } else if (run.m_endsAt == TimePoint::max() &&
                aNow - run.m_startedAt > kGangPatience) {
--- a/src/standin/job_target_model.h
+++ b/src/standin/job_target_model.h
@@ -61,6 +61,9 @@
   // What runs here stands still, and what starts here does.
   void Hang(bool aHang) { m_hangs = aHang; }
 
+  // All that runs here fails.
+  void FailAll(bool aFails) { m_failsAll = aFails; }
+
   // Ends one run from outside, as when another member of its gang ended.
   void EndRun(const RunName& aRun, RunEnd aEnd);
   // All members of the run's gang are present now.
@@ -93,6 +96,7 @@
   const OnStart m_onStart;
   TimePoint m_bornAt;
   bool m_hangs = false;
+  bool m_failsAll = false;
   TimePoint m_advancedTo;
   FencingToken m_fence = 0;
   TargetTime m_leaseEnd{ 0 };
