--- a/src/jobs/job_cell_test.cpp
+++ b/src/jobs/job_cell_test.cpp
@@ -226,10 +226,9 @@
   JobCellModel cell(14, 3);
   cell.HangTarget(0);
   cell.Run(milliseconds(200));
-  std::vector<JobId> jobs;
-  for (int i = 0; i < 3; ++i) {
-    jobs.push_back(cell.Submit(i == 0 ? Gang(4) : TwoSteps(6)));
-  }
+  cell.Submit(Gang(4));
+  cell.Submit(TwoSteps(6));
+  cell.Submit(TwoSteps(6));
   cell.Run(seconds(40));
   EXPECT_TRUE(cell.AllOver());
   EXPECT_THAT(cell.Broken(), testing::IsEmpty());
