--- /dev/null
+++ b/src/jobs/job_placing.cpp
@@ -0,0 +1,324 @@
+// Which ready steps get which room, and the starts that follow once their
+// dispatch is stored.
+#include <algorithm>
+#include <iterator>
+
+#include "job_effects.h"
+#include "job_scheduler.h"
+#include "placement.h"
+#include "run_text.h"
+
+namespace lycheestep {
+
+namespace {
+
+// A permission has to last this long when a task is placed, and when its
+// start is sent.
+constexpr Duration kPermissionAtPlacement = std::chrono::milliseconds(200);
+constexpr Duration kPermissionAtSend = std::chrono::milliseconds(60);
+
+} // namespace
+
+std::vector<JobScheduler::ReadyStep*> JobScheduler::RankReady(TimePoint aNow)
+{
+  std::vector<ReadyStep*> steps;
+  steps.reserve(m_ready.size());
+  for (auto& [name, step] : m_ready) {
+    const Job& job = *step.m_job;
+    step.m_rank =
+      RankOf(job.m_terms, job.m_chain, step.m_remaining, step.m_due, aNow);
+    steps.push_back(&step);
+  }
+  std::stable_sort(steps.begin(),
+                   steps.end(),
+                   [](const ReadyStep* aLeft, const ReadyStep* aRight) {
+                     return aLeft->m_rank < aRight->m_rank;
+                   });
+  return steps;
+}
+
+void JobScheduler::PlaceAll(TimePoint aNow)
+{
+  m_placementDue = false;
+  m_lastPlacement = aNow;
+  for (const ReadyStep* step : RankReady(aNow)) {
+    const bool adviceNeeded = step->m_job->m_terms.m_advice.m_required;
+    const bool hopeful =
+      !adviceNeeded || m_effects.CanAsk() ||
+      m_advice.HasPermission(step->m_name, aNow + kPermissionAtPlacement);
+    if (hopeful) {
+      // A copy, as a step that is placed whole is ready no longer.
+      PlaceStep(ReadyStep(*step), aNow);
+    }
+  }
+}
+
+void JobScheduler::PlaceStep(const ReadyStep& aStep, TimePoint aNow)
+{
+  std::vector<PlacementCandidate> candidates = Candidates(aStep, aNow);
+  const std::size_t missing = aStep.m_step->m_gang
+                                ? PlaceGang(aStep, candidates)
+                                : PlaceTasks(aStep, candidates, aNow);
+  const Job& job = *aStep.m_job;
+  if (missing > 0 && job.m_terms.m_advice.m_required) {
+    m_advice.Ask(job, aStep.m_name, missing, aNow);
+  }
+}
+
+std::vector<PlacementCandidate> JobScheduler::Candidates(const ReadyStep& aStep,
+                                                         TimePoint aNow)
+{
+  std::vector<PlacementCandidate> candidates;
+  const auto add = [&](const TargetState& aTarget) {
+    AddCandidate(aStep, aTarget, aNow, candidates);
+  };
+  if (aStep.m_job->m_terms.m_advice.m_required) {
+    m_advice.ForEachPermitted(aStep.m_name, aNow + kPermissionAtPlacement, add);
+  } else {
+    for (const auto& [id, target] : m_keeper.Targets()) {
+      add(target);
+    }
+  }
+  return candidates;
+}
+
+void JobScheduler::AddCandidate(const ReadyStep& aStep,
+                                const TargetState& aTarget,
+                                TimePoint aNow,
+                                std::vector<PlacementCandidate>& aCandidates)
+{
+  const JobStep& step = *aStep.m_step;
+  const bool usable =
+    aTarget.TakesWork(aNow) &&
+    aTarget.m_record.m_service == aStep.m_job->m_terms.m_service &&
+    DemandOf(step).FitsIn(aTarget.Free()) && LabelsAllow(step, aTarget) &&
+    !DisturbsOthers(step, aTarget);
+  if (!usable) {
+    return;
+  }
+  PlacementCandidate candidate;
+  candidate.m_target = &aTarget;
+  candidate.m_free = aTarget.Free();
+  candidate.m_tasksLeft = TasksAllowed(aStep.m_name, step, aTarget);
+  candidate.m_nearData = step.m_dataRack.empty() ||
+                         step.m_dataRack == aTarget.m_record.m_rack.Text();
+  aCandidates.push_back(candidate);
+}
+
+// Work that fills idle time slows work that serves users, by amounts that
+// change within seconds, so the two never share a target.
+bool JobScheduler::DisturbsOthers(const JobStep& aStep,
+                                  const TargetState& aTarget)
+{
+  const bool serves = aStep.m_responseTarget > Duration::zero();
+  if (!serves && !aStep.m_fillsIdle) {
+    return false;
+  }
+  return std::any_of(
+    aTarget.m_runs.begin(), aTarget.m_runs.end(), [&](const auto& aRun) {
+      const TaskRef ref = FindTask(aRun.first.m_task);
+      if (ref.m_step == nullptr) {
+        return true; // nothing is known of it
+      }
+      return serves ? ref.m_step->m_fillsIdle
+                    : ref.m_step->m_responseTarget > Duration::zero();
+    });
+}
+
+std::uint32_t JobScheduler::TasksAllowed(const StepName& aName,
+                                         const JobStep& aStep,
+                                         const TargetState& aTarget)
+{
+  if (aStep.m_maxPerTarget == 0) {
+    return aStep.m_count;
+  }
+  std::uint32_t there = 0;
+  auto run = aTarget.m_runs.lower_bound(RunName{ TaskName{ aName, 0 }, 0 });
+  while (run != aTarget.m_runs.end() && run->first.m_task.m_step == aName) {
+    ++there;
+    ++run;
+  }
+  return aStep.m_maxPerTarget - std::min(there, aStep.m_maxPerTarget);
+}
+
+std::size_t JobScheduler::PlaceTasks(
+  const ReadyStep& aStep,
+  std::vector<PlacementCandidate>& aCandidates,
+  TimePoint aNow)
+{
+  const JobStep& step = *aStep.m_step;
+  StepProgress& progress = *aStep.m_progress;
+  const Resources demand = DemandOf(step);
+  std::size_t missing = 0;
+  for (std::uint32_t i = 0; i < progress.m_tasks.size(); ++i) {
+    JobTask& task = progress.m_tasks[i];
+    if (task.m_state != TaskState::kWaiting || task.m_notBefore > aNow) {
+      continue;
+    }
+    const TargetId avoid = task.m_failures > 0 ? task.m_target : TargetId();
+    const auto chosen = ChooseTarget(aCandidates, demand, avoid);
+    if (!chosen) {
+      ++missing;
+      continue;
+    }
+    Dispatch(aStep,
+             i,
+             task.m_run + 1,
+             aCandidates[*chosen].m_target->m_record.m_target);
+  }
+  if (!progress.AnyWaiting()) {
+    m_ready.erase(aStep.m_name);
+  }
+  return missing;
+}
+
+std::size_t JobScheduler::PlaceGang(
+  const ReadyStep& aStep,
+  const std::vector<PlacementCandidate>& aCandidates)
+{
+  const JobStep& step = *aStep.m_step;
+  StepProgress& progress = *aStep.m_progress;
+  // Away from where it failed, if there is room for it elsewhere.
+  std::vector<PlacementCandidate> others;
+  std::copy_if(aCandidates.begin(),
+               aCandidates.end(),
+               std::back_inserter(others),
+               [&progress](const PlacementCandidate& aCandidate) {
+                 return progress.m_failedOn.count(
+                          aCandidate.m_target->m_record.m_target) == 0;
+               });
+  const std::vector<PlacementCandidate>* from = &others;
+  auto chosen =
+    ChooseGang(others, DemandOf(step), step.m_count, step.m_sameRack);
+  if (!chosen && others.size() < aCandidates.size()) {
+    from = &aCandidates;
+    chosen =
+      ChooseGang(aCandidates, DemandOf(step), step.m_count, step.m_sameRack);
+  }
+  if (!chosen) {
+    return step.m_count;
+  }
+  const std::uint32_t run = progress.m_lastRun + 1;
+  for (std::uint32_t i = 0; i < step.m_count; ++i) {
+    Dispatch(aStep, i, run, (*from)[(*chosen)[i]].m_target->m_record.m_target);
+  }
+  m_ready.erase(aStep.m_name);
+  return 0;
+}
+
+void JobScheduler::Dispatch(const ReadyStep& aStep,
+                            std::uint32_t aIndex,
+                            std::uint32_t aRun,
+                            const TargetId& aTarget)
+{
+  const JobStep& step = *aStep.m_step;
+  StepProgress& progress = *aStep.m_progress;
+  JobTask& task = progress.m_tasks[aIndex];
+  task.m_state = TaskState::kDispatched;
+  task.m_run = aRun;
+  task.m_target = aTarget;
+  task.m_stored = false;
+  task.m_seenRunning = false;
+  ++progress.m_dispatched;
+  progress.m_lastRun = std::max(progress.m_lastRun, aRun);
+  const RunName run{ TaskName{ aStep.m_name, aIndex }, aRun };
+  m_keeper.Reserve(aTarget, run, DemandOf(step));
+  m_placed.push_back(run);
+  MarkChanged(*aStep.m_job);
+}
+
+void JobScheduler::SendStarts(TimePoint aNow)
+{
+  std::vector<RunName> storing;
+  storing.swap(m_storing);
+  std::sort(storing.begin(), storing.end());
+  auto run = storing.begin();
+  while (run != storing.end()) {
+    const StepName step = run->m_task.m_step;
+    const auto end =
+      std::find_if(run, storing.end(), [&step](const RunName& aRun) {
+        return !(aRun.m_task.m_step == step);
+      });
+    SendStepStarts(std::vector<RunName>(run, end), aNow);
+    run = end;
+  }
+}
+
+void JobScheduler::SendStepStarts(const std::vector<RunName>& aRuns,
+                                  TimePoint aNow)
+{
+  std::vector<RunName> current;
+  for (const RunName& run : aRuns) {
+    const TaskRef ref = FindTask(run.m_task);
+    const bool wanted = ref.m_task != nullptr && !ref.m_job->IsOver() &&
+                        ref.m_task->m_state == TaskState::kDispatched &&
+                        ref.m_task->m_run == run.m_run;
+    if (wanted) {
+      current.push_back(run);
+    }
+  }
+  if (current.empty()) {
+    return;
+  }
+  const TaskRef first = FindTask(current.front().m_task);
+  const bool gang = first.m_step->m_gang;
+  const bool allFit =
+    std::all_of(current.begin(), current.end(), [&](const RunName& aRun) {
+      return CanSend(aRun, aNow);
+    });
+  if (gang && !allFit) {
+    TaskRef ref = FindTask(current.front().m_task);
+    StopGang(current.front().m_task.m_step, ref);
+    MarkChanged(*ref.m_job);
+    RefreshReady(*ref.m_job);
+    return;
+  }
+  for (const RunName& run : current) {
+    SendStart(run, aNow);
+  }
+}
+
+bool JobScheduler::CanSend(const RunName& aRun, TimePoint aNow)
+{
+  const TaskRef ref = FindTask(aRun.m_task);
+  const TargetState* target = m_keeper.Find(ref.m_task->m_target);
+  if (target == nullptr || !target->TakesWork(aNow)) {
+    return false;
+  }
+  return !ref.m_job->m_terms.m_advice.m_required ||
+         !m_advice
+            .PermissionFor(
+              aRun.m_task.m_step, *target, aNow + kPermissionAtSend)
+            .empty();
+}
+
+void JobScheduler::SendStart(const RunName& aRun, TimePoint aNow)
+{
+  TaskRef ref = FindTask(aRun.m_task);
+  const TargetId target = ref.m_task->m_target;
+  if (!CanSend(aRun, aNow)) {
+    m_keeper.CancelReservation(target, aRun);
+    ReturnTask(ref, aRun.m_task);
+    return;
+  }
+  const std::string permission =
+    ref.m_job->m_terms.m_advice.m_required
+      ? m_advice.PermissionFor(
+          aRun.m_task.m_step, *m_keeper.Find(target), aNow + kPermissionAtSend)
+      : std::string();
+  ref.m_task->m_stored = true;
+  const bool sent = m_keeper.Send(target,
+                                  aRun,
+                                  ref.m_job->m_spec.m_payload,
+                                  ref.m_task->m_checkpoint,
+                                  permission,
+                                  aNow);
+  m_effects.Log(sent ? "run-sent" : "run-held-back",
+                "task=" + TaskText(aRun.m_task) + " run=" +
+                  std::to_string(aRun.m_run) + " target=" + target.Text());
+  if (!sent) {
+    ReturnTask(ref, aRun.m_task);
+  }
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobs/job_progress.cpp
@@ -0,0 +1,330 @@
+// What follows from what targets say of runs: tasks, steps and jobs get on,
+// fail, or are tried again.
+#include <algorithm>
+#include <chrono>
+
+#include "job_effects.h"
+#include "job_scheduler.h"
+#include "run_text.h"
+
+namespace lycheestep {
+
+namespace {
+
+// A task whose start was malformed is not tried again sooner.
+constexpr Duration kMalformedPause = std::chrono::seconds(2);
+
+// A run that does not get on for this long stands still. Members of a gang
+// wait for each other for less.
+constexpr Duration kStallTime = std::chrono::milliseconds(4500);
+constexpr std::uint32_t kAllDone = 100;
+
+} // namespace
+
+void JobScheduler::OnRunSeen(const TargetId& aTarget,
+                             const RunningTask& aTask,
+                             TimePoint aNow)
+{
+  TaskRef ref = FindTask(aTask.m_run.m_task);
+  const bool current = ref.m_task != nullptr &&
+                       ref.m_task->m_run == aTask.m_run.m_run &&
+                       ref.m_task->m_target == aTarget;
+  if (!current || ref.m_task->m_state != TaskState::kDispatched) {
+    return;
+  }
+  NoteStarted(aTask.m_run, aNow);
+  KeepCheckpoint(ref, aTask.m_checkpoint);
+  WatchProgress(aTarget, aTask, ref, aNow);
+}
+
+// A task that stands still on a target is tried on another one.
+void JobScheduler::WatchProgress(const TargetId& aTarget,
+                                 const RunningTask& aRunning,
+                                 TaskRef& aRef,
+                                 TimePoint aNow)
+{
+  JobTask& task = *aRef.m_task;
+  if (task.m_percent != aRunning.m_percentDone ||
+      task.m_progressAt == TimePoint()) {
+    task.m_percent = aRunning.m_percentDone;
+    task.m_progressAt = aNow;
+    return;
+  }
+  const bool stalled = !aRef.m_step->m_longRunning &&
+                       aRunning.m_percentDone < kAllDone &&
+                       aNow - task.m_progressAt > kStallTime;
+  if (!stalled) {
+    return;
+  }
+  m_effects.Log("run-stalled",
+                "task=" + TaskText(aRunning.m_run.m_task) +
+                  " run=" + std::to_string(aRunning.m_run.m_run) +
+                  " target=" + aTarget.Text() +
+                  " percent=" + std::to_string(task.m_percent));
+  task.m_progressAt = aNow;
+  m_keeper.Rest(aTarget, aNow);
+  m_keeper.Stop(aTarget, aRunning.m_run, aNow);
+}
+
+void JobScheduler::KeepCheckpoint(TaskRef& aRef, const std::string& aCheckpoint)
+{
+  if (aCheckpoint.empty() || aCheckpoint == aRef.m_task->m_checkpoint) {
+    return;
+  }
+  aRef.m_task->m_checkpoint = aCheckpoint;
+  if (aRef.m_step->m_gang) {
+    // Any member's checkpoint is good for all, and all must carry the same.
+    for (JobTask& member : aRef.m_progress->m_tasks) {
+      member.m_checkpoint = aCheckpoint;
+    }
+  }
+}
+
+void JobScheduler::OnRunEnded(const TargetId& aTarget,
+                              const EndedTask& aTask,
+                              TimePoint aNow)
+{
+  m_now = aNow;
+  m_placementDue = true;
+  const TaskName& name = aTask.m_run.m_task;
+  m_effects.Log(
+    "run-ended",
+    "task=" + TaskText(name) + " run=" + std::to_string(aTask.m_run.m_run) +
+      " target=" + aTarget.Text() + " end=" + ToString(aTask.m_end));
+  TaskRef ref = FindTask(name);
+  if (ref.m_task == nullptr || ref.m_job->IsOver() ||
+      ref.m_task->m_state == TaskState::kDone) {
+    return; // nobody needs it any more
+  }
+  MarkBegun(ref.m_job->m_id);
+  const bool newest = ref.m_task->m_run == aTask.m_run.m_run;
+  if (newest) {
+    KeepCheckpoint(ref, aTask.m_checkpoint);
+  }
+  if (aTask.m_end == RunEnd::kDone && !ref.m_step->m_longRunning) {
+    m_keeper.NoteTaskDone(aTarget);
+    if (!newest) {
+      // The work is done, though this run had been given up.
+      StopNewerRuns(ref, name);
+    }
+    FinishTask(ref, name);
+    return;
+  }
+  if (!newest) {
+    return;
+  }
+  if (ref.m_task->m_state != TaskState::kDispatched) {
+    return; // given up before, and counted then
+  }
+  if (aTask.m_end == RunEnd::kFailed) {
+    m_keeper.NoteTaskFailed(aTarget, aNow);
+    FailTask(ref, name);
+    return;
+  }
+  ReturnTask(ref, name);
+}
+
+void JobScheduler::OnRunOver(const TargetId& aTarget,
+                             const RunName& aRun,
+                             OrderStatus aStatus)
+{
+  m_placementDue = true;
+  m_effects.Log("run-over",
+                "task=" + TaskText(aRun.m_task) +
+                  " run=" + std::to_string(aRun.m_run) +
+                  " target=" + aTarget.Text() + " status=" + ToString(aStatus));
+  TaskRef ref = FindTask(aRun.m_task);
+  if (ref.m_task == nullptr || ref.m_job->IsOver() ||
+      ref.m_task->m_run != aRun.m_run ||
+      ref.m_task->m_state != TaskState::kDispatched) {
+    return;
+  }
+  if (aStatus == OrderStatus::kTicketRefused) {
+    m_advice.Drop(aRun.m_task.m_step, aTarget);
+  }
+  if (aStatus == OrderStatus::kMalformed) {
+    ref.m_task->m_notBefore = m_now + kMalformedPause;
+  }
+  ReturnTask(ref, aRun.m_task);
+}
+
+void JobScheduler::NoteStarted(const RunName& aRun, TimePoint aNow)
+{
+  const TaskRef ref = FindTask(aRun.m_task);
+  const bool current = ref.m_task != nullptr &&
+                       ref.m_task->m_run == aRun.m_run &&
+                       ref.m_task->m_state == TaskState::kDispatched;
+  if (!current) {
+    return;
+  }
+  MarkBegun(aRun.m_task.m_step.m_job);
+  if (!ref.m_task->m_seenRunning) {
+    ref.m_task->m_seenRunning = true;
+    ref.m_task->m_startedAt = aNow;
+    ref.m_task->m_percent = 0;
+    ref.m_task->m_progressAt = TimePoint();
+  }
+}
+
+// A job has begun when a target has it, not when it was sent there. That is
+// stored with the next change.
+void JobScheduler::MarkBegun(const JobId& aJob)
+{
+  const auto job = m_jobs.find(aJob);
+  if (job != m_jobs.end() && job->second.m_state == JobState::kQueued) {
+    job->second.m_state = JobState::kRunning;
+  }
+}
+
+void JobScheduler::FinishTask(TaskRef& aRef, const TaskName& aName)
+{
+  StepProgress& progress = *aRef.m_progress;
+  const auto finish = [&progress](JobTask& aTask) {
+    if (aTask.m_state == TaskState::kDone) {
+      return;
+    }
+    progress.m_dispatched -= aTask.m_state == TaskState::kDispatched ? 1 : 0;
+    aTask.m_state = TaskState::kDone;
+    ++progress.m_done;
+  };
+  if (aRef.m_step->m_gang) {
+    // One member's end stands for all of them.
+    std::for_each(progress.m_tasks.begin(), progress.m_tasks.end(), finish);
+  } else {
+    finish(*aRef.m_task);
+  }
+  if (progress.IsDone()) {
+    m_advice.Forget(aName.m_step.m_job);
+  }
+  MarkChanged(*aRef.m_job);
+  CheckJobDone(*aRef.m_job);
+  RefreshReady(*aRef.m_job);
+}
+
+void JobScheduler::FailTask(TaskRef& aRef, const TaskName& aName)
+{
+  Job& job = *aRef.m_job;
+  StepProgress& progress = *aRef.m_progress;
+  std::uint32_t failures = 0;
+  if (aRef.m_step->m_gang) {
+    if (progress.m_failedRun != aRef.m_task->m_run) {
+      progress.m_failedRun = aRef.m_task->m_run;
+      ++progress.m_gangFailures;
+    }
+    progress.m_failedOn.insert(aRef.m_task->m_target);
+    failures = progress.m_gangFailures;
+    for (JobTask& member : progress.m_tasks) {
+      member.m_failures = failures;
+    }
+  } else {
+    failures = ++aRef.m_task->m_failures;
+  }
+  ReturnTask(aRef, aName);
+  if (!aRef.m_step->m_longRunning && failures >= job.m_terms.m_maxAttempts) {
+    EndJob(job, JobState::kFailed, m_now);
+  }
+}
+
+void JobScheduler::ReturnTask(TaskRef& aRef, const TaskName& aName)
+{
+  aRef.m_task->m_state = TaskState::kWaiting;
+  aRef.m_task->m_stored = false;
+  aRef.m_task->m_seenRunning = false;
+  --aRef.m_progress->m_dispatched;
+  if (aRef.m_step->m_gang) {
+    StopGang(aName.m_step, aRef);
+  }
+  MarkChanged(*aRef.m_job);
+  RefreshReady(*aRef.m_job);
+}
+
+void JobScheduler::StopNewerRuns(TaskRef& aRef, const TaskName& aName)
+{
+  if (aRef.m_step->m_gang) {
+    StopGang(aName.m_step, aRef);
+  } else if (aRef.m_task->m_state == TaskState::kDispatched) {
+    StopTask(aName, *aRef.m_task, *aRef.m_progress, m_now);
+  }
+}
+
+void JobScheduler::StopGang(const StepName& aStep, TaskRef& aRef)
+{
+  std::vector<JobTask>& tasks = aRef.m_progress->m_tasks;
+  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+    if (tasks[i].m_state == TaskState::kDispatched) {
+      StopTask(TaskName{ aStep, i }, tasks[i], *aRef.m_progress, m_now);
+    }
+  }
+}
+
+void JobScheduler::StopTask(const TaskName& aName,
+                            JobTask& aTask,
+                            StepProgress& aProgress,
+                            TimePoint aNow)
+{
+  const RunName run{ aName, aTask.m_run };
+  if (aTask.m_stored) {
+    m_keeper.Stop(aTask.m_target, run, aNow);
+    return;
+  }
+  m_keeper.CancelReservation(aTask.m_target, run);
+  aTask.m_state = TaskState::kWaiting;
+  --aProgress.m_dispatched;
+}
+
+void JobScheduler::CheckJobDone(Job& aJob)
+{
+  for (auto it = aJob.m_occurrences.begin(); it != aJob.m_occurrences.end();) {
+    const bool done =
+      std::all_of(it->second.m_steps.begin(),
+                  it->second.m_steps.end(),
+                  [](const StepProgress& aStep) { return aStep.IsDone(); });
+    if (!done || it->first != aJob.m_occurrencesDone) {
+      break;
+    }
+    ++aJob.m_occurrencesDone;
+    for (std::uint32_t s = 0; s < it->second.m_steps.size(); ++s) {
+      m_ready.erase(StepName{ aJob.m_id, it->first, s });
+    }
+    it = aJob.m_occurrences.erase(it);
+  }
+  const std::uint32_t all = std::max(1U, aJob.m_spec.m_occurrences);
+  if (aJob.m_occurrencesDone >= all) {
+    EndJob(aJob, JobState::kDone, m_now);
+  }
+}
+
+void JobScheduler::EndJob(Job& aJob, JobState aState, TimePoint aNow)
+{
+  aJob.m_state = aState;
+  m_effects.Log(
+    "job-ended",
+    "job=" + aJob.m_id.Text() +
+      " state=" + std::to_string(static_cast<int>(aState)) + " after_ms=" +
+      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                       aNow - aJob.m_acceptedAt)
+                       .count()));
+  StopAllRuns(aJob, aNow);
+  m_advice.Forget(aJob.m_id);
+  m_over[aJob.m_id] = aNow + m_settings.m_retention;
+  aJob.m_spec.m_payload.clear();
+  MarkChanged(aJob);
+  RefreshReady(aJob);
+}
+
+void JobScheduler::StopAllRuns(Job& aJob, TimePoint aNow)
+{
+  for (auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      StepProgress& progress = occurrence.m_steps[s];
+      for (std::uint32_t i = 0; i < progress.m_tasks.size(); ++i) {
+        const TaskName name{ StepName{ aJob.m_id, number, s }, i };
+        if (progress.m_tasks[i].m_state == TaskState::kDispatched) {
+          StopTask(name, progress.m_tasks[i], progress, aNow);
+        }
+      }
+    }
+  }
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobs/target_listing.cpp
@@ -0,0 +1,256 @@
+// What a target's list of runs and ends says, and what follows from a hold
+// that brought none.
+#include <algorithm>
+
+#include "job_effects.h"
+#include "run_listener.h"
+#include "run_text.h"
+#include "target_keeper.h"
+
+namespace lycheestep {
+
+namespace {
+
+// A target lists at most this many ends at once.
+constexpr std::size_t kEndsPerAnswer = 500;
+
+// Between holds of a target that did not answer the last one.
+constexpr Duration kFirstHoldRetry = std::chrono::milliseconds(100);
+constexpr Duration kLastHoldRetry = std::chrono::milliseconds(800);
+
+Duration HoldRetry(std::uint32_t aFailures)
+{
+  const Duration delay = kFirstHoldRetry * (1U << std::min(aFailures, 4U));
+  return std::min(delay, kLastHoldRetry);
+}
+
+} // namespace
+
+void TargetKeeper::OnHoldAnswer(const HoldOrder& aOrder,
+                                HoldPath aPath,
+                                const HoldAnswer& aAnswer,
+                                TimePoint aNow)
+{
+  const auto found = m_targets.find(aOrder.m_to.m_target);
+  if (found == m_targets.end()) {
+    return;
+  }
+  TargetState& target = found->second;
+  (aPath == HoldPath::kWatch ? target.m_watchBusy : target.m_takeBusy) = false;
+  if (aAnswer.m_status != OrderStatus::kDone) {
+    OnHoldFailed(target, aOrder, aAnswer.m_status, aNow);
+    return;
+  }
+  const WallTime known = target.m_record.m_started;
+  const bool otherLife = known.count() != 0 && aAnswer.m_started.count() != 0 &&
+                         known != aAnswer.m_started;
+  if (otherLife) {
+    if (known < aAnswer.m_started) {
+      NewIncarnation(target, aAnswer.m_started, aNow);
+    }
+    return;
+  }
+  if (aOrder.m_to.m_address != target.m_record.m_address) {
+    return;
+  }
+  target.m_holdFailures = 0;
+  target.m_answersHolds = true;
+  target.m_endsForgotten =
+    std::max(target.m_endsForgotten, aOrder.m_forgetEnds);
+  NoteClock(target, aAnswer.m_targetClock, aNow);
+  ReadEnds(target, aAnswer, aNow);
+  const bool taken = aPath == HoldPath::kOrders &&
+                     target.m_phase == TargetPhase::kTaking &&
+                     aOrder.m_to.m_fence == target.m_fence;
+  ReadRunning(target, aAnswer, aPath, aNow);
+  if (!taken) {
+    return;
+  }
+  if (aAnswer.m_ended.size() >= kEndsPerAnswer) {
+    target.m_phase = TargetPhase::kUntaken; // list the others first
+    return;
+  }
+  DropAbsentRuns(target, aAnswer);
+  target.m_phase = TargetPhase::kHeld;
+  m_effects.Log("target-taken",
+                "target=" + aOrder.m_to.m_target.Text() +
+                  " fence=" + std::to_string(target.m_fence) +
+                  " running=" + std::to_string(aAnswer.m_running.size()) +
+                  " ended=" + std::to_string(aAnswer.m_ended.size()));
+}
+
+void TargetKeeper::OnHoldFailed(TargetState& aTarget,
+                                const HoldOrder& aOrder,
+                                OrderStatus aStatus,
+                                TimePoint aNow)
+{
+  if (aOrder.m_to.m_fence != aTarget.m_fence) {
+    return;
+  }
+  if (aTarget.m_phase == TargetPhase::kTaking) {
+    aTarget.m_phase = TargetPhase::kUntaken;
+  }
+  if (aStatus == OrderStatus::kFenced) {
+    m_wantsFence = true;
+    Distrust(aTarget, "fenced");
+  }
+  aTarget.m_answersHolds = false;
+  if (aTarget.m_holdFailures == 0) {
+    m_effects.Log("target-silent",
+                  "target=" + aTarget.m_record.m_target.Text() +
+                    " status=" + ToString(aStatus));
+  }
+  aTarget.m_retryAt = aNow + HoldRetry(aTarget.m_holdFailures);
+  ++aTarget.m_holdFailures;
+}
+
+void TargetKeeper::NoteClock(TargetState& aTarget,
+                             TargetTime aClock,
+                             TimePoint aNow)
+{
+  if (!aTarget.m_clockKnown || aTarget.m_clock < aClock) {
+    aTarget.m_clockKnown = true;
+    aTarget.m_clock = aClock;
+    aTarget.m_clockAt = aNow;
+  }
+}
+
+void TargetKeeper::NewIncarnation(TargetState& aTarget,
+                                  WallTime aStarted,
+                                  TimePoint aNow)
+{
+  m_effects.Log("target-restarted",
+                "target=" + aTarget.m_record.m_target.Text() +
+                  " started=" + std::to_string(aStarted.count()));
+  aTarget.m_record.m_started = aStarted;
+  aTarget.m_phase = TargetPhase::kUntaken;
+  aTarget.m_clockKnown = false;
+  aTarget.m_leaseEnd = TargetTime(0);
+  // A start that was under way may yet reach the new incarnation.
+  aTarget.m_formerLeaseOver = aNow + m_settings.m_longestLease;
+  aTarget.m_endsSeen = 0;
+  aTarget.m_endsStored = 0;
+  aTarget.m_endsForgotten = 0;
+  aTarget.m_answersHolds = false;
+  aTarget.m_holdFailures = 0;
+  aTarget.m_retryAt = aNow;
+  m_committing.erase(aTarget.m_record.m_target);
+}
+
+void TargetKeeper::ReadEnds(TargetState& aTarget,
+                            const HoldAnswer& aAnswer,
+                            TimePoint aNow)
+{
+  for (const EndedTask& ended : aAnswer.m_ended) {
+    if (ended.m_number <= aTarget.m_endsSeen) {
+      continue;
+    }
+    aTarget.m_endsSeen = ended.m_number;
+    DropRun(aTarget, ended.m_run);
+    m_listener.OnRunEnded(aTarget.m_record.m_target, ended, aNow);
+  }
+}
+
+void TargetKeeper::ReadRunning(TargetState& aTarget,
+                               const HoldAnswer& aAnswer,
+                               HoldPath aPath,
+                               TimePoint aNow)
+{
+  std::set<RunName> listed;
+  for (const RunningTask& task : aAnswer.m_running) {
+    listed.insert(task.m_run);
+    const auto run = aTarget.m_runs.find(task.m_run);
+    if (run == aTarget.m_runs.end()) {
+      AddUnknownRun(aTarget, task.m_run);
+      continue;
+    }
+    if (!run->second.m_confirmed) {
+      run->second.m_confirmed = true;
+      run->second.m_confirmedAt = aNow;
+      run->second.m_startedAt = std::max(run->second.m_startedAt, aNow);
+    }
+    run->second.m_percentDone = task.m_percentDone;
+    if (!run->second.m_unknown) {
+      m_listener.OnRunSeen(aTarget.m_record.m_target, task, aNow);
+    }
+  }
+  if (aPath != HoldPath::kWatch) {
+    return;
+  }
+  DropUnlistedUnknown(aTarget, listed);
+  if (aAnswer.m_ended.size() < kEndsPerAnswer) {
+    LookForMissing(aTarget, listed);
+  }
+}
+
+// Answers on one path come in order, so an unknown run that is no longer
+// listed is over.
+void TargetKeeper::DropUnlistedUnknown(TargetState& aTarget,
+                                       const std::set<RunName>& aListed)
+{
+  for (auto it = aTarget.m_runs.begin(); it != aTarget.m_runs.end();) {
+    const bool over = it->second.m_unknown && aListed.count(it->first) == 0;
+    if (over) {
+      aTarget.m_used -= it->second.m_demand;
+    }
+    it = over ? aTarget.m_runs.erase(it) : std::next(it);
+  }
+}
+
+// A run that was there before the hold was sent, and of which the answer has
+// neither the run nor its end, got lost: a hold for the target's former
+// incarnation may have let the new one forget the end.
+void TargetKeeper::LookForMissing(TargetState& aTarget,
+                                  const std::set<RunName>& aListed)
+{
+  const bool missing = std::any_of(
+    aTarget.m_runs.begin(), aTarget.m_runs.end(), [&](const auto& aEntry) {
+      const TargetRun& run = aEntry.second;
+      return run.m_sent && run.m_confirmed &&
+             run.m_confirmedAt < aTarget.m_lastHoldSent &&
+             aListed.count(aEntry.first) == 0;
+    });
+  if (missing && aTarget.m_phase == TargetPhase::kHeld) {
+    aTarget.m_fenceUsed = true;
+    Distrust(aTarget, "a run is missing");
+  }
+}
+
+void TargetKeeper::AddUnknownRun(TargetState& aTarget, const RunName& aRun)
+{
+  m_effects.Log("run-unknown",
+                "target=" + aTarget.m_record.m_target.Text() + " task=" +
+                  TaskText(aRun.m_task) + " run=" + std::to_string(aRun.m_run));
+  TargetRun run;
+  // Its size is not known, so nothing else is sent there until it is over.
+  run.m_demand = aTarget.m_record.m_capacity;
+  run.m_sent = true;
+  run.m_confirmed = true;
+  run.m_confirmedAt = TimePoint::max();
+  run.m_unknown = true;
+  run.m_stopWanted = true;
+  aTarget.m_runs.emplace(aRun, run);
+  aTarget.m_used += run.m_demand;
+}
+
+void TargetKeeper::DropAbsentRuns(TargetState& aTarget,
+                                  const HoldAnswer& aAnswer)
+{
+  std::set<RunName> listed;
+  for (const RunningTask& task : aAnswer.m_running) {
+    listed.insert(task.m_run);
+  }
+  std::vector<RunName> absent;
+  for (const auto& [name, run] : aTarget.m_runs) {
+    if (run.m_sent && listed.count(name) == 0) {
+      absent.push_back(name);
+    }
+  }
+  for (const RunName& name : absent) {
+    DropRun(aTarget, name);
+    m_listener.OnRunOver(
+      aTarget.m_record.m_target, name, OrderStatus::kUnknown);
+  }
+}
+
+} // namespace lycheestep
