--- a/src/gateway.service/answer_json.cpp
+++ b/src/gateway.service/answer_json.cpp
@@ -86,12 +86,6 @@
   return aError ? Json(aError.message()) : Json(nullptr);
 }
 
-auto ToMilliseconds(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
-}
-
 const char* DetailOfStatus(int aStatus)
 {
   switch (aStatus) {
--- a/src/include/lycheestep/time_types.h
+++ b/src/include/lycheestep/time_types.h
@@ -2,6 +2,7 @@
 #define LYCHEESTEP_TIME_TYPES_H
 
 #include <chrono>
+#include <cstdint>
 
 namespace lycheestep {
 
@@ -17,6 +18,13 @@
 // A span of monotonic time.
 using Duration = Clock::duration;
 
+// Whole milliseconds, rounded towards zero, as protocols carry them.
+inline std::int64_t ToMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
 } // namespace lycheestep
 
 #endif
--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -25,12 +25,6 @@
 // Between tries of a write.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(60);
 
-std::uint64_t Milliseconds(Duration aDuration)
-{
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
-}
-
 } // namespace
 
 CommitWriter::CommitWriter(LeaderIdentity aIdentity,
@@ -242,10 +236,10 @@
   proto::LeaderRow row;
   row.set_host(m_identity.m_host);
   row.set_incarnation(m_identity.m_incarnation);
-  row.set_renewed_ms(Milliseconds(m_storeClock + (aNow - m_storeClockAt)));
+  row.set_renewed_ms(ToMilliseconds(m_storeClock + (aNow - m_storeClockAt)));
   row.set_released(m_released);
-  row.set_lease_ms(Milliseconds(m_identity.m_lease));
-  row.set_validity_ms(Milliseconds(m_identity.m_validity));
+  row.set_lease_ms(ToMilliseconds(m_identity.m_lease));
+  row.set_validity_ms(ToMilliseconds(m_identity.m_validity));
   row.set_pending_known(m_pending.has_value());
   for (const auto& [queue, pending] : m_pending.value_or(PendingCounts())) {
     proto::QueuePending* entry = row.add_pending();
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -222,15 +222,12 @@
   if (!m_election.OnReading(reading, BootClockNow())) {
     return;
   }
-  m_log.Write(
-    "lead-attempt",
-    "former=" + reading.m_host +
-      " row_version=" + std::to_string(reading.m_version) + " row_age_ms=" +
-      std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(reading.m_age)
-          .count()) +
-      " released=" + (reading.m_released ? "yes" : "no") +
-      " process_gone=" + (reading.m_ended ? "yes" : "no"));
+  m_log.Write("lead-attempt",
+              "former=" + reading.m_host +
+                " row_version=" + std::to_string(reading.m_version) +
+                " row_age_ms=" + std::to_string(ToMilliseconds(reading.m_age)) +
+                " released=" + (reading.m_released ? "yes" : "no") +
+                " process_gone=" + (reading.m_ended ? "yes" : "no"));
   if (m_writer.Lead(reading.m_version, reading.m_storeClock)) {
     BecomeLeader(reading);
   } else {
@@ -398,29 +395,27 @@
     request.m_targets.emplace_back(target);
   }
   const Duration timeout = std::chrono::milliseconds(call.timeout_ms());
-  m_advice.Ask(request,
-               timeout,
-               [this, address = aMessage.address(), from = aMessage.from()](
-                 const AdviceAnswer& aAnswer) {
-                 m_log.Write(
-                   "advice-served",
-                   "for=" + from + " call=" + std::to_string(aAnswer.m_ticket) +
-                     " answered=" + (aAnswer.m_answered ? "yes" : "no"));
-                 proto::JobPeerMessage message;
-                 proto::AdviceReply* reply = message.mutable_advice_reply();
-                 reply->set_ticket(aAnswer.m_ticket);
-                 reply->set_answered(aAnswer.m_answered);
-                 reply->set_valid_for_ms(static_cast<std::uint64_t>(
-                   std::chrono::duration_cast<std::chrono::milliseconds>(
-                     aAnswer.m_validFor)
-                     .count()));
-                 for (const AdvisedTarget& good : aAnswer.m_good) {
-                   proto::AdvisedTargetMessage* entry = reply->add_good();
-                   entry->set_target(good.m_target.Text());
-                   entry->set_permission(good.m_permission);
-                 }
-                 m_peers.Send(address, std::move(message));
-               });
+  m_advice.Ask(
+    request,
+    timeout,
+    [this, address = aMessage.address(), from = aMessage.from()](
+      const AdviceAnswer& aAnswer) {
+      m_log.Write("advice-served",
+                  "for=" + from + " call=" + std::to_string(aAnswer.m_ticket) +
+                    " answered=" + (aAnswer.m_answered ? "yes" : "no"));
+      proto::JobPeerMessage message;
+      proto::AdviceReply* reply = message.mutable_advice_reply();
+      reply->set_ticket(aAnswer.m_ticket);
+      reply->set_answered(aAnswer.m_answered);
+      reply->set_valid_for_ms(
+        static_cast<std::uint64_t>(ToMilliseconds(aAnswer.m_validFor)));
+      for (const AdvisedTarget& good : aAnswer.m_good) {
+        proto::AdvisedTargetMessage* entry = reply->add_good();
+        entry->set_target(good.m_target.Text());
+        entry->set_permission(good.m_permission);
+      }
+      m_peers.Send(address, std::move(message));
+    });
 }
 
 LeaderSurroundings JobHost::SurroundingsOf(std::uint64_t aTerm)
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -58,12 +58,6 @@
   aMessage.set_step(aStep.m_step);
 }
 
-std::uint64_t Milliseconds(Duration aDuration)
-{
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
-}
-
 } // namespace
 
 Leader::Leader(const LeaderSurroundings& aSurroundings,
@@ -347,7 +341,7 @@
   }
   proto::JobPeerMessage message;
   proto::LeaderHeartbeat* heartbeat = message.mutable_leader_heartbeat();
-  heartbeat->set_renewed_ago_ms(Milliseconds(m_now - renewed));
+  heartbeat->set_renewed_ago_ms(ToMilliseconds(m_now - renewed));
   for (const std::string& host : Successors()) {
     heartbeat->add_successor(host);
   }
@@ -510,7 +504,7 @@
   for (const TargetId& target : aRequest.m_targets) {
     call->add_target(target.Text());
   }
-  call->set_timeout_ms(Milliseconds(aTimeout));
+  call->set_timeout_ms(ToMilliseconds(aTimeout));
   m_with.m_peers.Send(host->second.m_address, std::move(message));
 }
 
--- a/src/jobhost/relayed_store.cpp
+++ b/src/jobhost/relayed_store.cpp
@@ -24,12 +24,6 @@
   return aStatus == RowStatus::kRefused || aStatus == RowStatus::kUnknown;
 }
 
-std::uint64_t Milliseconds(Duration aDuration)
-{
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
-}
-
 } // namespace
 
 RelayedStore::RelayedStore(RowStore& aDirect, EventLog& aLog, Send aSend)
@@ -70,7 +64,7 @@
   proto::RowFeedMessage* feed = call.mutable_feed();
   feed->set_table(aTable);
   feed->set_version(aVersion);
-  feed->set_wait_ms(Milliseconds(aWait));
+  feed->set_wait_ms(ToMilliseconds(aWait));
   return CallEither(
     [&] { return m_direct.Feed(aTable, aVersion, aWait, aTimeout); },
     std::move(call),
@@ -154,7 +148,7 @@
   m_calls[id] = std::nullopt;
   lock.unlock();
   aCall.set_id(id);
-  aCall.set_timeout_ms(Milliseconds(aTimeout));
+  aCall.set_timeout_ms(ToMilliseconds(aTimeout));
   proto::JobPeerMessage message;
   *message.mutable_store_call() = std::move(aCall);
   m_send(relay, std::move(message));
--- a/src/jobhost/store_messages.cpp
+++ b/src/jobhost/store_messages.cpp
@@ -62,9 +62,8 @@
 {
   aReply.set_status(static_cast<std::uint32_t>(aAnswer.m_status));
   aReply.set_version(aAnswer.m_version);
-  aReply.set_store_clock_ms(static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aAnswer.m_storeClock)
-      .count()));
+  aReply.set_store_clock_ms(
+    static_cast<std::uint64_t>(ToMilliseconds(aAnswer.m_storeClock)));
   aReply.set_more(aAnswer.m_more);
   for (const Row& row : aAnswer.m_rows) {
     proto::RowMessage* entry = aReply.add_row();
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -297,13 +297,10 @@
 void JobScheduler::EndJob(Job& aJob, JobState aState, TimePoint aNow)
 {
   aJob.m_state = aState;
-  m_effects.Log(
-    "job-ended",
-    "job=" + aJob.m_id.Text() +
-      " state=" + std::to_string(static_cast<int>(aState)) + " after_ms=" +
-      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                       aNow - aJob.m_acceptedAt)
-                       .count()));
+  m_effects.Log("job-ended",
+                "job=" + aJob.m_id.Text() + " state=" +
+                  std::to_string(static_cast<int>(aState)) + " after_ms=" +
+                  std::to_string(ToMilliseconds(aNow - aJob.m_acceptedAt)));
   StopAllRuns(aJob, aNow);
   m_advice.Forget(aJob.m_id);
   m_over[aJob.m_id] = aNow + m_settings.m_retention;
--- a/src/log.service/log_format.cpp
+++ b/src/log.service/log_format.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-double ToMilliseconds(Duration aDuration)
+double FractionalMilliseconds(Duration aDuration)
 {
   return std::chrono::duration<double, std::milli>(aDuration).count();
 }
@@ -73,8 +73,10 @@
   }
   constexpr std::size_t kNumberLength = 32;
   std::array<char, kNumberLength> waited{};
-  std::snprintf(
-    waited.data(), waited.size(), "%.1f", ToMilliseconds(aDecision.m_waited));
+  std::snprintf(waited.data(),
+                waited.size(),
+                "%.1f",
+                FractionalMilliseconds(aDecision.m_waited));
   line += ": " + aDecision.m_why + "; ";
   line += std::to_string(aDecision.m_candidates) + " candidates, waited ";
   line += waited.data();
@@ -91,7 +93,7 @@
                 { "target", aDecision.m_target.Text() },
                 { "why", aDecision.m_why },
                 { "candidates", aDecision.m_candidates },
-                { "waited_ms", ToMilliseconds(aDecision.m_waited) } });
+                { "waited_ms", FractionalMilliseconds(aDecision.m_waited) } });
 }
 
 std::string NoteToJson(const LogNote& aNote)
--- a/src/scenario/expectation_checker.cpp
+++ b/src/scenario/expectation_checker.cpp
@@ -15,12 +15,6 @@
                      : static_cast<double>(aPart) / static_cast<double>(aWhole);
 }
 
-std::int64_t Milliseconds(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
-}
-
 Duration PercentileOf(const std::vector<Duration>& aSorted, int aPercentile)
 {
   if (aSorted.empty()) {
@@ -177,7 +171,7 @@
   const Duration wait = PercentileOf(tally.m_waits, aExpectation.m_percentile);
   return wait <= aExpectation.m_time
            ? ""
-           : "it was " + std::to_string(Milliseconds(wait)) + "ms";
+           : "it was " + std::to_string(ToMilliseconds(wait)) + "ms";
 }
 
 std::string ExpectationChecker::CheckShare(
@@ -278,9 +272,9 @@
             << tally.m_pending << " pending, " << tally.m_noAnswer
             << " without answer, " << tally.m_cancelled
             << " cancelled; wait p50 "
-            << Milliseconds(PercentileOf(tally.m_waits, 50)) << " ms, p99 "
-            << Milliseconds(PercentileOf(tally.m_waits, 99)) << " ms, max "
-            << Milliseconds(PercentileOf(tally.m_waits, 100)) << " ms\n";
+            << ToMilliseconds(PercentileOf(tally.m_waits, 50)) << " ms, p99 "
+            << ToMilliseconds(PercentileOf(tally.m_waits, 99)) << " ms, max "
+            << ToMilliseconds(PercentileOf(tally.m_waits, 100)) << " ms\n";
   }
   const TableCounts& counts = m_cell.Platform().Table().Counts();
   aStream << "table: " << counts.m_transactions << " transactions, "
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -1,29 +1,19 @@
 #include "job_cell_model.h"
 
 #include <algorithm>
-#include <deque>
 #include <utility>
 
+#include "job_cell_term.h"
 #include "run_text.h"
 
 namespace lycheestep {
 
 namespace {
 
-// The cell moves in steps of this length.
-constexpr Duration kTick = std::chrono::milliseconds(10);
-
 // One way between a leader and what surrounds it.
 constexpr Duration kShortestWay = std::chrono::milliseconds(1);
 constexpr Duration kLongestWay = std::chrono::milliseconds(4);
 
-// A leader waits this long for an answer.
-constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
-
-// When orders that are carried out late arrive.
-constexpr Duration kEarliestLate = std::chrono::seconds(2);
-constexpr Duration kLatestLate = std::chrono::seconds(12);
-
 // Leases of a leader that died are over after this.
 constexpr Duration kFormerLeases = std::chrono::milliseconds(9400);
 
@@ -35,311 +25,8 @@
 
 constexpr std::size_t kTargetsPerRack = 6;
 
-const WallTime kWallStart{ 1700000000000 };
-
 } // namespace
 
-// One leader: the decisions under test, and the ways to and from it.
-class JobCellModel::Term : public JobEffects
-{
-public:
-  explicit Term(JobCellModel& aCell)
-    : m_cell(aCell)
-    , m_scheduler(JobSchedulerSettings(), *this)
-    , m_rowVersion(aCell.m_leaderVersion)
-  {
-  }
-
-  void Die() { m_alive = false; }
-  bool IsAlive() const { return m_alive; }
-  JobScheduler& Scheduler() { return m_scheduler; }
-
-  void Step()
-  {
-    SetTime();
-    m_scheduler.Step(m_cell.m_now);
-  }
-
-  void SetTime()
-  {
-    m_scheduler.SetTime(m_cell.m_now,
-                        kWallStart +
-                          std::chrono::duration_cast<WallTime>(m_cell.Now()));
-  }
-
-  // Tells the scheduler something after a way, if it still lives then.
-  void Tell(Duration aDelay, std::function<void()> aTask)
-  {
-    m_cell.At(aDelay, [this, task = std::move(aTask)] {
-      if (m_alive) {
-        SetTime();
-        task();
-      }
-    });
-  }
-
-  void Commit(std::vector<RowWrite> aWrites,
-              std::vector<RowKey> /*aRemovals*/) override
-  {
-    m_cell.At(m_cell.Way(),
-              [this, writes = std::move(aWrites)] { Write(writes); });
-  }
-
-  void Start(const StartOrder& aOrder) override
-  {
-    Queue(aOrder.m_to, HoldPath::kOrders, [this, aOrder](auto aDone) {
-      const auto unanswered = m_unanswered.find(aOrder.m_to.m_target);
-      if (unanswered != m_unanswered.end() &&
-          unanswered->second >= aOrder.m_to.m_fence) {
-        // Not sent after a start without answer, as a line does it.
-        OrderAnswer answer;
-        answer.m_status = OrderStatus::kNotSent;
-        m_scheduler.OnStartAnswer(aOrder, answer, m_cell.m_now);
-        aDone();
-        return;
-      }
-      Carry<OrderAnswer>(
-        aOrder.m_to,
-        [this, aOrder](JobTargetModel& aTarget) {
-          return aTarget.Start(aOrder, m_cell.m_now);
-        },
-        [this, aOrder, aDone](const OrderAnswer& aAnswer) {
-          if (aAnswer.m_status == OrderStatus::kUnknown) {
-            m_unanswered[aOrder.m_to.m_target] = aOrder.m_to.m_fence;
-          }
-          m_scheduler.OnStartAnswer(aOrder, aAnswer, m_cell.m_now);
-          aDone();
-        });
-    });
-  }
-
-  void Stop(const StopOrder& aOrder) override
-  {
-    Queue(aOrder.m_to, HoldPath::kOrders, [this, aOrder](auto aDone) {
-      Carry<OrderAnswer>(
-        aOrder.m_to,
-        [this, aOrder](JobTargetModel& aTarget) {
-          return aTarget.Stop(aOrder, m_cell.m_now);
-        },
-        [this, aOrder, aDone](const OrderAnswer& aAnswer) {
-          m_scheduler.OnStopAnswer(aOrder, aAnswer, m_cell.m_now);
-          aDone();
-        });
-    });
-  }
-
-  void Pace(const PaceOrder& /*aOrder*/) override {}
-
-  void Hold(const HoldOrder& aOrder, HoldPath aPath) override
-  {
-    Queue(aOrder.m_to, aPath, [this, aOrder, aPath](auto aDone) {
-      std::size_t index = 0;
-      const JobTargetModel* target = TargetAt(aOrder.m_to, &index);
-      const WallTime incarnation =
-        target != nullptr ? target->Record().m_started : WallTime(0);
-      HoldUntil(
-        aOrder, aPath, m_cell.m_now + aOrder.m_wait, incarnation, aDone);
-    });
-  }
-
-  void Forget(const TargetId& /*aTarget*/) override {}
-
-  bool CanAsk() const override { return m_asking < kAskers; }
-
-  void Ask(const AdviceRequest& aRequest, Duration aTurn) override
-  {
-    ++m_asking;
-    Tell(aTurn + m_cell.Way(), [this, aRequest] {
-      --m_asking;
-      AdviceAnswer answer;
-      answer.m_ticket = aRequest.m_ticket;
-      answer.m_answered = true;
-      answer.m_validFor = std::chrono::milliseconds(1500);
-      for (const TargetId& target : aRequest.m_targets) {
-        const std::string text = StepText(aRequest.m_step) + target.Text();
-        // One target is fit for everything, so that every job can end.
-        if (target.Text() == "target-0" ||
-            std::hash<std::string>()(text) % 2 == 0) {
-          answer.m_good.push_back(AdvisedTarget{ target, "ticket" });
-        }
-      }
-      m_scheduler.OnAdvice(answer, m_cell.m_now);
-    });
-  }
-
-  void Log(const std::string& aEvent, const std::string& aFields) override
-  {
-    if (m_cell.m_trace != nullptr) {
-      *m_cell.m_trace
-        << std::chrono::duration_cast<WallTime>(m_cell.Now()).count() << " "
-        << aEvent << " " << aFields << "\n";
-    }
-  }
-
-private:
-  using Done = std::function<void()>;
-  using Work = std::function<void(Done)>;
-
-  static constexpr int kAskers = 8;
-
-  void Write(const std::vector<RowWrite>& aWrites)
-  {
-    if (m_cell.m_faults.m_storeDown) {
-      m_cell.At(std::chrono::milliseconds(100),
-                [this, aWrites] { Write(aWrites); });
-      return;
-    }
-    if (m_cell.m_leaderVersion != m_rowVersion) {
-      m_alive = false; // another one leads
-      return;
-    }
-    for (const RowWrite& write : aWrites) {
-      const JobId job(write.m_key.m_key);
-      m_cell.m_progress[job] = write.m_value;
-      const auto progress = DecodeProgress(job, write.m_value);
-      const bool over = progress && progress->m_state >= JobState::kDone;
-      if (over) {
-        m_cell.m_endedAt.try_emplace(job, m_cell.m_now);
-      }
-    }
-    ++m_cell.m_commits;
-    m_cell.m_leaderVersion = ++m_cell.m_version;
-    m_rowVersion = m_cell.m_leaderVersion;
-    Tell(m_cell.Way(), [this, version = m_rowVersion] {
-      m_scheduler.OnCommitted(version, m_cell.Now(), m_cell.m_now);
-    });
-  }
-
-  // Orders on one path wait for the answers to those before them.
-  void Queue(const OrderAddress& aTo, HoldPath aPath, Work aWork)
-  {
-    std::deque<Work>& queue = m_queues[{ aTo.m_target, aPath }];
-    queue.push_back(std::move(aWork));
-    if (queue.size() == 1) {
-      Begin({ aTo.m_target, aPath });
-    }
-  }
-
-  void Begin(const std::pair<TargetId, HoldPath>& aKey)
-  {
-    const Work work = m_queues[aKey].front();
-    work([this, aKey] {
-      std::deque<Work>& queue = m_queues[aKey];
-      queue.pop_front();
-      if (!queue.empty()) {
-        Begin(aKey);
-      }
-    });
-  }
-
-  JobTargetModel* TargetAt(const OrderAddress& aTo, std::size_t* aIndex)
-  {
-    for (std::size_t i = 0; i < m_cell.m_targets.size(); ++i) {
-      if (m_cell.m_targets[i]->Record().m_target == aTo.m_target) {
-        *aIndex = i;
-        return m_cell.m_targets[i].get();
-      }
-    }
-    return nullptr;
-  }
-
-  // Carries an order there and its answer back, with the cell's faults.
-  template<class Answer>
-  void Carry(const OrderAddress& aTo,
-             std::function<Answer(JobTargetModel&)> aOrder,
-             std::function<void(const Answer&)> aAnswered)
-  {
-    std::size_t index = 0;
-    JobTargetModel* target = TargetAt(aTo, &index);
-    const auto silent = [this, aAnswered] {
-      Tell(kOrderTimeout, [aAnswered] { aAnswered(Answer()); });
-    };
-    if (target == nullptr || m_cell.m_cut[index]) {
-      silent();
-      return;
-    }
-    if (m_cell.m_downUntil[index] > m_cell.m_now) {
-      Tell(m_cell.Way(), [aAnswered] { aAnswered(Answer()); });
-      return;
-    }
-    const WallTime incarnation = target->Record().m_started;
-    if (m_cell.Chance(m_cell.m_faults.m_lateOrders)) {
-      std::uniform_int_distribution<Duration::rep> delay(kEarliestLate.count(),
-                                                         kLatestLate.count());
-      m_cell.At(Duration(delay(m_cell.m_random)), [=] {
-        // What a process has not carried out yet ends with it.
-        if (target->Record().m_started == incarnation) {
-          aOrder(*target);
-        }
-      });
-      silent();
-      return;
-    }
-    const bool lost = m_cell.Chance(m_cell.m_faults.m_lostOrders);
-    m_cell.At(m_cell.Way(), [=] {
-      if (target->Record().m_started != incarnation) {
-        // The connection ended with the process.
-        Tell(m_cell.Way(), [aAnswered] { aAnswered(Answer()); });
-        return;
-      }
-      const Answer answer = aOrder(*target);
-      if (lost || m_cell.m_cut[index]) {
-        silent();
-        return;
-      }
-      Tell(m_cell.Way(), [aAnswered, answer] { aAnswered(answer); });
-    });
-  }
-
-  // Repeats a hold until there is an end or its wait is over.
-  void HoldUntil(const HoldOrder& aOrder,
-                 HoldPath aPath,
-                 TimePoint aUntil,
-                 WallTime aIncarnation,
-                 const Done& aDone)
-  {
-    std::size_t index = 0;
-    const JobTargetModel* target = TargetAt(aOrder.m_to, &index);
-    const bool broken =
-      target != nullptr && (target->Record().m_started != aIncarnation ||
-                            m_cell.m_downUntil[index] > m_cell.m_now);
-    if (broken) {
-      Tell(m_cell.Way(), [this, aOrder, aPath, aDone] {
-        m_scheduler.OnHoldAnswer(aOrder, aPath, HoldAnswer(), m_cell.m_now);
-        aDone();
-      });
-      return;
-    }
-    const bool waits = target != nullptr && !m_cell.m_cut[index] &&
-                       m_cell.m_now < aUntil &&
-                       !target->HasEnds(aOrder.m_forgetEnds);
-    if (waits) {
-      m_cell.At(kTick, [this, aOrder, aPath, aUntil, aIncarnation, aDone] {
-        HoldUntil(aOrder, aPath, aUntil, aIncarnation, aDone);
-      });
-      return;
-    }
-    Carry<HoldAnswer>(
-      aOrder.m_to,
-      [this, aOrder](JobTargetModel& aTarget) {
-        return aTarget.Hold(aOrder, m_cell.m_now);
-      },
-      [this, aOrder, aPath, aDone](const HoldAnswer& aAnswer) {
-        m_scheduler.OnHoldAnswer(aOrder, aPath, aAnswer, m_cell.m_now);
-        aDone();
-      });
-  }
-
-  JobCellModel& m_cell;
-  JobScheduler m_scheduler;
-  std::uint64_t m_rowVersion;
-  bool m_alive = true;
-  int m_asking = 0;
-  // Fence of the last start without answer, by target.
-  std::map<TargetId, FencingToken> m_unanswered;
-  std::map<std::pair<TargetId, HoldPath>, std::deque<Work>> m_queues;
-};
-
 JobCellModel::JobCellModel(std::uint64_t aSeed, std::size_t aTargets)
   : m_random(static_cast<std::uint32_t>(aSeed))
   , m_now(std::chrono::seconds(1000))
@@ -671,10 +358,7 @@
 
 void JobCellModel::Break(const std::string& aWhat)
 {
-  m_broken.push_back(
-    aWhat + " at " +
-    std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Now()).count()));
+  m_broken.push_back(aWhat + " at " + std::to_string(ToMilliseconds(Now())));
 }
 
 } // namespace lycheestep
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -80,6 +80,11 @@
 private:
   class Term;
 
+  // The cell moves in steps of this length.
+  static constexpr Duration kTick = std::chrono::milliseconds(10);
+  // The time of day when virtual time is zero.
+  static constexpr WallTime kWallStart{ 1700000000000 };
+
   void At(Duration aDelay, std::function<void()> aTask);
   Duration Way();
   bool Chance(double aShare);
