One count of how many tasks fit; drop what nothing reads

The advice desk and the gang placement counted the same thing in two loops; CountThatFit serves both. TaskCount, JobCount and the row version of a peer were read by nobody.

--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -326,9 +326,8 @@
       m_hosts.erase(name);
       continue;
     }
-    m_hosts[name] = PeerHost{
-      host.peer_address(), host.processor_share(), row.m_version, m_now
-    };
+    m_hosts[name] =
+      PeerHost{ host.peer_address(), host.processor_share(), m_now };
   }
 }
 
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -50,7 +50,6 @@
 {
   std::string m_address;
   double m_processorShare = 0;
-  std::uint64_t m_rowVersion = 0;
   // When it answered a heartbeat, or when its row was read.
   TimePoint m_lastHeard;
   // It answered in this term.
--- a/src/jobs/advice_desk.cpp
+++ b/src/jobs/advice_desk.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "job_effects.h"
+#include "placement.h"
 #include "run_text.h"
 #include "target_keeper.h"
 
@@ -31,17 +32,10 @@
 
 std::size_t TasksThatFit(const JobStep& aStep, const Resources& aFree)
 {
-  std::int64_t fit = aStep.m_count;
-  for (std::size_t i = 0; i < kResourceKinds; ++i) {
-    const auto kind = static_cast<ResourceKind>(i);
-    if (aStep.m_demand.Get(kind) > 0) {
-      fit = std::min(fit, aFree.Get(kind) / aStep.m_demand.Get(kind));
-    }
-  }
-  if (aStep.m_maxPerTarget > 0) {
-    fit = std::min<std::int64_t>(fit, aStep.m_maxPerTarget);
-  }
-  return fit > 0 ? static_cast<std::size_t>(fit) : 0;
+  const std::uint32_t most = aStep.m_maxPerTarget > 0
+                               ? std::min(aStep.m_count, aStep.m_maxPerTarget)
+                               : aStep.m_count;
+  return CountThatFit(aStep.m_demand, aFree, most);
 }
 
 bool LabelsAllow(const JobStep& aStep, const TargetState& aTarget)
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -42,15 +42,6 @@
   return longest;
 }
 
-std::size_t TaskCount(const JobSpec& aSpec)
-{
-  std::size_t count = 0;
-  for (const JobStep& step : aSpec.m_steps) {
-    count += step.m_count;
-  }
-  return count;
-}
-
 bool IsWellFormed(const JobSpec& aSpec)
 {
   if (aSpec.m_steps.empty()) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -117,9 +117,6 @@
 // steps that are not done.
 Duration RemainingChain(const JobSpec& aSpec, const JobOccurrence& aOccurrence);
 
-// Tasks of all steps together.
-std::size_t TaskCount(const JobSpec& aSpec);
-
 // True when the steps make sense: at least one, each with tasks, waiting only
 // for earlier ones.
 bool IsWellFormed(const JobSpec& aSpec);
--- a/src/jobs/job_cell_test.cpp
+++ b/src/jobs/job_cell_test.cpp
@@ -63,6 +63,7 @@
   }
   cell.Run(seconds(12));
   EXPECT_TRUE(cell.AllOver());
+  EXPECT_FALSE(cell.AnyGangAlone());
   EXPECT_THAT(cell.Broken(), testing::IsEmpty());
   for (const JobId& job : jobs) {
     // Two steps of at most 1.5 s, and one more try of each.
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -94,7 +94,6 @@
   // Jobs of each queue of which no task has started.
   PendingCounts Pending() const;
 
-  std::size_t JobCount() const { return m_jobs.size(); }
   const Job* Find(const JobId& aJob) const;
 
   void OnRunSeen(const TargetId& aTarget,
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -24,14 +24,7 @@
 std::size_t TasksOn(const PlacementCandidate& aCandidate,
                     const Resources& aDemand)
 {
-  std::int64_t fit = aCandidate.m_tasksLeft;
-  for (std::size_t i = 0; i < kResourceKinds; ++i) {
-    const auto kind = static_cast<ResourceKind>(i);
-    if (aDemand.Get(kind) > 0) {
-      fit = std::min(fit, aCandidate.m_free.Get(kind) / aDemand.Get(kind));
-    }
-  }
-  return fit > 0 ? static_cast<std::size_t>(fit) : 0;
+  return CountThatFit(aDemand, aCandidate.m_free, aCandidate.m_tasksLeft);
 }
 
 // Fills the given candidates one by one, the one with the most room first, so
@@ -65,6 +58,20 @@
 
 } // namespace
 
+std::size_t CountThatFit(const Resources& aDemand,
+                         const Resources& aFree,
+                         std::size_t aMost)
+{
+  auto fit = static_cast<std::int64_t>(aMost);
+  for (std::size_t i = 0; i < kResourceKinds; ++i) {
+    const auto kind = static_cast<ResourceKind>(i);
+    if (aDemand.Get(kind) > 0) {
+      fit = std::min(fit, aFree.Get(kind) / aDemand.Get(kind));
+    }
+  }
+  return fit > 0 ? static_cast<std::size_t>(fit) : 0;
+}
+
 Duration ObjectiveOf(const QueueConfig& aQueue, Duration aChain)
 {
   const auto scaled = std::chrono::duration_cast<Duration>(
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -48,6 +48,11 @@
                 TimePoint aDue,
                 TimePoint aNow);
 
+// How many tasks of this demand fit into what is free, at most aMost.
+std::size_t CountThatFit(const Resources& aDemand,
+                         const Resources& aFree,
+                         std::size_t aMost);
+
 // A target that may run the step, with what is free there.
 struct PlacementCandidate
 {
