Withhold calls while nobody reaches the store; leave silent relays out

Ruled out: the store's own answers; it said 503 at once all the while.

Change: StoreRoute decides the way of each call. A connection without answer takes the idle ones of its address with it.

--- a/src/http/http_connections.cpp
+++ b/src/http/http_connections.cpp
@@ -98,6 +98,9 @@
   HttpReply reply = MakeReply(client->send(request), false);
   if (reply.m_progress == HttpProgress::kAnswered) {
     GiveBack(aRequest.m_address, std::move(client));
+  } else {
+    // What silenced this connection has silenced the idle ones too.
+    Drop(aRequest.m_address);
   }
   return reply;
 }
--- a/src/jobhost/event_log.cpp
+++ b/src/jobhost/event_log.cpp
@@ -58,6 +58,14 @@
   m_thread.join();
 }
 
+void EventLog::Finish(Duration aLongest)
+{
+  std::unique_lock<std::mutex> lock(m_mutex);
+  m_stopping = true;
+  m_lineReady.notify_one();
+  m_finished.wait_for(lock, aLongest, [this] { return m_allWritten; });
+}
+
 void EventLog::Write(const std::string& aEvent, const std::string& aFields)
 {
   m_metrics.Count("lycheestep_events_total", "event=\"" + aEvent + '"', 1);
@@ -109,6 +117,8 @@
     std::fflush(stdout);
     lock.lock();
   }
+  m_allWritten = true;
+  m_finished.notify_all();
 }
 
 } // namespace lycheestep
--- a/src/jobhost/event_log.h
+++ b/src/jobhost/event_log.h
@@ -30,6 +30,9 @@
 
   void Write(const std::string& aEvent, const std::string& aFields);
 
+  // Writes what waits, for at most aLongest; nothing is written after it.
+  void Finish(Duration aLongest);
+
 private:
   void Run();
   bool MayWrite(TimePoint aNow);
@@ -37,6 +40,8 @@
   MetricsSink& m_metrics;
   std::mutex m_mutex;
   std::condition_variable m_lineReady;
+  std::condition_variable m_finished;
+  bool m_allWritten = false;
   std::deque<std::string> m_lines;
   std::uint64_t m_dropped = 0;
   TimePoint m_secondBegan;
--- a/src/jobhost/relayed_store.cpp
+++ b/src/jobhost/relayed_store.cpp
@@ -5,6 +5,7 @@
 
 #include "boot_clock.h"
 #include "event_log.h"
+#include "job_rows.h"
 #include "jobs.pb.h"
 #include "store_messages.h"
 
@@ -12,16 +13,45 @@
 
 namespace {
 
-// Own calls are left alone after so many failures in a row, for this long.
-constexpr std::uint32_t kFailuresToRelay = 2;
-constexpr Duration kDirectPause = std::chrono::milliseconds(700);
-
 // A call that was relayed may take longer than its own limit by this.
 constexpr Duration kRelayMargin = std::chrono::milliseconds(60);
 
-bool IsFailure(RowStatus aStatus)
+// The small read that finds out whether a way leads to the store.
+RowRange ProbeRange()
+{
+  RowRange range;
+  range.m_table = LeaderKey().m_table;
+  range.m_first = LeaderKey().m_key;
+  range.m_limit = 1;
+  return range;
+}
+
+void EncodeRead(const RowRange& aRange, proto::RowReadMessage& aMessage)
 {
-  return aStatus == RowStatus::kRefused || aStatus == RowStatus::kUnknown;
+  aMessage.set_table(aRange.m_table);
+  aMessage.set_partition(aRange.m_partition);
+  aMessage.set_first(aRange.m_first);
+  aMessage.set_limit(aRange.m_limit);
+}
+
+RowAnswer Refused()
+{
+  RowAnswer answer;
+  answer.m_status = RowStatus::kRefused;
+  return answer;
+}
+
+const char* ReachEvent(StoreReach aReach)
+{
+  switch (aReach) {
+    case StoreReach::kDirect:
+      return "store-direct-again";
+    case StoreReach::kRelay:
+      return "store-by-relay";
+    case StoreReach::kAway:
+      return "store-away";
+  }
+  return "";
 }
 
 } // namespace
@@ -38,21 +68,22 @@
 {
   proto::StoreCall call;
   EncodeTransactionMessage(aTransaction, *call.mutable_transaction());
-  return CallEither([&] { return m_direct.Transact(aTransaction, aTimeout); },
-                    std::move(call),
-                    aTimeout);
+  return CallEither(
+    StoreCallKind::kWrite,
+    [&] { return m_direct.Transact(aTransaction, aTimeout); },
+    std::move(call),
+    aTimeout);
 }
 
 RowAnswer RelayedStore::Read(const RowRange& aRange, Duration aTimeout)
 {
   proto::StoreCall call;
-  proto::RowReadMessage* read = call.mutable_read();
-  read->set_table(aRange.m_table);
-  read->set_partition(aRange.m_partition);
-  read->set_first(aRange.m_first);
-  read->set_limit(aRange.m_limit);
+  EncodeRead(aRange, *call.mutable_read());
   return CallEither(
-    [&] { return m_direct.Read(aRange, aTimeout); }, std::move(call), aTimeout);
+    StoreCallKind::kRead,
+    [&] { return m_direct.Read(aRange, aTimeout); },
+    std::move(call),
+    aTimeout);
 }
 
 RowAnswer RelayedStore::Feed(const std::string& aTable,
@@ -66,6 +97,7 @@
   feed->set_version(aVersion);
   feed->set_wait_ms(ToMilliseconds(aWait));
   return CallEither(
+    StoreCallKind::kRead,
     [&] { return m_direct.Feed(aTable, aVersion, aWait, aTimeout); },
     std::move(call),
     aWait + aTimeout);
@@ -74,7 +106,7 @@
 void RelayedStore::SetRelays(std::vector<std::string> aAddresses)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_relays = std::move(aAddresses);
+  m_route.SetRelays(std::move(aAddresses));
 }
 
 void RelayedStore::OnReply(const proto::StoreReply& aReply)
@@ -93,21 +125,34 @@
 proto::JobPeerMessage RelayedStore::Serve(const proto::StoreCall& aCall)
 {
   const Duration timeout = std::chrono::milliseconds(aCall.timeout_ms());
-  RowAnswer answer;
-  if (aCall.has_transaction()) {
-    answer =
-      m_direct.Transact(DecodeTransactionMessage(aCall.transaction()), timeout);
+  const StoreCallKind kind =
+    aCall.has_transaction() ? StoreCallKind::kWrite : StoreCallKind::kRead;
+  bool mayServe = false;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    mayServe = m_route.MayServe(kind, BootClockNow());
+  }
+  RowAnswer answer = Refused();
+  if (!mayServe) {
+    // Nothing is sent, as this host does not reach the store itself.
+  } else if (aCall.has_transaction()) {
+    answer = CallDirect([&] {
+      return m_direct.Transact(DecodeTransactionMessage(aCall.transaction()),
+                               timeout);
+    });
   } else if (aCall.has_read()) {
     RowRange range;
     range.m_table = aCall.read().table();
     range.m_partition = aCall.read().partition();
     range.m_first = aCall.read().first();
     range.m_limit = aCall.read().limit();
-    answer = m_direct.Read(range, timeout);
+    answer = CallDirect([&] { return m_direct.Read(range, timeout); });
   } else if (aCall.has_feed()) {
     const Duration wait = std::chrono::milliseconds(aCall.feed().wait_ms());
-    answer = m_direct.Feed(
-      aCall.feed().table(), aCall.feed().version(), wait, timeout - wait);
+    answer = CallDirect([&] {
+      return m_direct.Feed(
+        aCall.feed().table(), aCall.feed().version(), wait, timeout - wait);
+    });
   }
   proto::JobPeerMessage message;
   EncodeStoreReply(answer, *message.mutable_store_reply());
@@ -115,84 +160,109 @@
   return message;
 }
 
-RowAnswer RelayedStore::CallEither(const DirectCall& aDirect,
+RowAnswer RelayedStore::CallEither(StoreCallKind aKind,
+                                   const DirectCall& aDirect,
                                    proto::StoreCall aCall,
                                    Duration aTimeout)
 {
   const TimePoint begun = BootClockNow();
-  RowAnswer answer;
-  answer.m_status = RowStatus::kRefused;
-  if (MayCallDirect(begun)) {
-    answer = aDirect();
-    NoteDirect(answer.m_status, BootClockNow());
+  StoreWay way = ChooseWay(aKind, aTimeout);
+  RowAnswer answer = Refused();
+  if (way.m_kind == StoreWay::Kind::kDirect) {
+    answer = CallDirect(aDirect);
+    // Only what surely had no effect is tried on another way; a lost answer
+    // is the caller's to settle.
+    if (answer.m_status != RowStatus::kRefused) {
+      return answer;
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    way = m_route.ChooseAfterRefusal(BootClockNow());
   }
-  // Only what surely had no effect is tried on another way; a lost answer is
-  // the caller's to settle.
   const Duration left = aTimeout - (BootClockNow() - begun);
-  if (answer.m_status == RowStatus::kRefused && left > Duration::zero()) {
-    answer = CallRelay(std::move(aCall), left);
+  if (way.m_kind == StoreWay::Kind::kRelay && left > Duration::zero()) {
+    answer = CallRelay(way.m_relay, std::move(aCall), left);
   }
   return answer;
 }
 
-RowAnswer RelayedStore::CallRelay(proto::StoreCall aCall, Duration aTimeout)
+StoreWay RelayedStore::ChooseWay(StoreCallKind aKind, Duration aTimeout)
+{
+  StoreWay way;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    way = m_route.Choose(aKind, BootClockNow());
+  }
+  if (!way.m_probeFirst) {
+    return way;
+  }
+  const bool answered = Probe(way, aTimeout);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  way = answered ? m_route.Choose(aKind, BootClockNow()) : StoreWay();
+  return way.m_probeFirst ? StoreWay() : way;
+}
+
+bool RelayedStore::Probe(const StoreWay& aWay, Duration aTimeout)
 {
   RowAnswer answer;
-  answer.m_status = RowStatus::kRefused;
-  std::unique_lock<std::mutex> lock(m_mutex);
-  if (m_relays.empty()) {
-    return answer;
+  if (aWay.m_kind == StoreWay::Kind::kDirect) {
+    answer =
+      CallDirect([&] { return m_direct.Read(ProbeRange(), aTimeout); });
+  } else {
+    proto::StoreCall call;
+    EncodeRead(ProbeRange(), *call.mutable_read());
+    answer = CallRelay(aWay.m_relay, std::move(call), aTimeout);
   }
-  const std::string relay = m_relays[m_nextRelay % m_relays.size()];
+  return answer.m_status == RowStatus::kOk;
+}
+
+RowAnswer RelayedStore::CallDirect(const DirectCall& aDirect)
+{
+  RowAnswer answer = aDirect();
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const TimePoint now = BootClockNow();
+  m_route.NoteDirect(answer.m_status, now);
+  LogReach(now);
+  return answer;
+}
+
+RowAnswer RelayedStore::CallRelay(const std::string& aRelay,
+                                  proto::StoreCall aCall,
+                                  Duration aTimeout)
+{
+  const bool waitsForChange = aCall.has_feed();
+  std::unique_lock<std::mutex> lock(m_mutex);
   const std::uint64_t id = ++m_lastCall;
   m_calls[id] = std::nullopt;
+  if (!waitsForChange) {
+    m_route.NoteRelaySent(aRelay, BootClockNow());
+  }
   lock.unlock();
   aCall.set_id(id);
   aCall.set_timeout_ms(ToMilliseconds(aTimeout));
   proto::JobPeerMessage message;
   *message.mutable_store_call() = std::move(aCall);
-  m_send(relay, std::move(message));
+  m_send(aRelay, std::move(message));
   lock.lock();
   m_replied.wait_for(
     lock, aTimeout + kRelayMargin, [&] { return m_calls[id].has_value(); });
   const bool replied = m_calls[id].has_value();
-  answer = m_calls[id].value_or(RowAnswer());
+  const RowAnswer answer = m_calls[id].value_or(RowAnswer());
   m_calls.erase(id);
-  if (!replied || IsFailure(answer.m_status)) {
-    ++m_nextRelay; // another one next time
-  }
+  const TimePoint now = BootClockNow();
+  m_route.NoteRelay(aRelay, answer.m_status, replied, now);
+  LogReach(now);
   return answer;
 }
 
-bool RelayedStore::MayCallDirect(TimePoint aNow)
-{
-  const std::lock_guard<std::mutex> lock(m_mutex);
-  if (m_failures < kFailuresToRelay || m_relays.empty()) {
-    return true;
-  }
-  if (aNow < m_directAgainAt) {
-    return false;
-  }
-  m_directAgainAt = aNow + kDirectPause; // this call finds out
-  return true;
-}
-
-void RelayedStore::NoteDirect(RowStatus aStatus, TimePoint aNow)
+void RelayedStore::LogReach(TimePoint aNow)
 {
-  const std::lock_guard<std::mutex> lock(m_mutex);
-  const bool relayed = m_failures >= kFailuresToRelay;
-  if (!IsFailure(aStatus)) {
-    m_failures = 0;
-    if (relayed) {
-      m_log.Write("store-direct-again", "");
-    }
+  const StoreReach reach = m_route.Reach(aNow);
+  if (reach == m_logged) {
     return;
   }
-  ++m_failures;
-  if (m_failures == kFailuresToRelay) {
-    m_directAgainAt = aNow + kDirectPause;
-    m_log.Write("store-by-relay", "relays=" + std::to_string(m_relays.size()));
-  }
+  m_logged = reach;
+  m_log.Write(ReachEvent(reach),
+              "relays=" + std::to_string(m_route.Relays()));
 }
 
 } // namespace lycheestep
--- a/src/jobhost/relayed_store.h
+++ b/src/jobhost/relayed_store.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "lycheestep/row_store.h"
+#include "store_route.h"
 
 namespace lycheestep {
 
@@ -55,12 +56,17 @@
 private:
   using DirectCall = std::function<RowAnswer()>;
 
-  RowAnswer CallEither(const DirectCall& aDirect,
+  RowAnswer CallEither(StoreCallKind aKind,
+                       const DirectCall& aDirect,
                        proto::StoreCall aCall,
                        Duration aTimeout);
-  RowAnswer CallRelay(proto::StoreCall aCall, Duration aTimeout);
-  bool MayCallDirect(TimePoint aNow);
-  void NoteDirect(RowStatus aStatus, TimePoint aNow);
+  StoreWay ChooseWay(StoreCallKind aKind, Duration aTimeout);
+  bool Probe(const StoreWay& aWay, Duration aTimeout);
+  RowAnswer CallDirect(const DirectCall& aDirect);
+  RowAnswer CallRelay(const std::string& aRelay,
+                      proto::StoreCall aCall,
+                      Duration aTimeout);
+  void LogReach(TimePoint aNow);
 
   RowStore& m_direct;
   EventLog& m_log;
@@ -68,14 +74,11 @@
 
   std::mutex m_mutex;
   std::condition_variable m_replied;
-  std::vector<std::string> m_relays;
-  std::size_t m_nextRelay = 0;
+  StoreRoute m_route;
+  StoreReach m_logged = StoreReach::kDirect;
   std::uint64_t m_lastCall = 0;
   // Calls under way; set when the reply has come.
   std::map<std::uint64_t, std::optional<RowAnswer>> m_calls;
-  // Failures of own calls in a row, and when to try one again.
-  std::uint32_t m_failures = 0;
-  TimePoint m_directAgainAt;
 };
 
 } // namespace lycheestep
--- /dev/null
+++ b/src/jobhost/store_route.h
@@ -0,0 +1,115 @@
+#ifndef LYCHEESTEP_STORE_ROUTE_H
+#define LYCHEESTEP_STORE_ROUTE_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lycheestep/row_store.h"
+#include "lycheestep/time_types.h"
+
+namespace lycheestep {
+
+// How a host reaches the store just now.
+enum class StoreReach
+{
+  kDirect, // by its own connections
+  kRelay,  // by way of other hosts only
+  kAway,   // not at all: neither itself nor the hosts that it asked
+};
+
+// What a call to the store does: one without answer that writes leaves its
+// caller in doubt, one that reads does no harm.
+enum class StoreCallKind
+{
+  kRead,
+  kWrite,
+};
+
+// The way that one call takes.
+struct StoreWay
+{
+  enum class Kind
+  {
+    kDirect,
+    kRelay,
+    kWithheld, // not sent at all, so surely without effect
+  };
+
+  Kind m_kind = Kind::kWithheld;
+  // The host that is asked, for kRelay.
+  std::string m_relay;
+  // This way is uncertain: a write makes a small read first, and chooses anew
+  // when that was answered.
+  bool m_probeFirst = false;
+};
+
+// Decides which way each call to the store takes, from how earlier ones ended.
+// Answers a store that is away for some hosts or for all, for seconds, while
+// callers wait: a call goes where it is likely to be answered; when nobody
+// reaches the store, calls are withheld but for one probe every now and then,
+// so that an outage costs few calls and leaves no write in doubt, and its end
+// is noticed within a probe's period. Reads no clock and opens no connection.
+class StoreRoute
+{
+public:
+  // Hosts that can be asked, in the order in which they are tried.
+  void SetRelays(std::vector<std::string> aAddresses);
+
+  // The way of a new call.
+  StoreWay Choose(StoreCallKind aKind, TimePoint aNow);
+
+  // The way of a call that was refused on the direct way just now.
+  StoreWay ChooseAfterRefusal(TimePoint aNow);
+
+  // True if this host may carry out a call of another host.
+  bool MayServe(StoreCallKind aKind, TimePoint aNow);
+
+  // How a call on the direct way ended.
+  void NoteDirect(RowStatus aStatus, TimePoint aNow);
+
+  // A call that a relay answers without delay was sent to it.
+  void NoteRelaySent(const std::string& aRelay, TimePoint aNow);
+
+  // How a call by way of a relay ended; aReplied is false when the relay said
+  // nothing in time.
+  void NoteRelay(const std::string& aRelay,
+                 RowStatus aStatus,
+                 bool aReplied,
+                 TimePoint aNow);
+
+  StoreReach Reach(TimePoint aNow) const;
+  std::size_t Relays() const { return m_relays.size(); }
+
+private:
+  struct Relay
+  {
+    // Not asked before.
+    TimePoint m_leftOutUntil;
+    // It owes an answer since.
+    bool m_owes = false;
+    TimePoint m_owesSince;
+  };
+
+  bool DirectFails() const;
+  bool IsUsable(const std::string& aRelay, TimePoint aNow) const;
+  // Empty when none is usable.
+  std::string NextRelay(TimePoint aNow) const;
+  StoreWay RelayWay(TimePoint aNow) const;
+  StoreWay Probe(StoreCallKind aKind, TimePoint aNow);
+
+  std::vector<std::string> m_relays;
+  std::size_t m_firstRelay = 0;
+  std::map<std::string, Relay> m_known;
+  // Failures in a row, on the direct way and of relays.
+  std::uint32_t m_directFailures = 0;
+  std::uint32_t m_relayFailures = 0;
+  TimePoint m_directAgainAt;
+  TimePoint m_probeAt;
+  std::uint32_t m_probes = 0;
+};
+
+} // namespace lycheestep
+
+#endif
