Let other hosts carry the orders of a large fleet

Ruled out: the decisions; a model of the same load spends less than 0.07 of a core on them.

Change: OrderSpread gives each target of a fleet of more than 96 to one of the eight largest live hosts, near it if there is one; the orders of one turn go to a host in one message, and OrderCarrier there sends them on lines of its own for each leading process. What a silent carrier had under way counts as without answer, which the fencing token settles as before. The right to order ends by the carrier's own clock, so that no delay of a message extends it.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -11,6 +11,7 @@
 #include "boot_clock.h"
 #include "job_rows.h"
 #include "jobs.pb.h"
+#include "order_messages.h"
 #include "peer_probe.h"
 
 namespace lycheestep {
@@ -42,8 +43,9 @@
 // A stopping leader waits this long for its last write.
 constexpr Duration kReleaseLimit = std::chrono::milliseconds(1200);
 
-// Every so many heartbeats of the leader are answered.
-constexpr std::uint32_t kHeartbeatsPerAnswer = 4;
+// Every so many heartbeats of the leader are answered by a host that carries
+// no orders.
+constexpr std::uint32_t kHeartbeatsPerAnswer = 2;
 
 // Longest lease that targets grant, counted on this host's clock.
 Duration WithMargin(Duration aLease)
@@ -92,6 +94,12 @@
   , m_desk(m_store, m_log, m_metrics)
   , m_advice(aPorts.m_advisor)
   , m_relayPool("relay", kRelayThreads)
+  , m_carrier(
+      aPorts.m_orders,
+      m_log,
+      [this](const std::string& aAddress, proto::JobPeerMessage aMessage) {
+        m_peers.Send(aAddress, std::move(aMessage));
+      })
   , m_peers(aSettings.m_host,
             m_incarnation,
             aSettings.m_peers.Text(),
@@ -125,6 +133,7 @@
   }
   m_configWatch.reset();
   m_relayPool.Stop();
+  m_carrier.Stop();
   if (m_leader) {
     m_leader->Retire();
   }
@@ -242,6 +251,7 @@
   m_log.Write("leading", "term=" + std::to_string(term));
   m_leader = std::make_unique<Leader>(SurroundingsOf(term),
                                       SchedulerSettingsOf(m_settings),
+                                      term,
                                       LeaderElection::FormerLeaseLeft(aReading),
                                       now);
 }
@@ -333,9 +343,19 @@
   } else if (aMessage.has_store_reply()) {
     m_store.OnReply(aMessage.store_reply());
   } else if (aMessage.has_host_alive()) {
-    m_queue.Add([this, host = aMessage.from()] {
+    const Duration clock =
+      std::chrono::milliseconds(aMessage.host_alive().clock_ms());
+    m_queue.Add([this, host = aMessage.from(), clock] {
+      if (m_leader) {
+        m_leader->OnHostAlive(host, clock);
+      }
+    });
+  } else if (aMessage.has_carried_orders()) {
+    m_carrier.Carry(aMessage);
+  } else if (aMessage.has_carried_answers()) {
+    m_queue.Add([this, aMessage] {
       if (m_leader) {
-        m_leader->OnHostAlive(host);
+        m_leader->OnCarriedAnswers(aMessage.from(), aMessage.carried_answers());
       }
     });
   }
@@ -368,14 +388,21 @@
     const bool newLeader = leader != m_leaderHeard;
     m_leaderHeard = leader;
     m_leaderAddress = address;
-    if (newLeader || m_heartbeats++ % kHeartbeatsPerAnswer == 0) {
-      proto::JobPeerMessage answer;
-      answer.mutable_host_alive();
-      m_peers.Send(address, std::move(answer));
+    if (newLeader || m_carrier.IsCarrying() ||
+        m_heartbeats++ % kHeartbeatsPerAnswer == 0) {
+      AnswerHeartbeat(address);
     }
   });
 }
 
+void JobHost::AnswerHeartbeat(const std::string& aLeaderAddress)
+{
+  proto::JobPeerMessage answer;
+  answer.mutable_host_alive()->set_clock_ms(
+    ToMilliseconds(BootClockNow().time_since_epoch()));
+  m_peers.Send(aLeaderAddress, std::move(answer));
+}
+
 void JobHost::ServeStore(const proto::JobPeerMessage& aMessage)
 {
   m_relayPool.Run([this, aMessage] {
@@ -388,9 +415,7 @@
   const proto::AdviceCall& call = aMessage.advice_call();
   AdviceRequest request;
   request.m_ticket = call.ticket();
-  request.m_step = StepName{ JobId(call.step().job()),
-                             call.step().occurrence(),
-                             call.step().step() };
+  request.m_step = DecodeStepName(call.step());
   for (const std::string& target : call.target()) {
     request.m_targets.emplace_back(target);
   }
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -18,6 +18,7 @@
 #include "lycheestep/job_host_settings.h"
 #include "lycheestep/platform_documents.h"
 #include "metrics_registry.h"
+#include "order_carrier.h"
 #include "peer_link.h"
 #include "relayed_store.h"
 #include "table_watch.h"
@@ -74,6 +75,7 @@
   void OnConfigRows(const std::vector<Row>& aRows);
   void OnPeerMessage(const proto::JobPeerMessage& aMessage);
   void OnHeartbeat(const proto::JobPeerMessage& aMessage);
+  void AnswerHeartbeat(const std::string& aLeaderAddress);
   void ServeAdvice(const proto::JobPeerMessage& aMessage);
   void ServeStore(const proto::JobPeerMessage& aMessage);
   LeaderSurroundings SurroundingsOf(std::uint64_t aTerm);
@@ -90,6 +92,8 @@
   AdviceWorker m_advice;
   // Carries out other hosts' calls to the store.
   WorkerPool m_relayPool;
+  // Carries orders to targets for the host that leads.
+  OrderCarrier m_carrier;
   PeerLink m_peers;
   CommitWriter m_writer;
   std::unique_ptr<TableWatch> m_configWatch;
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -12,6 +12,7 @@
 #include "jobs.pb.h"
 #include "lycheestep/job_host_settings.h"
 #include "lycheestep/platform_documents.h"
+#include "order_messages.h"
 #include "peer_link.h"
 #include "relayed_store.h"
 
@@ -36,6 +37,18 @@
 constexpr Duration kBusyWait = std::chrono::milliseconds(4);
 constexpr Duration kIdleWait = std::chrono::milliseconds(25);
 
+// A leader sends orders to so many targets itself; other hosts carry those of
+// a larger fleet.
+constexpr std::size_t kMostOwnTargets = 96;
+
+// A new leader of a large fleet waits for so many hosts, or for so long,
+// before it takes targets.
+constexpr std::size_t kCarriersToBegin = 8;
+constexpr Duration kWaitForCarriers = std::chrono::milliseconds(400);
+
+// Numbers of carried orders that one term may use.
+constexpr int kOrderIdBits = 40;
+
 // Hosts named in each heartbeat for calls to the store.
 constexpr int kRelaysNamed = 5;
 
@@ -51,17 +64,11 @@
   return partitions;
 }
 
-void EncodeStepName(const StepName& aStep, proto::StepNameMessage& aMessage)
-{
-  aMessage.set_job(aStep.m_job.Text());
-  aMessage.set_occurrence(aStep.m_occurrence);
-  aMessage.set_step(aStep.m_step);
-}
-
 } // namespace
 
 Leader::Leader(const LeaderSurroundings& aSurroundings,
                const JobSchedulerSettings& aScheduler,
+               std::uint64_t aTerm,
                Duration aFormerLeases,
                TimePoint aNow)
   : m_with(aSurroundings)
@@ -73,6 +80,12 @@
       [this](const AdviceAnswer& aAnswer) {
         m_scheduler.OnAdvice(aAnswer, m_now);
       })
+  , m_carried(
+      [this](const std::string& aHost, proto::CarriedOrders aOrders) {
+        SendCarriedOrders(aHost, std::move(aOrders));
+      },
+      AnswersOf([](const std::function<void()>& aTask) { aTask(); }),
+      aTerm << kOrderIdBits)
   , m_now(aNow)
 {
   m_scheduler.Targets().SetFormerLeaseOver(aNow + aFormerLeases);
@@ -108,8 +121,15 @@
   m_spread.OnAnswer(aAnswer, m_now);
 }
 
-void Leader::OnHostAlive(const std::string& aHost)
+void Leader::OnCarriedAnswers(const std::string& aHost,
+                              const proto::CarriedAnswers& aAnswers)
+{
+  m_carried.OnAnswers(aHost, aAnswers, m_now);
+}
+
+void Leader::OnHostAlive(const std::string& aHost, Duration aClock)
 {
+  m_carried.OnHeard(aHost, aClock, m_now);
   const auto host = m_hosts.find(aHost);
   if (host != m_hosts.end()) {
     host->second.m_lastHeard = m_now;
@@ -130,13 +150,15 @@
     DropDeadHosts();
   }
   m_spread.Tick(m_now);
+  m_carried.Tick(m_now);
   if (m_loaded && m_pendingAt <= m_now) {
     m_pendingAt = m_now + kPendingPeriod;
     m_with.m_writer.SetPending(m_scheduler.Pending());
   }
-  if (valid && m_loaded) {
+  if (valid && CanOrder()) {
     m_scheduler.Step(m_now);
   }
+  m_carried.Flush(m_with.m_writer.ValidUntil(), m_now);
   m_closedLines.erase(
     std::remove_if(m_closedLines.begin(),
                    m_closedLines.end(),
@@ -144,6 +166,22 @@
     m_closedLines.end());
 }
 
+bool Leader::CanOrder()
+{
+  if (!m_loaded || m_mayBegin) {
+    return m_loaded;
+  }
+  const std::size_t wanted = std::min(kCarriersToBegin, m_hosts.size());
+  m_mayBegin = !IsLargeFleet() || m_carried.Carriers(m_now) >= wanted ||
+               m_now - m_loadedAt >= kWaitForCarriers;
+  return m_mayBegin;
+}
+
+bool Leader::IsLargeFleet() const
+{
+  return m_known.size() > kMostOwnTargets;
+}
+
 Duration Leader::LongestWait() const
 {
   return m_scheduler.IsBusy() ? kBusyWait : kIdleWait;
@@ -220,6 +258,7 @@
     return;
   }
   m_loaded = true;
+  m_loadedAt = m_now;
   AddJobs(*m_jobRows);
   for (const Row& row : *m_progressRows) {
     const JobId job(row.m_key.m_key);
@@ -326,8 +365,10 @@
       m_hosts.erase(name);
       continue;
     }
-    m_hosts[name] =
-      PeerHost{ host.peer_address(), host.processor_share(), m_now };
+    m_hosts[name] = PeerHost{ host.peer_address(),
+                              DataCentreName(host.data_centre()),
+                              host.processor_share(),
+                              m_now };
   }
 }
 
@@ -362,6 +403,12 @@
   }
   m_with.m_store.SetRelays(std::move(relays));
   m_spread.SetHosts(live);
+  std::vector<CarrierHost> carriers;
+  for (const auto& [name, host] : m_hosts) {
+    carriers.push_back(
+      CarrierHost{ name, host.m_dataCentre, host.m_processorShare });
+  }
+  m_carried.SetHosts(carriers);
 }
 
 bool Leader::IsLive(const PeerHost& aHost) const
@@ -462,6 +509,12 @@
 }
 
 void Leader::Forget(const TargetId& aTarget)
+{
+  m_carried.Forget(aTarget);
+  CloseOwnLine(aTarget);
+}
+
+void Leader::CloseOwnLine(const TargetId& aTarget)
 {
   const auto line = m_lines.find(aTarget);
   if (line != m_lines.end()) {
@@ -512,7 +565,22 @@
   m_with.m_log.Write(aEvent, aFields);
 }
 
-TargetLine& Leader::LineTo(const TargetId& aTarget)
+OrderLine& Leader::LineTo(const TargetId& aTarget)
+{
+  if (!IsLargeFleet()) {
+    return OwnLineTo(aTarget);
+  }
+  const auto record = m_records.find(aTarget);
+  const DataCentreName dataCentre =
+    record != m_records.end() ? record->second.m_dataCentre : DataCentreName();
+  if (!m_carried.Assign(aTarget, dataCentre, m_now)) {
+    return OwnLineTo(aTarget);
+  }
+  CloseOwnLine(aTarget);
+  return m_carried;
+}
+
+OrderLine& Leader::OwnLineTo(const TargetId& aTarget)
 {
   std::unique_ptr<TargetLine>& line = m_lines[aTarget];
   if (!line) {
@@ -520,14 +588,27 @@
     line = std::make_unique<TargetLine>(
       m_with.m_orders,
       [&writer] { return BootClockNow() < writer.ValidUntil(); },
-      AnswersOf());
+      AnswersOf(m_with.m_post));
   }
   return *line;
 }
 
-TargetAnswers Leader::AnswersOf()
+void Leader::SendCarriedOrders(const std::string& aHost,
+                               proto::CarriedOrders aOrders)
 {
-  const auto post = m_with.m_post;
+  const auto host = m_hosts.find(aHost);
+  if (host == m_hosts.end()) {
+    return; // its orders are given up with it
+  }
+  proto::JobPeerMessage message;
+  message.mutable_carried_orders()->Swap(&aOrders);
+  m_with.m_peers.Send(host->second.m_address, std::move(message));
+}
+
+TargetAnswers Leader::AnswersOf(
+  std::function<void(std::function<void()>)> aPost)
+{
+  const auto post = std::move(aPost);
   TargetAnswers answers;
   answers.m_started = [this, post](const StartOrder& aOrder,
                                    const OrderAnswer& aAnswer) {
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -13,6 +13,7 @@
 #include "advice_spread.h"
 #include "job_effects.h"
 #include "job_scheduler.h"
+#include "order_spread.h"
 #include "table_watch.h"
 #include "target_line.h"
 
@@ -49,6 +50,7 @@
 struct PeerHost
 {
   std::string m_address;
+  DataCentreName m_dataCentre;
   double m_processorShare = 0;
   // When it answered a heartbeat, or when its row was read.
   TimePoint m_lastHeard;
@@ -62,9 +64,11 @@
 class Leader : public JobEffects
 {
 public:
-  // Leases of former leaders are over after aFormerLeases.
+  // aTerm counts the terms of this process. Leases of former leaders are over
+  // after aFormerLeases.
   Leader(const LeaderSurroundings& aSurroundings,
          const JobSchedulerSettings& aScheduler,
+         std::uint64_t aTerm,
          Duration aFormerLeases,
          TimePoint aNow);
   ~Leader() override;
@@ -73,7 +77,11 @@
   void OnConfig();
   void OnCommitted(std::uint64_t aVersion, Duration aStoreClock);
   void OnAdvice(const AdviceAnswer& aAnswer);
-  void OnHostAlive(const std::string& aHost);
+  // A host answered a heartbeat; its clock showed aClock then.
+  void OnHostAlive(const std::string& aHost, Duration aClock);
+  // A host that carries orders says what targets answered.
+  void OnCarriedAnswers(const std::string& aHost,
+                        const proto::CarriedAnswers& aAnswers);
 
   // Does what is due. Sends no orders after the right to lead has run out.
   void Tick();
@@ -123,18 +131,28 @@
   void SendAdvice(const std::string& aHost,
                   const AdviceRequest& aRequest,
                   Duration aTimeout);
-  TargetLine& LineTo(const TargetId& aTarget);
-  TargetAnswers AnswersOf();
+  bool CanOrder();
+  bool IsLargeFleet() const;
+  OrderLine& LineTo(const TargetId& aTarget);
+  OrderLine& OwnLineTo(const TargetId& aTarget);
+  void CloseOwnLine(const TargetId& aTarget);
+  void SendCarriedOrders(const std::string& aHost,
+                         proto::CarriedOrders aOrders);
+  TargetAnswers AnswersOf(std::function<void(std::function<void()>)> aPost);
 
   const LeaderSurroundings m_with;
   JobScheduler m_scheduler;
   AdviceSpread m_spread;
+  OrderSpread m_carried;
   TimePoint m_now;
   WallTime m_wallNow{ 0 };
   bool m_suspended = false;
 
   // Rows that wait until all tables were read.
   bool m_loaded = false;
+  TimePoint m_loadedAt;
+  // Enough hosts answered, or none did for long enough, to begin.
+  bool m_mayBegin = false;
   std::optional<std::vector<Row>> m_jobRows;
   std::optional<std::vector<Row>> m_cancelRows;
   std::optional<std::vector<Row>> m_progressRows;
--- /dev/null
+++ b/src/jobhost/order_carrier.cpp
@@ -0,0 +1,264 @@
+#include "order_carrier.h"
+
+#include <pthread.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <deque>
+#include <utility>
+
+#include "boot_clock.h"
+#include "event_log.h"
+#include "jobs.pb.h"
+#include "order_messages.h"
+#include "target_line.h"
+
+namespace lycheestep {
+
+namespace {
+
+// Answers that come within this time go in one message.
+constexpr Duration kGather = std::chrono::milliseconds(4);
+
+// Lines without orders for this long are closed; looked for this often.
+constexpr Duration kIdleLine = std::chrono::seconds(6);
+constexpr Duration kLookForIdle = std::chrono::seconds(1);
+
+} // namespace
+
+// Ids of the orders under way on a line, oldest first on each connection. A
+// connection answers in the order in which it was asked.
+struct OrderIds
+{
+  std::mutex m_mutex;
+  std::deque<std::uint64_t> m_orders;
+  std::deque<std::uint64_t> m_watches;
+
+  void Add(std::uint64_t aId, HoldPath aPath)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    (aPath == HoldPath::kWatch ? m_watches : m_orders).push_back(aId);
+  }
+
+  std::uint64_t TakeOldest(HoldPath aPath)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::deque<std::uint64_t>& ids =
+      aPath == HoldPath::kWatch ? m_watches : m_orders;
+    const std::uint64_t id = ids.front();
+    ids.pop_front();
+    return id;
+  }
+};
+
+struct OrderCarrier::Line
+{
+  OrderIds m_ids;
+  TimePoint m_lastUsed;
+  std::unique_ptr<TargetLine> m_line;
+};
+
+struct OrderCarrier::Session
+{
+  std::string m_address;
+  // Since the epoch of this host's clock; orders go out until then.
+  std::atomic<Duration::rep> m_notAfter{ 0 };
+  std::map<TargetId, std::unique_ptr<Line>> m_lines;
+  proto::CarriedAnswers m_answers;
+};
+
+OrderCarrier::OrderCarrier(TargetOrders& aOrders, EventLog& aLog, Send aSend)
+  : m_orders(aOrders)
+  , m_log(aLog)
+  , m_send(std::move(aSend))
+{
+  m_thread = std::thread([this] { Run(); });
+  pthread_setname_np(m_thread.native_handle(), "carrier");
+}
+
+OrderCarrier::~OrderCarrier()
+{
+  Stop();
+}
+
+void OrderCarrier::Stop()
+{
+  std::map<std::uint64_t, std::shared_ptr<Session>> sessions;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_stopping = true;
+    sessions.swap(m_sessions);
+  }
+  m_answered.notify_all();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+  // Without the lock, which the lines' threads need for their last answers.
+  sessions.clear();
+  m_closed.clear();
+}
+
+void OrderCarrier::Carry(const proto::JobPeerMessage& aMessage)
+{
+  const proto::CarriedOrders& orders = aMessage.carried_orders();
+  const Duration notAfter = std::chrono::milliseconds(orders.not_after_ms());
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  if (m_stopping) {
+    return;
+  }
+  std::shared_ptr<Session>& session = m_sessions[aMessage.incarnation()];
+  if (!session) {
+    session = std::make_shared<Session>();
+    m_log.Write("carrying", "for=" + aMessage.from());
+  }
+  session->m_address = aMessage.address();
+  session->m_notAfter =
+    std::max<Duration::rep>(session->m_notAfter, notAfter.count());
+  for (const proto::CarriedOrder& order : orders.order()) {
+    Pass(LineTo(session, TargetId(order.target())), order);
+  }
+}
+
+bool OrderCarrier::IsCarrying() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return !m_sessions.empty();
+}
+
+OrderCarrier::Line& OrderCarrier::LineTo(
+  const std::shared_ptr<Session>& aSession,
+  const TargetId& aTarget)
+{
+  std::unique_ptr<Line>& line = aSession->m_lines[aTarget];
+  if (!line) {
+    line = std::make_unique<Line>();
+    OrderIds& ids = line->m_ids;
+    const std::weak_ptr<Session> weak = aSession;
+    const auto answer = [this, weak, &ids](HoldPath aPath,
+                                           const auto& aAnswer) {
+      proto::CarriedAnswer message;
+      message.set_id(ids.TakeOldest(aPath));
+      EncodeAnswer(aAnswer, message);
+      if (const auto session = weak.lock()) {
+        Queue(session, std::move(message));
+      }
+    };
+    TargetAnswers answers;
+    answers.m_started = [answer](const StartOrder&, const OrderAnswer& aGiven) {
+      answer(HoldPath::kOrders, aGiven);
+    };
+    answers.m_stopped = [answer](const StopOrder&, const OrderAnswer& aGiven) {
+      answer(HoldPath::kOrders, aGiven);
+    };
+    answers.m_held =
+      [answer](const HoldOrder&, HoldPath aPath, const HoldAnswer& aGiven) {
+        answer(aPath, aGiven);
+      };
+    line->m_line = std::make_unique<TargetLine>(
+      m_orders,
+      [weak] {
+        const auto session = weak.lock();
+        return session && BootClockNow().time_since_epoch().count() <
+                            session->m_notAfter.load();
+      },
+      std::move(answers));
+  }
+  line->m_lastUsed = BootClockNow();
+  return *line;
+}
+
+void OrderCarrier::Pass(Line& aLine, const proto::CarriedOrder& aOrder)
+{
+  switch (aOrder.order_case()) {
+    case proto::CarriedOrder::kStart:
+      aLine.m_ids.Add(aOrder.id(), HoldPath::kOrders);
+      aLine.m_line->Start(DecodeStart(aOrder));
+      return;
+    case proto::CarriedOrder::kStop:
+      aLine.m_ids.Add(aOrder.id(), HoldPath::kOrders);
+      aLine.m_line->Stop(DecodeStop(aOrder));
+      return;
+    case proto::CarriedOrder::kPace:
+      aLine.m_line->Pace(DecodePace(aOrder));
+      return;
+    case proto::CarriedOrder::kHold: {
+      HoldPath path = HoldPath::kOrders;
+      const HoldOrder hold = DecodeHold(aOrder, path);
+      aLine.m_ids.Add(aOrder.id(), path);
+      aLine.m_line->Hold(hold, path);
+      return;
+    }
+    case proto::CarriedOrder::ORDER_NOT_SET:
+      return; // a newer host's order; its sender gives it up in time
+  }
+}
+
+void OrderCarrier::Queue(const std::shared_ptr<Session>& aSession,
+                         proto::CarriedAnswer aAnswer)
+{
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    *aSession->m_answers.add_answer() = std::move(aAnswer);
+    if (std::exchange(m_anyAnswer, true)) {
+      return; // the thread gathers already
+    }
+  }
+  m_answered.notify_one();
+}
+
+void OrderCarrier::Run()
+{
+  std::unique_lock<std::mutex> lock(m_mutex);
+  TimePoint idleLookedAt = BootClockNow();
+  while (!m_stopping) {
+    m_answered.wait_for(
+      lock, kLookForIdle, [this] { return m_stopping || m_anyAnswer; });
+    if (m_anyAnswer) {
+      m_answered.wait_for(lock, kGather, [this] { return m_stopping; });
+      SendAnswers();
+    }
+    const TimePoint now = BootClockNow();
+    if (now - idleLookedAt >= kLookForIdle) {
+      idleLookedAt = now;
+      CloseIdle(now);
+    }
+  }
+}
+
+void OrderCarrier::SendAnswers()
+{
+  m_anyAnswer = false;
+  for (const auto& [incarnation, session] : m_sessions) {
+    if (session->m_answers.answer_size() > 0) {
+      proto::JobPeerMessage message;
+      message.mutable_carried_answers()->Swap(&session->m_answers);
+      m_send(session->m_address, std::move(message));
+    }
+  }
+}
+
+void OrderCarrier::CloseIdle(TimePoint aNow)
+{
+  for (auto session = m_sessions.begin(); session != m_sessions.end();) {
+    auto& lines = session->second->m_lines;
+    for (auto line = lines.begin(); line != lines.end();) {
+      if (aNow - line->second->m_lastUsed < kIdleLine) {
+        ++line;
+        continue;
+      }
+      line->second->m_line->Close();
+      m_closed.push_back(std::move(line->second));
+      line = lines.erase(line);
+    }
+    session = lines.empty() ? m_sessions.erase(session) : std::next(session);
+  }
+  m_closed.erase(std::remove_if(m_closed.begin(),
+                                m_closed.end(),
+                                [](const auto& aLine) {
+                                  return aLine->m_line->IsFinished();
+                                }),
+                 m_closed.end());
+}
+
+} // namespace lycheestep
--- /dev/null
+++ b/src/jobhost/order_messages.h
@@ -0,0 +1,41 @@
+#ifndef LYCHEESTEP_ORDER_MESSAGES_H
+#define LYCHEESTEP_ORDER_MESSAGES_H
+
+#include "job_effects.h"
+
+namespace lycheestep {
+
+namespace proto {
+class CarriedAnswer;
+class CarriedOrder;
+class RunNameMessage;
+class StepNameMessage;
+}
+
+// Orders to targets and their answers as hosts pass them to each other.
+void EncodeStepName(const StepName& aStep, proto::StepNameMessage& aMessage);
+StepName DecodeStepName(const proto::StepNameMessage& aMessage);
+
+void EncodeStart(const StartOrder& aOrder, proto::CarriedOrder& aMessage);
+void EncodeStop(const StopOrder& aOrder, proto::CarriedOrder& aMessage);
+void EncodePace(const PaceOrder& aOrder, proto::CarriedOrder& aMessage);
+void EncodeHold(const HoldOrder& aOrder,
+                HoldPath aPath,
+                proto::CarriedOrder& aMessage);
+
+// Each is for a message that holds an order of that kind.
+StartOrder DecodeStart(const proto::CarriedOrder& aMessage);
+StopOrder DecodeStop(const proto::CarriedOrder& aMessage);
+PaceOrder DecodePace(const proto::CarriedOrder& aMessage);
+HoldOrder DecodeHold(const proto::CarriedOrder& aMessage, HoldPath& aPath);
+
+void EncodeAnswer(const OrderAnswer& aAnswer, proto::CarriedAnswer& aMessage);
+void EncodeAnswer(const HoldAnswer& aAnswer, proto::CarriedAnswer& aMessage);
+
+// A status or an end that this host does not know makes the answer unknown.
+OrderAnswer DecodeOrderAnswer(const proto::CarriedAnswer& aMessage);
+HoldAnswer DecodeHoldAnswer(const proto::CarriedAnswer& aMessage);
+
+} // namespace lycheestep
+
+#endif
--- /dev/null
+++ b/src/jobhost/order_spread.h
@@ -0,0 +1,139 @@
+#ifndef LYCHEESTEP_ORDER_SPREAD_H
+#define LYCHEESTEP_ORDER_SPREAD_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jobs.pb.h"
+#include "lycheestep/target_record.h"
+#include "order_line.h"
+
+namespace lycheestep {
+
+// Another host that may carry orders to targets.
+struct CarrierHost
+{
+  std::string m_name;
+  DataCentreName m_dataCentre;
+  double m_processorShare = 0;
+};
+
+// The leader's side of carried orders: gives each target to one of the larger
+// hosts, near it if there is one, and sends that host the target's orders,
+// all that come in one turn of the control thread in one message. Answers the
+// load of a fleet that one small host can't serve: a carried order costs the
+// leader about a tenth of one that it sends itself.
+//
+// What a carrier that fell silent had under way counts as without answer. No
+// order is sent after the leader's right to order, however long its message
+// is on the way, as that time is told by the carrier's own clock. Used by the
+// control thread only; reads no clock.
+class OrderSpread : public OrderLine
+{
+public:
+  // Sends orders to a host.
+  using Send =
+    std::function<void(const std::string& aHost, proto::CarriedOrders aOrders)>;
+
+  // Ids of orders begin after aFirstId.
+  OrderSpread(Send aSend, TargetAnswers aAnswers, std::uint64_t aFirstId);
+
+  // The other hosts of the system; those that are missing carry no more.
+  void SetHosts(const std::vector<CarrierHost>& aHosts);
+
+  // A host lives, and its clock showed aClock when it said so.
+  void OnHeard(const std::string& aHost, Duration aClock, TimePoint aNow);
+
+  // Hosts that can carry just now.
+  std::size_t Carriers(TimePoint aNow) const;
+
+  // Sees to it that a host carries the target's orders. False when none can.
+  bool Assign(const TargetId& aTarget,
+              const DataCentreName& aDataCentre,
+              TimePoint aNow);
+
+  // Orders to assigned targets.
+  void Start(const StartOrder& aOrder) override;
+  void Stop(const StopOrder& aOrder) override;
+  void Pace(const PaceOrder& aOrder) override;
+  void Hold(const HoldOrder& aOrder, HoldPath aPath) override;
+
+  // The target is needed no more.
+  void Forget(const TargetId& aTarget);
+
+  void OnAnswers(const std::string& aHost,
+                 const proto::CarriedAnswers& aAnswers,
+                 TimePoint aNow);
+
+  // Gives up what silent hosts have under way, and evens out their loads.
+  void Tick(TimePoint aNow);
+
+  // Sends what has come since the last call. The leader may order until
+  // aValidUntil.
+  void Flush(TimePoint aValidUntil, TimePoint aNow);
+
+private:
+  struct Carrier
+  {
+    CarrierHost m_host;
+    // Its clock, and this host's when that was heard.
+    bool m_clockKnown = false;
+    Duration m_clock = Duration::zero();
+    TimePoint m_clockHeardAt;
+    TimePoint m_heardAt;
+    std::size_t m_targets = 0;
+    proto::CarriedOrders m_batch;
+  };
+
+  struct WatchedHold
+  {
+    HoldOrder m_order;
+    HoldPath m_path = HoldPath::kOrders;
+  };
+
+  struct Pending
+  {
+    std::string m_carrier;
+    TimePoint m_since;
+    std::variant<StartOrder, StopOrder, WatchedHold> m_order;
+  };
+
+  struct Assignment
+  {
+    std::string m_carrier;
+    DataCentreName m_dataCentre;
+  };
+
+  static bool IsUsable(const Carrier& aCarrier, TimePoint aNow);
+  // Load with one more target: smaller is better.
+  static double LoadOf(const Carrier& aCarrier,
+                       const DataCentreName& aDataCentre);
+  // The largest hosts that can carry.
+  std::vector<std::string> Candidates(TimePoint aNow) const;
+  std::string Choose(const DataCentreName& aDataCentre, TimePoint aNow) const;
+  void Move(Assignment& aAssignment, const std::string& aCarrier);
+  proto::CarriedOrder* Add(const TargetId& aTarget);
+  void Expect(const proto::CarriedOrder& aMessage,
+              const TargetId& aTarget,
+              std::variant<StartOrder, StopOrder, WatchedHold> aOrder);
+  void Answer(const Pending& aPending, const proto::CarriedAnswer& aAnswer);
+  void GiveUp(const std::function<bool(const Pending&)>& aLost);
+  void EvenOut(TimePoint aNow);
+
+  const Send m_send;
+  const TargetAnswers m_answers;
+  std::uint64_t m_lastId;
+  std::map<std::string, Carrier> m_carriers;
+  std::map<TargetId, Assignment> m_assigned;
+  std::map<std::uint64_t, Pending> m_pending;
+  TimePoint m_now;
+  TimePoint m_evenedAt;
+};
+
+} // namespace lycheestep
+
+#endif
--- a/src/jobhost/relayed_store.cpp
+++ b/src/jobhost/relayed_store.cpp
@@ -205,8 +205,7 @@
 {
   RowAnswer answer;
   if (aWay.m_kind == StoreWay::Kind::kDirect) {
-    answer =
-      CallDirect([&] { return m_direct.Read(ProbeRange(), aTimeout); });
+    answer = CallDirect([&] { return m_direct.Read(ProbeRange(), aTimeout); });
   } else {
     proto::StoreCall call;
     EncodeRead(ProbeRange(), *call.mutable_read());
@@ -261,8 +260,7 @@
     return;
   }
   m_logged = reach;
-  m_log.Write(ReachEvent(reach),
-              "relays=" + std::to_string(m_route.Relays()));
+  m_log.Write(ReachEvent(reach), "relays=" + std::to_string(m_route.Relays()));
 }
 
 } // namespace lycheestep
--- a/src/jobhost/store_route.cpp
+++ b/src/jobhost/store_route.cpp
@@ -127,9 +127,9 @@
     return StoreReach::kDirect;
   }
   const auto usable = static_cast<std::uint32_t>(
-    std::count_if(m_relays.begin(),
-                  m_relays.end(),
-                  [&](const auto& aRelay) { return IsUsable(aRelay, aNow); }));
+    std::count_if(m_relays.begin(), m_relays.end(), [&](const auto& aRelay) {
+      return IsUsable(aRelay, aNow);
+    }));
   return m_relayFailures >= std::min(usable, kFailuresToAway)
            ? StoreReach::kAway
            : StoreReach::kRelay;
--- a/src/jobhost/target_line.cpp
+++ b/src/jobhost/target_line.cpp
@@ -57,9 +57,12 @@
 void TargetLine::Stop(const StopOrder& aOrder)
 {
   m_orderQueue.Add([this, aOrder] {
+    OrderAnswer answer;
+    answer.m_status = OrderStatus::kNotSent;
     if (m_mayOrder()) {
-      m_answers.m_stopped(aOrder, m_orders.Stop(aOrder, kOrderTimeout));
+      answer = m_orders.Stop(aOrder, kOrderTimeout);
     }
+    m_answers.m_stopped(aOrder, answer);
   });
 }
 
--- a/src/jobhost/target_line.h
+++ b/src/jobhost/target_line.h
@@ -5,23 +5,15 @@
 #include <functional>
 #include <thread>
 
-#include "job_effects.h"
+#include "order_line.h"
 #include "task_queue.h"
 
 namespace lycheestep {
 
-// What comes back from a target.
-struct TargetAnswers
-{
-  std::function<void(const StartOrder&, const OrderAnswer&)> m_started;
-  std::function<void(const StopOrder&, const OrderAnswer&)> m_stopped;
-  std::function<void(const HoldOrder&, HoldPath, const HoldAnswer&)> m_held;
-};
-
 // The two connections to one target, each with a thread of its own: one for
 // holds that wait for ends, the other for all that must not wait. Orders on
 // one connection keep their order.
-class TargetLine
+class TargetLine : public OrderLine
 {
 public:
   // aMayOrder says whether orders may still be sent; it is asked right before
@@ -29,14 +21,14 @@
   TargetLine(TargetOrders& aOrders,
              std::function<bool()> aMayOrder,
              TargetAnswers aAnswers);
-  ~TargetLine();
+  ~TargetLine() override;
   TargetLine(const TargetLine&) = delete;
   TargetLine& operator=(const TargetLine&) = delete;
 
-  void Start(const StartOrder& aOrder);
-  void Stop(const StopOrder& aOrder);
-  void Pace(const PaceOrder& aOrder);
-  void Hold(const HoldOrder& aOrder, HoldPath aPath);
+  void Start(const StartOrder& aOrder) override;
+  void Stop(const StopOrder& aOrder) override;
+  void Pace(const PaceOrder& aOrder) override;
+  void Hold(const HoldOrder& aOrder, HoldPath aPath) override;
 
   // Sends nothing more; the threads end with the call that they make.
   void Close();
