A soak of real hosts among faults from outside

Hosts run as separate processes against stand-ins of the users' store, advisor and workers. Signals kill, pause, stop and reload them; proxies delay, reset, silence and cut one way; the store is down, slow, loses answers and history; workers crash under their ids, hang, drain and have slow clocks.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export CCACHE_NOHASHDIR = 1
 export TSAN_OPTIONS = suppressions=$(CURDIR)/src/cmake/thread-sanitizer.txt
 
-.PHONY: help packages build test run bench capacity scenario format lint check-format
+.PHONY: help packages build test run bench soak capacity scenario format lint check-format
 
 help: ## this list
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -39,6 +39,13 @@
 run: build ## start a local cell, submit one request of each kind, stop
 	@src/cmake/run-example.sh $(BUILD)/src/lycheestep/lycheestep
 
+SEED ?= $(shell date +%s)
+MINUTES ?= 1
+soak: $(BUILD)/build.ninja ## real hosts among faults, promises checked: SEED=7 MINUTES=3
+	@cmake --build $(BUILD) -j $(JOBS) --target lycheestep >/dev/null
+	@testsuite/soak/soak.py $(BUILD)/src/lycheestep/lycheestep --seed $(SEED) \
+	  --seconds $$(($(MINUTES) * 60))
+
 capacity: $(BUILD)/build.ninja ## measure what an entry host spends, for docs/CAPACITY.md
 	@cmake --build $(BUILD) -j $(JOBS) --target lycheestep-capacity >/dev/null
 	@$(BUILD)/src/scenario/lycheestep-capacity
