Act on changes of the list of targets only; bundle the leader's turns

Every target writes its row each 1.5 s, and each answer of the feed made the leader go through all 350 records, and for each of them through all targets. Ruled out: the connections (carried by other hosts), commits and logs, whose threads used 0.9 s.

Change: TargetList compares each row with what was known and tells only what differs; the feeds of slow tables gather changes for 50 to 150 ms; rows of ended jobs stand in the order of their removal; turns of the leader begin 3 ms apart, and silent carriers are looked for each 50 ms.

--- a/src/include/lycheestep/target_record.h
+++ b/src/include/lycheestep/target_record.h
@@ -32,6 +32,24 @@
   Duration m_remaining = Duration::zero();
   // When this incarnation started; tells incarnations under one id apart.
   WallTime m_started{ 0 };
+
+  friend bool operator==(const TargetRecord& aLeft, const TargetRecord& aRight)
+  {
+    return aLeft.m_target == aRight.m_target &&
+           aLeft.m_service == aRight.m_service &&
+           aLeft.m_address == aRight.m_address &&
+           aLeft.m_dataCentre == aRight.m_dataCentre &&
+           aLeft.m_rack == aRight.m_rack && aLeft.m_kind == aRight.m_kind &&
+           aLeft.m_machine == aRight.m_machine &&
+           aLeft.m_capacity == aRight.m_capacity &&
+           aLeft.m_draining == aRight.m_draining &&
+           aLeft.m_remaining == aRight.m_remaining &&
+           aLeft.m_started == aRight.m_started;
+  }
+  friend bool operator!=(const TargetRecord& aLeft, const TargetRecord& aRight)
+  {
+    return !(aLeft == aRight);
+  }
 };
 
 } // namespace lycheestep
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -31,6 +31,9 @@
 // For the question whether a silent leader's process has ended.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(60);
 
+// A leader's turns begin at least this far apart.
+constexpr Duration kTurnGap = std::chrono::milliseconds(3);
+
 // Without a leader's duties the control thread wakes this often.
 constexpr Duration kLongestWait = std::chrono::milliseconds(100);
 
@@ -150,6 +153,7 @@
   m_configWatch = std::make_unique<TableWatch>(
     m_ports.m_documents.ConfigTable(),
     std::vector<std::string>{ "" },
+    Duration::zero(),
     m_store,
     m_log,
     [this](const std::vector<Row>& aRows, bool /*aWhole*/) {
@@ -187,9 +191,15 @@
 
 void JobHost::Control()
 {
+  TimePoint lastTurn;
   while (!m_queue.IsStopped()) {
     const Duration wait = m_leader ? m_leader->LongestWait() : kLongestWait;
+    if (m_leader) {
+      // What comes in quick succession is dealt with in one turn.
+      std::this_thread::sleep_for(lastTurn + kTurnGap - BootClockNow());
+    }
     const std::vector<TaskQueue::Task> tasks = m_queue.Take(wait);
+    lastTurn = BootClockNow();
     if (m_leader) {
       m_leader->SetTime(BootClockNow(), WallClockNow());
     }
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -49,6 +49,12 @@
 // Numbers of carried orders that one term may use.
 constexpr int kOrderIdBits = 40;
 
+// Changes that come within this time after others are read in one call:
+// targets write often and mostly to say that they live, and a cancellation
+// may take seconds.
+constexpr Duration kListPause = std::chrono::milliseconds(150);
+constexpr Duration kCancelPause = std::chrono::milliseconds(50);
+
 // Hosts named in each heartbeat for calls to the store.
 constexpr int kRelaysNamed = 5;
 
@@ -107,7 +113,11 @@
   const auto config = m_with.m_config.Get();
   if (config) {
     m_scheduler.SetConfig(*config);
-    ApplyTargets();
+    std::set<ServiceName> services;
+    for (const ServiceConfig& service : config->m_services) {
+      services.insert(service.m_name);
+    }
+    ApplyTargets(m_targets.OnServices(std::move(services)));
   }
 }
 
@@ -179,7 +189,7 @@
 
 bool Leader::IsLargeFleet() const
 {
-  return m_known.size() > kMostOwnTargets;
+  return m_targets.UsableCount() > kMostOwnTargets;
 }
 
 Duration Leader::LongestWait() const
@@ -191,23 +201,31 @@
 {
   const std::vector<std::string> whole = { "" };
   const std::vector<std::string> spread = JobPartitions();
-  m_watches.push_back(Watch(kProgressTable, whole, &Leader::OnProgressRows));
-  m_watches.push_back(Watch(kJobTable, spread, &Leader::OnJobRows));
-  m_watches.push_back(Watch(kCancelTable, spread, &Leader::OnCancelRows));
   m_watches.push_back(
-    Watch(m_with.m_documents.TargetTable(), whole, &Leader::OnTargetRows));
-  m_watches.push_back(Watch(kHostTable, whole, &Leader::OnHostRows));
+    Watch(kProgressTable, whole, Duration::zero(), &Leader::OnProgressRows));
+  m_watches.push_back(
+    Watch(kJobTable, spread, Duration::zero(), &Leader::OnJobRows));
+  m_watches.push_back(
+    Watch(kCancelTable, spread, kCancelPause, &Leader::OnCancelRows));
+  m_watches.push_back(Watch(m_with.m_documents.TargetTable(),
+                            whole,
+                            kListPause,
+                            &Leader::OnTargetRows));
+  m_watches.push_back(
+    Watch(kHostTable, whole, kListPause, &Leader::OnHostRows));
 }
 
 std::unique_ptr<TableWatch> Leader::Watch(
   const std::string& aTable,
   const std::vector<std::string>& aPartitions,
+  Duration aPause,
   void (Leader::*aOnRows)(const std::vector<Row>&, bool))
 {
   const auto post = m_with.m_post;
   return std::make_unique<TableWatch>(
     aTable,
     aPartitions,
+    aPause,
     m_with.m_store,
     m_with.m_log,
     [this, post, aOnRows](const std::vector<Row>& aRows, bool aWhole) {
@@ -277,7 +295,9 @@
   m_jobRows.reset();
   m_cancelRows.reset();
   m_progressRows.reset();
-  ApplyTargets();
+  for (const TargetRecord& record : m_targets.Usable()) {
+    m_scheduler.OnTargetRecord(record, m_now);
+  }
 }
 
 void Leader::AddJobs(const std::vector<Row>& aRows)
@@ -307,49 +327,26 @@
 
 void Leader::OnTargetRows(const std::vector<Row>& aRows, bool aWhole)
 {
-  if (aWhole) {
-    m_records.clear();
-  }
-  for (const Row& row : aRows) {
-    const TargetId target(row.m_key.m_key);
-    const auto record =
-      row.m_removed ? std::nullopt : m_with.m_documents.ReadTarget(row);
-    if (record) {
-      m_records[target] = *record;
-      continue;
-    }
-    if (!row.m_removed) {
-      Log("target-row-malformed", "target=" + target.Text());
-    }
-    m_records.erase(target);
+  const TargetChanges changes =
+    m_targets.OnRows(aRows, aWhole, m_with.m_documents);
+  for (const TargetId& target : changes.m_malformed) {
+    Log("target-row-malformed", "target=" + target.Text());
   }
-  ApplyTargets();
+  ApplyTargets(changes);
 }
 
-void Leader::ApplyTargets()
+void Leader::ApplyTargets(const TargetChanges& aChanges)
 {
-  const auto config = m_with.m_config.Get();
-  if (!m_loaded || !config) {
-    return;
-  }
-  std::set<ServiceName> services;
-  for (const ServiceConfig& service : config->m_services) {
-    services.insert(service.m_name);
+  if (!m_loaded) {
+    return; // all targets are told of then
   }
-  std::set<TargetId> usable;
-  for (const auto& [id, record] : m_records) {
-    if (services.count(record.m_service) > 0) {
-      usable.insert(id);
-      m_scheduler.OnTargetRecord(record, m_now);
-    }
+  for (const TargetRecord& record : aChanges.m_changed) {
+    m_scheduler.OnTargetRecord(record, m_now);
   }
-  for (const TargetId& id : m_known) {
-    if (usable.count(id) == 0) {
-      Log("target-gone", "target=" + id.Text());
-      m_scheduler.OnTargetGone(id, m_now);
-    }
+  for (const TargetId& target : aChanges.m_gone) {
+    Log("target-gone", "target=" + target.Text());
+    m_scheduler.OnTargetGone(target, m_now);
   }
-  m_known = std::move(usable);
 }
 
 void Leader::OnHostRows(const std::vector<Row>& aRows, bool aWhole)
@@ -570,9 +567,9 @@
   if (!IsLargeFleet()) {
     return OwnLineTo(aTarget);
   }
-  const auto record = m_records.find(aTarget);
+  const TargetRecord* record = m_targets.Find(aTarget);
   const DataCentreName dataCentre =
-    record != m_records.end() ? record->second.m_dataCentre : DataCentreName();
+    record != nullptr ? record->m_dataCentre : DataCentreName();
   if (!m_carried.Assign(aTarget, dataCentre, m_now)) {
     return OwnLineTo(aTarget);
   }
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -16,6 +16,7 @@
 #include "order_spread.h"
 #include "table_watch.h"
 #include "target_line.h"
+#include "target_list.h"
 
 namespace lycheestep {
 
@@ -114,6 +115,7 @@
   std::unique_ptr<TableWatch> Watch(
     const std::string& aTable,
     const std::vector<std::string>& aPartitions,
+    Duration aPause,
     void (Leader::*aOnRows)(const std::vector<Row>&, bool));
   void OnJobRows(const std::vector<Row>& aRows, bool aWhole);
   void OnCancelRows(const std::vector<Row>& aRows, bool aWhole);
@@ -123,7 +125,7 @@
   void LoadIfComplete();
   void AddJobs(const std::vector<Row>& aRows);
   void AddCancels(const std::vector<Row>& aRows);
-  void ApplyTargets();
+  void ApplyTargets(const TargetChanges& aChanges);
   void SendHeartbeats();
   void DropDeadHosts();
   bool IsLive(const PeerHost& aHost) const;
@@ -157,9 +159,7 @@
   std::optional<std::vector<Row>> m_cancelRows;
   std::optional<std::vector<Row>> m_progressRows;
 
-  // Readable rows of targets, and those the scheduler was told of.
-  std::map<TargetId, TargetRecord> m_records;
-  std::set<TargetId> m_known;
+  TargetList m_targets;
   std::map<std::string, PeerHost> m_hosts;
   TimePoint m_heartbeatAt;
   TimePoint m_pendingAt;
--- a/src/jobhost/order_spread.cpp
+++ b/src/jobhost/order_spread.cpp
@@ -18,6 +18,9 @@
 // heartbeat of the leader.
 constexpr Duration kSilence = std::chrono::milliseconds(900);
 
+// Between looks for silent carriers.
+constexpr Duration kLookPeriod = std::chrono::milliseconds(50);
+
 // An order of which nothing was heard for this long was lost on the way.
 constexpr Duration kLostOrder = std::chrono::seconds(5);
 
@@ -164,11 +167,14 @@
     }
   }
   m_now = aNow;
-  GiveUp([&](const Pending& aPending) {
-    const auto carrier = m_carriers.find(aPending.m_carrier);
-    return carrier == m_carriers.end() || !IsUsable(carrier->second, aNow) ||
-           aNow - aPending.m_since > kLostOrder;
-  });
+  if (aNow - m_lookedAt >= kLookPeriod) {
+    m_lookedAt = aNow;
+    GiveUp([&](const Pending& aPending) {
+      const auto carrier = m_carriers.find(aPending.m_carrier);
+      return carrier == m_carriers.end() || !IsUsable(carrier->second, aNow) ||
+             aNow - aPending.m_since > kLostOrder;
+    });
+  }
   if (aNow - m_evenedAt >= kEvenOutPeriod) {
     m_evenedAt = aNow;
     EvenOut(aNow);
--- a/src/jobhost/order_spread.h
+++ b/src/jobhost/order_spread.h
@@ -131,6 +131,7 @@
   std::map<TargetId, Assignment> m_assigned;
   std::map<std::uint64_t, Pending> m_pending;
   TimePoint m_now;
+  TimePoint m_lookedAt;
   TimePoint m_evenedAt;
 };
 
--- a/src/jobhost/table_watch.cpp
+++ b/src/jobhost/table_watch.cpp
@@ -29,11 +29,13 @@
 
 TableWatch::TableWatch(std::string aTable,
                        std::vector<std::string> aPartitions,
+                       Duration aPause,
                        RowStore& aStore,
                        EventLog& aLog,
                        OnRows aOnRows)
   : m_table(std::move(aTable))
   , m_partitions(std::move(aPartitions))
+  , m_pause(aPause)
   , m_store(aStore)
   , m_log(aLog)
   , m_onRows(std::move(aOnRows))
@@ -135,6 +137,7 @@
     m_version = std::max(m_version, answer.m_version);
     if (!answer.m_rows.empty() && !m_stopping) {
       m_onRows(answer.m_rows, false);
+      std::this_thread::sleep_for(m_pause);
     }
   }
 }
--- a/src/jobhost/table_watch.h
+++ b/src/jobhost/table_watch.h
@@ -24,8 +24,10 @@
   using OnRows =
     std::function<void(const std::vector<Row>& aRows, bool aWhole)>;
 
+  // After each change the next ones are gathered for aPause.
   TableWatch(std::string aTable,
              std::vector<std::string> aPartitions,
+             Duration aPause,
              RowStore& aStore,
              EventLog& aLog,
              OnRows aOnRows);
@@ -60,6 +62,7 @@
 
   const std::string m_table;
   const std::vector<std::string> m_partitions;
+  const Duration m_pause;
   RowStore& m_store;
   EventLog& m_log;
   const OnRows m_onRows;
--- /dev/null
+++ b/src/jobhost/target_list_test.cpp
@@ -0,0 +1,103 @@
+#include "target_list.h"
+
+#include <gmock/gmock.h>
+
+#include "lycheestep/platform_documents.h"
+#include "lycheestep/queue_config.h"
+
+namespace lycheestep {
+
+namespace {
+
+// Reads "SERVICE ADDRESS" as a target; anything shorter is malformed.
+class PlainDocuments : public PlatformDocuments
+{
+public:
+  std::string ConfigTable() const override { return "config"; }
+  std::string TargetTable() const override { return "targets"; }
+  std::optional<ClusterConfig> ReadConfig(const Row&) const override
+  {
+    return std::nullopt;
+  }
+  std::optional<TargetRecord> ReadTarget(const Row& aRow) const override
+  {
+    const std::size_t space = aRow.m_value.find(' ');
+    if (space == std::string::npos) {
+      return std::nullopt;
+    }
+    TargetRecord record;
+    record.m_target = TargetId(aRow.m_key.m_key);
+    record.m_service = ServiceName(aRow.m_value.substr(0, space));
+    record.m_address = aRow.m_value.substr(space + 1);
+    return record;
+  }
+};
+
+Row MakeRow(const std::string& aTarget, const std::string& aValue)
+{
+  Row row;
+  row.m_key.m_key = aTarget;
+  row.m_value = aValue;
+  row.m_removed = aValue.empty();
+  return row;
+}
+
+class TargetListTest : public testing::Test
+{
+protected:
+  TargetListTest() { m_list.OnServices({ ServiceName("desk") }); }
+
+  TargetChanges Rows(const std::vector<Row>& aRows, bool aWhole = false)
+  {
+    return m_list.OnRows(aRows, aWhole, m_documents);
+  }
+
+  const PlainDocuments m_documents;
+  TargetList m_list;
+};
+
+} // namespace
+
+// Found on ozolini-rake-grown: 350 targets that say every 1.5 s that they
+// live made the leader go through the whole list a hundred times a second.
+TEST_F(TargetListTest, RowThatSaysNothingNewIsNoChange)
+{
+  EXPECT_EQ(Rows({ MakeRow("t1", "desk a:1") }).m_changed.size(), 1U);
+  EXPECT_TRUE(Rows({ MakeRow("t1", "desk a:1") }).m_changed.empty());
+  EXPECT_TRUE(Rows({ MakeRow("t1", "desk a:1") }, true).m_changed.empty());
+  EXPECT_EQ(Rows({ MakeRow("t1", "desk b:1") }).m_changed.size(), 1U);
+}
+
+TEST_F(TargetListTest, TargetThatLeavesIsGoneOnce)
+{
+  Rows({ MakeRow("t1", "desk a:1") });
+  EXPECT_EQ(Rows({ MakeRow("t1", "") }).m_gone.size(), 1U);
+  EXPECT_TRUE(Rows({ MakeRow("t1", "") }).m_gone.empty());
+  EXPECT_EQ(m_list.Find(TargetId("t1")), nullptr);
+  EXPECT_EQ(Rows({ MakeRow("t1", "desk a:1") }).m_changed.size(), 1U);
+}
+
+TEST_F(TargetListTest, TargetThatTheWholeListLacksIsGone)
+{
+  Rows({ MakeRow("t1", "desk a:1"), MakeRow("t2", "desk b:1") });
+  const TargetChanges changes = Rows({ MakeRow("t2", "desk b:1") }, true);
+  EXPECT_THAT(changes.m_gone, testing::ElementsAre(TargetId("t1")));
+  EXPECT_EQ(m_list.UsableCount(), 1U);
+}
+
+TEST_F(TargetListTest, TargetsOfOtherServicesWaitForTheConfiguration)
+{
+  EXPECT_TRUE(Rows({ MakeRow("t1", "other a:1") }).m_changed.empty());
+  EXPECT_EQ(m_list.OnServices({ ServiceName("other") }).m_changed.size(), 1U);
+  EXPECT_EQ(m_list.OnServices({ ServiceName("desk") }).m_gone.size(), 1U);
+}
+
+TEST_F(TargetListTest, RowThatCannotBeReadNamesNoTarget)
+{
+  Rows({ MakeRow("t1", "desk a:1") });
+  const TargetChanges changes = Rows({ MakeRow("t1", "nonsense") });
+  EXPECT_EQ(changes.m_gone.size(), 1U);
+  EXPECT_EQ(changes.m_malformed.size(), 1U);
+}
+
+} // namespace lycheestep
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -79,7 +79,8 @@
 // Work that nobody waits for any more keeps no room from others.
 void JobScheduler::HoldRoom(const ReadyStep& aStep, TimePoint aNow)
 {
-  if (aStep.m_rank.m_lateness == StepRank::Lateness::kTooLate) {
+  if (aStep.m_rank.m_lateness == StepRank::Lateness::kTooLate ||
+      !m_holds.MayHold(aStep.m_name)) {
     return;
   }
   const JobStep& step = *aStep.m_step;
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -303,7 +303,7 @@
                   std::to_string(ToMilliseconds(aNow - aJob.m_acceptedAt)));
   StopAllRuns(aJob, aNow);
   m_advice.Forget(aJob.m_id);
-  m_over[aJob.m_id] = aNow + m_settings.m_retention;
+  m_over.emplace(aNow + m_settings.m_retention, aJob.m_id);
   aJob.m_spec.m_payload.clear();
   MarkChanged(aJob);
   RefreshReady(aJob);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -146,7 +146,7 @@
   }
   if (job.IsOver()) {
     StopAllRuns(job, aNow);
-    m_over[aJob] = aNow + m_settings.m_retention;
+    m_over.emplace(aNow + m_settings.m_retention, aJob);
   }
   RefreshReady(job);
 }
@@ -416,15 +416,16 @@
 {
   std::size_t jobs = 0;
   for (auto it = m_over.begin();
-       it != m_over.end() && jobs < kRemovalsPerCommit;) {
-    if (it->second > aNow || m_changed.count(it->first) > 0) {
+       it != m_over.end() && it->first <= aNow && jobs < kRemovalsPerCommit;) {
+    const JobId job = it->second;
+    if (m_changed.count(job) > 0) {
       ++it;
       continue;
     }
-    aRemovals.push_back(JobKey(it->first));
-    aRemovals.push_back(ProgressKey(it->first));
-    aRemovals.push_back(CancelKey(it->first));
-    m_jobs.erase(it->first);
+    aRemovals.push_back(JobKey(job));
+    aRemovals.push_back(ProgressKey(job));
+    aRemovals.push_back(CancelKey(job));
+    m_jobs.erase(job);
     it = m_over.erase(it);
     ++jobs;
   }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "advice_desk.h"
@@ -201,8 +202,8 @@
   std::map<StepName, ReadyStep> m_ready;
   // Jobs of which occurrences are still to come.
   std::set<JobId> m_timed;
-  // Jobs that are over, and when their rows may go.
-  std::map<JobId, TimePoint> m_over;
+  // When the rows of jobs that are over may go, soonest first.
+  std::set<std::pair<TimePoint, JobId>> m_over;
   // Cancelled before their job was heard of.
   std::set<JobId> m_earlyCancels;
 
--- a/src/jobs/room_holds.h
+++ b/src/jobs/room_holds.h
@@ -48,6 +48,12 @@
   // its gang has been tried in this round.
   void BeginRound(std::size_t aTargets, TimePoint aNow);
 
+  // True if the gang holds room, or may get some.
+  bool MayHold(const StepName& aStep) const
+  {
+    return m_holders.size() < m_limit || m_holds.count(aStep) > 0;
+  }
+
   // The gang was tried in this round and found no room.
   void OnNoRoom(const WaitingGang& aGang, TimePoint aNow);
 
