--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -37,15 +37,6 @@
 constexpr Duration kBusyWait = std::chrono::milliseconds(4);
 constexpr Duration kIdleWait = std::chrono::milliseconds(25);
 
-// A leader sends orders to so many targets itself; other hosts carry those of
-// a larger fleet.
-constexpr std::size_t kMostOwnTargets = 96;
-
-// A new leader of a large fleet waits for so many hosts, or for so long,
-// before it takes targets.
-constexpr std::size_t kCarriersToBegin = 8;
-constexpr Duration kWaitForCarriers = std::chrono::milliseconds(400);
-
 // Numbers of carried orders that one term may use.
 constexpr int kOrderIdBits = 40;
 
@@ -176,22 +167,6 @@
     m_closedLines.end());
 }
 
-bool Leader::CanOrder()
-{
-  if (!m_loaded || m_mayBegin) {
-    return m_loaded;
-  }
-  const std::size_t wanted = std::min(kCarriersToBegin, m_hosts.size());
-  m_mayBegin = !IsLargeFleet() || m_carried.Carriers(m_now) >= wanted ||
-               m_now - m_loadedAt >= kWaitForCarriers;
-  return m_mayBegin;
-}
-
-bool Leader::IsLargeFleet() const
-{
-  return m_targets.UsableCount() > kMostOwnTargets;
-}
-
 Duration Leader::LongestWait() const
 {
   return m_scheduler.IsBusy() ? kBusyWait : kIdleWait;
@@ -233,142 +208,6 @@
     });
 }
 
-void Leader::OnJobRows(const std::vector<Row>& aRows, bool aWhole)
-{
-  if (m_loaded) {
-    AddJobs(aRows);
-    return;
-  }
-  if (aWhole || !m_jobRows) {
-    m_jobRows = aRows;
-  } else {
-    m_jobRows->insert(m_jobRows->end(), aRows.begin(), aRows.end());
-  }
-  LoadIfComplete();
-}
-
-void Leader::OnCancelRows(const std::vector<Row>& aRows, bool aWhole)
-{
-  if (m_loaded) {
-    AddCancels(aRows);
-    return;
-  }
-  if (aWhole || !m_cancelRows) {
-    m_cancelRows = aRows;
-  } else {
-    m_cancelRows->insert(m_cancelRows->end(), aRows.begin(), aRows.end());
-  }
-  LoadIfComplete();
-}
-
-void Leader::OnProgressRows(const std::vector<Row>& aRows, bool aWhole)
-{
-  if (!m_loaded && aWhole) {
-    m_progressRows = aRows;
-    m_watches.front()->Stop(); // later changes are this host's own
-    LoadIfComplete();
-  }
-}
-
-void Leader::LoadIfComplete()
-{
-  if (!m_jobRows || !m_cancelRows || !m_progressRows) {
-    return;
-  }
-  m_loaded = true;
-  m_loadedAt = m_now;
-  AddJobs(*m_jobRows);
-  for (const Row& row : *m_progressRows) {
-    const JobId job(row.m_key.m_key);
-    const auto progress = DecodeProgress(job, row.m_value);
-    if (progress) {
-      m_scheduler.OnProgress(job, *progress, m_now);
-    } else {
-      Log("progress-malformed", "job=" + job.Text());
-    }
-  }
-  AddCancels(*m_cancelRows);
-  Log("leader-loaded",
-      "jobs=" + std::to_string(m_jobRows->size()) +
-        " progress=" + std::to_string(m_progressRows->size()) +
-        " cancels=" + std::to_string(m_cancelRows->size()));
-  m_jobRows.reset();
-  m_cancelRows.reset();
-  m_progressRows.reset();
-  for (const TargetRecord& record : m_targets.Usable()) {
-    m_scheduler.OnTargetRecord(record, m_now);
-  }
-}
-
-void Leader::AddJobs(const std::vector<Row>& aRows)
-{
-  for (const Row& row : aRows) {
-    if (row.m_removed) {
-      continue;
-    }
-    const JobId job(row.m_key.m_key);
-    const auto stored = DecodeJob(row.m_value);
-    if (!stored) {
-      Log("job-malformed", "job=" + job.Text());
-      continue;
-    }
-    m_scheduler.OnJob(job, *stored, m_now);
-  }
-}
-
-void Leader::AddCancels(const std::vector<Row>& aRows)
-{
-  for (const Row& row : aRows) {
-    if (!row.m_removed) {
-      m_scheduler.OnCancel(JobId(row.m_key.m_key), m_now);
-    }
-  }
-}
-
-void Leader::OnTargetRows(const std::vector<Row>& aRows, bool aWhole)
-{
-  const TargetChanges changes =
-    m_targets.OnRows(aRows, aWhole, m_with.m_documents);
-  for (const TargetId& target : changes.m_malformed) {
-    Log("target-row-malformed", "target=" + target.Text());
-  }
-  ApplyTargets(changes);
-}
-
-void Leader::ApplyTargets(const TargetChanges& aChanges)
-{
-  if (!m_loaded) {
-    return; // all targets are told of then
-  }
-  for (const TargetRecord& record : aChanges.m_changed) {
-    m_scheduler.OnTargetRecord(record, m_now);
-  }
-  for (const TargetId& target : aChanges.m_gone) {
-    Log("target-gone", "target=" + target.Text());
-    m_scheduler.OnTargetGone(target, m_now);
-  }
-}
-
-void Leader::OnHostRows(const std::vector<Row>& aRows, bool aWhole)
-{
-  if (aWhole) {
-    m_hosts.clear();
-  }
-  for (const Row& row : aRows) {
-    const std::string& name = row.m_key.m_key;
-    proto::HostRow host;
-    const bool readable = !row.m_removed && host.ParseFromString(row.m_value);
-    if (!readable || name == m_with.m_settings.m_host) {
-      m_hosts.erase(name);
-      continue;
-    }
-    m_hosts[name] = PeerHost{ host.peer_address(),
-                              DataCentreName(host.data_centre()),
-                              host.processor_share(),
-                              m_now };
-  }
-}
-
 void Leader::SendHeartbeats()
 {
   const TimePoint renewed =
@@ -485,42 +324,6 @@
   m_with.m_writer.Commit(std::move(aWrites), std::move(aRemovals));
 }
 
-void Leader::Start(const StartOrder& aOrder)
-{
-  LineTo(aOrder.m_to.m_target).Start(aOrder);
-}
-
-void Leader::Stop(const StopOrder& aOrder)
-{
-  LineTo(aOrder.m_to.m_target).Stop(aOrder);
-}
-
-void Leader::Pace(const PaceOrder& aOrder)
-{
-  LineTo(aOrder.m_to.m_target).Pace(aOrder);
-}
-
-void Leader::Hold(const HoldOrder& aOrder, HoldPath aPath)
-{
-  LineTo(aOrder.m_to.m_target).Hold(aOrder, aPath);
-}
-
-void Leader::Forget(const TargetId& aTarget)
-{
-  m_carried.Forget(aTarget);
-  CloseOwnLine(aTarget);
-}
-
-void Leader::CloseOwnLine(const TargetId& aTarget)
-{
-  const auto line = m_lines.find(aTarget);
-  if (line != m_lines.end()) {
-    line->second->Close();
-    m_closedLines.push_back(std::move(line->second));
-    m_lines.erase(line);
-  }
-}
-
 bool Leader::CanAsk() const
 {
   return m_spread.CanAsk(m_now);
@@ -562,71 +365,4 @@
   m_with.m_log.Write(aEvent, aFields);
 }
 
-OrderLine& Leader::LineTo(const TargetId& aTarget)
-{
-  if (!IsLargeFleet()) {
-    return OwnLineTo(aTarget);
-  }
-  const TargetRecord* record = m_targets.Find(aTarget);
-  const DataCentreName dataCentre =
-    record != nullptr ? record->m_dataCentre : DataCentreName();
-  if (!m_carried.Assign(aTarget, dataCentre, m_now)) {
-    return OwnLineTo(aTarget);
-  }
-  CloseOwnLine(aTarget);
-  return m_carried;
-}
-
-OrderLine& Leader::OwnLineTo(const TargetId& aTarget)
-{
-  std::unique_ptr<TargetLine>& line = m_lines[aTarget];
-  if (!line) {
-    CommitWriter& writer = m_with.m_writer;
-    line = std::make_unique<TargetLine>(
-      m_with.m_orders,
-      [&writer] { return BootClockNow() < writer.ValidUntil(); },
-      AnswersOf(m_with.m_post));
-  }
-  return *line;
-}
-
-void Leader::SendCarriedOrders(const std::string& aHost,
-                               proto::CarriedOrders aOrders)
-{
-  const auto host = m_hosts.find(aHost);
-  if (host == m_hosts.end()) {
-    return; // its orders are given up with it
-  }
-  proto::JobPeerMessage message;
-  message.mutable_carried_orders()->Swap(&aOrders);
-  m_with.m_peers.Send(host->second.m_address, std::move(message));
-}
-
-TargetAnswers Leader::AnswersOf(
-  std::function<void(std::function<void()>)> aPost)
-{
-  const auto post = std::move(aPost);
-  TargetAnswers answers;
-  answers.m_started = [this, post](const StartOrder& aOrder,
-                                   const OrderAnswer& aAnswer) {
-    post([this, aOrder, aAnswer] {
-      m_scheduler.OnStartAnswer(aOrder, aAnswer, m_now);
-    });
-  };
-  answers.m_stopped = [this, post](const StopOrder& aOrder,
-                                   const OrderAnswer& aAnswer) {
-    post([this, aOrder, aAnswer] {
-      m_scheduler.OnStopAnswer(aOrder, aAnswer, m_now);
-    });
-  };
-  answers.m_held = [this, post](const HoldOrder& aOrder,
-                                HoldPath aPath,
-                                const HoldAnswer& aAnswer) {
-    post([this, aOrder, aPath, aAnswer] {
-      m_scheduler.OnHoldAnswer(aOrder, aPath, aAnswer, m_now);
-    });
-  };
-  return answers;
-}
-
 } // namespace lycheestep
--- /dev/null
+++ b/src/jobhost/leader_rows.cpp
@@ -0,0 +1,150 @@
+// What the leader reads in the store's tables: all rows once, then changes.
+#include <chrono>
+#include <utility>
+
+#include "event_log.h"
+#include "job_rows.h"
+#include "jobs.pb.h"
+#include "leader.h"
+#include "lycheestep/job_host_settings.h"
+#include "lycheestep/platform_documents.h"
+
+namespace lycheestep {
+
+void Leader::OnJobRows(const std::vector<Row>& aRows, bool aWhole)
+{
+  if (m_loaded) {
+    AddJobs(aRows);
+    return;
+  }
+  if (aWhole || !m_jobRows) {
+    m_jobRows = aRows;
+  } else {
+    m_jobRows->insert(m_jobRows->end(), aRows.begin(), aRows.end());
+  }
+  LoadIfComplete();
+}
+
+void Leader::OnCancelRows(const std::vector<Row>& aRows, bool aWhole)
+{
+  if (m_loaded) {
+    AddCancels(aRows);
+    return;
+  }
+  if (aWhole || !m_cancelRows) {
+    m_cancelRows = aRows;
+  } else {
+    m_cancelRows->insert(m_cancelRows->end(), aRows.begin(), aRows.end());
+  }
+  LoadIfComplete();
+}
+
+void Leader::OnProgressRows(const std::vector<Row>& aRows, bool aWhole)
+{
+  if (!m_loaded && aWhole) {
+    m_progressRows = aRows;
+    m_watches.front()->Stop(); // later changes are this host's own
+    LoadIfComplete();
+  }
+}
+
+void Leader::LoadIfComplete()
+{
+  if (!m_jobRows || !m_cancelRows || !m_progressRows) {
+    return;
+  }
+  m_loaded = true;
+  m_loadedAt = m_now;
+  AddJobs(*m_jobRows);
+  for (const Row& row : *m_progressRows) {
+    const JobId job(row.m_key.m_key);
+    const auto progress = DecodeProgress(job, row.m_value);
+    if (progress) {
+      m_scheduler.OnProgress(job, *progress, m_now);
+    } else {
+      Log("progress-malformed", "job=" + job.Text());
+    }
+  }
+  AddCancels(*m_cancelRows);
+  Log("leader-loaded",
+      "jobs=" + std::to_string(m_jobRows->size()) +
+        " progress=" + std::to_string(m_progressRows->size()) +
+        " cancels=" + std::to_string(m_cancelRows->size()));
+  m_jobRows.reset();
+  m_cancelRows.reset();
+  m_progressRows.reset();
+  for (const TargetRecord& record : m_targets.Usable()) {
+    m_scheduler.OnTargetRecord(record, m_now);
+  }
+}
+
+void Leader::AddJobs(const std::vector<Row>& aRows)
+{
+  for (const Row& row : aRows) {
+    if (row.m_removed) {
+      continue;
+    }
+    const JobId job(row.m_key.m_key);
+    const auto stored = DecodeJob(row.m_value);
+    if (!stored) {
+      Log("job-malformed", "job=" + job.Text());
+      continue;
+    }
+    m_scheduler.OnJob(job, *stored, m_now);
+  }
+}
+
+void Leader::AddCancels(const std::vector<Row>& aRows)
+{
+  for (const Row& row : aRows) {
+    if (!row.m_removed) {
+      m_scheduler.OnCancel(JobId(row.m_key.m_key), m_now);
+    }
+  }
+}
+
+void Leader::OnTargetRows(const std::vector<Row>& aRows, bool aWhole)
+{
+  const TargetChanges changes =
+    m_targets.OnRows(aRows, aWhole, m_with.m_documents);
+  for (const TargetId& target : changes.m_malformed) {
+    Log("target-row-malformed", "target=" + target.Text());
+  }
+  ApplyTargets(changes);
+}
+
+void Leader::ApplyTargets(const TargetChanges& aChanges)
+{
+  if (!m_loaded) {
+    return; // all targets are told of then
+  }
+  for (const TargetRecord& record : aChanges.m_changed) {
+    m_scheduler.OnTargetRecord(record, m_now);
+  }
+  for (const TargetId& target : aChanges.m_gone) {
+    Log("target-gone", "target=" + target.Text());
+    m_scheduler.OnTargetGone(target, m_now);
+  }
+}
+
+void Leader::OnHostRows(const std::vector<Row>& aRows, bool aWhole)
+{
+  if (aWhole) {
+    m_hosts.clear();
+  }
+  for (const Row& row : aRows) {
+    const std::string& name = row.m_key.m_key;
+    proto::HostRow host;
+    const bool readable = !row.m_removed && host.ParseFromString(row.m_value);
+    if (!readable || name == m_with.m_settings.m_host) {
+      m_hosts.erase(name);
+      continue;
+    }
+    m_hosts[name] = PeerHost{ host.peer_address(),
+                              DataCentreName(host.data_centre()),
+                              host.processor_share(),
+                              m_now };
+  }
+}
+
+} // namespace lycheestep
