Soaks of the same moment take different ports

Cause: of three soaks started together one found its ports taken between the look and the use. The first port looked at follows the process's id now.

--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -39,7 +39,9 @@
 
 def free_ports(count):
     """The first of so many free ports in a row."""
-    for first in range(20000, 60000, 83):
+    # Soaks of the same moment look in different places.
+    start = 20000 + os.getpid() * 173 % 20000
+    for first in range(start, 60000, 83):
         probes = []
         try:
             for port in range(first, first + count):
