--- a/src/jobhost/order_spread.cpp
+++ b/src/jobhost/order_spread.cpp
@@ -222,6 +222,7 @@
   std::sort(ranked.begin(), ranked.end());
   ranked.resize(std::min(ranked.size(), kMostCarriers));
   std::vector<std::string> names;
+  names.reserve(ranked.size());
   for (const auto& [share, name] : ranked) {
     names.push_back(name);
   }
--- a/src/jobhost/order_spread_test.cpp
+++ b/src/jobhost/order_spread_test.cpp
@@ -201,6 +201,7 @@
 TEST_F(OrderSpreadTest, LargeFleetCostsAFewMessagesATurn)
 {
   std::vector<CarrierHost> hosts;
+  hosts.reserve(43);
   for (int i = 0; i < 43; ++i) {
     hosts.push_back(CarrierHost{ "host" + std::to_string(i),
                                  DataCentreName(std::to_string(i % 4)),
--- a/src/jobhost/relayed_store.cpp
+++ b/src/jobhost/relayed_store.cpp
@@ -245,7 +245,7 @@
   m_replied.wait_for(
     lock, aTimeout + kRelayMargin, [&] { return m_calls[id].has_value(); });
   const bool replied = m_calls[id].has_value();
-  const RowAnswer answer = m_calls[id].value_or(RowAnswer());
+  RowAnswer answer = m_calls[id].value_or(RowAnswer());
   m_calls.erase(id);
   const TimePoint now = BootClockNow();
   m_route.NoteRelay(aRelay, answer.m_status, replied, now);
--- a/src/jobs/job_cell_test.cpp
+++ b/src/jobs/job_cell_test.cpp
@@ -332,6 +332,7 @@
 {
   JobCellModel cell(12, 6);
   std::vector<JobId> jobs;
+  jobs.reserve(4);
   for (int i = 0; i < 4; ++i) {
     jobs.push_back(cell.Submit(TwoSteps(6)));
   }
