Read a relayed call in small steps

No behaviour changes: RelayedStore::Serve decides, carries out and encodes in functions of their own.

--- a/src/jobhost/relayed_store.cpp
+++ b/src/jobhost/relayed_store.cpp
@@ -34,6 +34,16 @@
   aMessage.set_limit(aRange.m_limit);
 }
 
+RowRange DecodeRead(const proto::RowReadMessage& aMessage)
+{
+  RowRange range;
+  range.m_table = aMessage.table();
+  range.m_partition = aMessage.partition();
+  range.m_first = aMessage.first();
+  range.m_limit = aMessage.limit();
+  return range;
+}
+
 RowAnswer Refused()
 {
   RowAnswer answer;
@@ -124,40 +134,41 @@
 
 proto::JobPeerMessage RelayedStore::Serve(const proto::StoreCall& aCall)
 {
-  const Duration timeout = std::chrono::milliseconds(aCall.timeout_ms());
+  const RowAnswer answer = MayServe(aCall) ? CarryOut(aCall) : Refused();
+  proto::JobPeerMessage message;
+  EncodeStoreReply(answer, *message.mutable_store_reply());
+  message.mutable_store_reply()->set_id(aCall.id());
+  return message;
+}
+
+bool RelayedStore::MayServe(const proto::StoreCall& aCall)
+{
   const StoreCallKind kind =
     aCall.has_transaction() ? StoreCallKind::kWrite : StoreCallKind::kRead;
-  bool mayServe = false;
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    mayServe = m_route.MayServe(kind, BootClockNow());
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_route.MayServe(kind, BootClockNow());
+}
+
+RowAnswer RelayedStore::CarryOut(const proto::StoreCall& aCall)
+{
+  const Duration timeout = std::chrono::milliseconds(aCall.timeout_ms());
+  if (aCall.has_transaction()) {
+    const RowTransaction transaction =
+      DecodeTransactionMessage(aCall.transaction());
+    return CallDirect([&] { return m_direct.Transact(transaction, timeout); });
   }
-  RowAnswer answer = Refused();
-  if (!mayServe) {
-    // Nothing is sent, as this host does not reach the store itself.
-  } else if (aCall.has_transaction()) {
-    answer = CallDirect([&] {
-      return m_direct.Transact(DecodeTransactionMessage(aCall.transaction()),
-                               timeout);
-    });
-  } else if (aCall.has_read()) {
-    RowRange range;
-    range.m_table = aCall.read().table();
-    range.m_partition = aCall.read().partition();
-    range.m_first = aCall.read().first();
-    range.m_limit = aCall.read().limit();
-    answer = CallDirect([&] { return m_direct.Read(range, timeout); });
-  } else if (aCall.has_feed()) {
+  if (aCall.has_read()) {
+    const RowRange range = DecodeRead(aCall.read());
+    return CallDirect([&] { return m_direct.Read(range, timeout); });
+  }
+  if (aCall.has_feed()) {
     const Duration wait = std::chrono::milliseconds(aCall.feed().wait_ms());
-    answer = CallDirect([&] {
+    return CallDirect([&] {
       return m_direct.Feed(
         aCall.feed().table(), aCall.feed().version(), wait, timeout - wait);
     });
   }
-  proto::JobPeerMessage message;
-  EncodeStoreReply(answer, *message.mutable_store_reply());
-  message.mutable_store_reply()->set_id(aCall.id());
-  return message;
+  return Refused(); // a newer host's call
 }
 
 RowAnswer RelayedStore::CallEither(StoreCallKind aKind,
--- a/src/jobhost/relayed_store.h
+++ b/src/jobhost/relayed_store.h
@@ -62,6 +62,8 @@
                        Duration aTimeout);
   StoreWay ChooseWay(StoreCallKind aKind, Duration aTimeout);
   bool Probe(const StoreWay& aWay, Duration aTimeout);
+  bool MayServe(const proto::StoreCall& aCall);
+  RowAnswer CarryOut(const proto::StoreCall& aCall);
   RowAnswer CallDirect(const DirectCall& aDirect);
   RowAnswer CallRelay(const std::string& aRelay,
                       proto::StoreCall aCall,
