--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -159,7 +159,7 @@
   if (valid && CanOrder()) {
     m_scheduler.Step(m_now);
   }
-  m_carried.Flush(m_with.m_writer.ValidUntil(), m_now);
+  m_carried.Flush(m_with.m_writer.ValidUntil());
   m_closedLines.erase(
     std::remove_if(m_closedLines.begin(),
                    m_closedLines.end(),
--- a/src/jobhost/order_spread.cpp
+++ b/src/jobhost/order_spread.cpp
@@ -181,7 +181,7 @@
   }
 }
 
-void OrderSpread::Flush(TimePoint aValidUntil, TimePoint /*aNow*/)
+void OrderSpread::Flush(TimePoint aValidUntil)
 {
   for (auto& [name, carrier] : m_carriers) {
     if (carrier.m_batch.order_size() == 0) {
--- a/src/jobhost/order_spread.h
+++ b/src/jobhost/order_spread.h
@@ -74,7 +74,7 @@
 
   // Sends what has come since the last call. The leader may order until
   // aValidUntil.
-  void Flush(TimePoint aValidUntil, TimePoint aNow);
+  void Flush(TimePoint aValidUntil);
 
 private:
   struct Carrier
--- a/src/jobhost/order_spread_test.cpp
+++ b/src/jobhost/order_spread_test.cpp
@@ -78,7 +78,7 @@
     m_spread.Start(order);
   }
 
-  void Flush() { m_spread.Flush(m_now + seconds(3), m_now); }
+  void Flush() { m_spread.Flush(m_now + seconds(3)); }
 
   std::size_t OrdersSentTo(const std::string& aHost) const
   {
@@ -154,7 +154,7 @@
   m_spread.Assign(Target(1), DataCentreName("north"), m_now);
   m_now += milliseconds(700);
   SendStart(1);
-  m_spread.Flush(m_now + seconds(2), m_now);
+  m_spread.Flush(m_now + seconds(2));
   // Its clock showed 50 s when it was heard, 0.7 s ago.
   EXPECT_EQ(m_sent.front().second.not_after_ms(), 52700);
 }
