Say what steps wait for and how the fleet's capacity is used

The leader now writes one line when a step is placed, with the time that it waited for each, and one line a second about the fleet; both are written even if the log is over its limit of lines. Metrics hold the same, and how permissions ended and how long each host's calls to the advisor waited and took.

No decision changes. The model of a cell takes the number of hosts that may call the advisor, the share of fit targets and the life of permissions.

--- a/src/include/lycheestep/advice.h
+++ b/src/include/lycheestep/advice.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEESTEP_ADVICE_H
 #define LYCHEESTEP_ADVICE_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -36,6 +37,16 @@
   Duration m_validFor = Duration::zero();
 };
 
+// How much of the capacity for calls to the advisor is in use.
+struct AdvisorUse
+{
+  // Hosts that may make calls now, and those that a call keeps busy.
+  std::size_t m_hosts = 0;
+  std::size_t m_busyHosts = 0;
+  // Calls that have no reply yet.
+  std::size_t m_calls = 0;
+};
+
 // The service that knows which targets may run a step. It serves one call of
 // a host at a time. Safe from any thread.
 class Advisor
--- a/src/jobhost/advice_dispatcher.cpp
+++ b/src/jobhost/advice_dispatcher.cpp
@@ -51,6 +51,17 @@
   return host != nullptr && host->second.m_busyUntil <= aNow + kSendAhead;
 }
 
+AdvisorUse AdviceDispatcher::Use(TimePoint aNow) const
+{
+  AdvisorUse use;
+  for (const auto& [name, host] : m_hosts) {
+    use.m_hosts += host.m_quarantinedUntil <= aNow ? 1 : 0;
+    use.m_busyHosts += host.m_calls > 0 ? 1 : 0;
+  }
+  use.m_calls = m_calls.size();
+  return use;
+}
+
 void AdviceDispatcher::Ask(const AdviceRequest& aRequest,
                            Duration aServiceTime,
                            TimePoint aNow)
--- a/src/jobhost/advice_dispatcher.h
+++ b/src/jobhost/advice_dispatcher.h
@@ -37,6 +37,8 @@
   // a call reaches it.
   bool CanAsk(TimePoint aNow) const;
 
+  AdvisorUse Use(TimePoint aNow) const;
+
   // Sends a call to the host that is free first, or to this host if every host
   // is busy or in quarantine. aServiceTime is the time that the advisor needs
   // for the call.
--- a/src/jobhost/advice_worker.cpp
+++ b/src/jobhost/advice_worker.cpp
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <utility>
 
+#include "lycheestep/metrics_sink.h"
+
 namespace lycheestep {
 
 namespace {
@@ -19,8 +21,9 @@
 
 } // namespace
 
-AdviceWorker::AdviceWorker(Advisor* aAdvisor)
+AdviceWorker::AdviceWorker(Advisor* aAdvisor, MetricsSink& aMetrics)
   : m_advisor(aAdvisor)
+  , m_metrics(aMetrics)
 {
   m_thread = std::thread([this] { Run(); });
   pthread_setname_np(m_thread.native_handle(), "advice");
@@ -36,9 +39,15 @@
                        Duration aTimeout,
                        AnswerCallback aAnswer)
 {
-  const TimePoint deadline = Clock::now() + aTimeout;
-  m_queue.Add([this, aRequest, deadline, answer = std::move(aAnswer)] {
-    answer(CallAdvisor(aRequest, deadline));
+  const TimePoint queued = Clock::now();
+  m_queue.Add([this, aRequest, queued, aTimeout, answer = std::move(aAnswer)] {
+    const TimePoint begun = Clock::now();
+    const AdviceAnswer reply = CallAdvisor(aRequest, queued + aTimeout);
+    m_metrics.Observe("lycheestep_advice_queue_seconds", "", begun - queued);
+    m_metrics.Observe("lycheestep_advice_call_seconds",
+                      reply.m_answered ? "answered=\"yes\"" : "answered=\"no\"",
+                      Clock::now() - begun);
+    answer(reply);
   });
 }
 
--- a/src/jobhost/advice_worker.h
+++ b/src/jobhost/advice_worker.h
@@ -9,6 +9,8 @@
 
 namespace lycheestep {
 
+class MetricsSink;
+
 // Makes the calls to the advisor for this host and for other hosts, one at a
 // time, on its own thread.
 class AdviceWorker
@@ -16,8 +18,9 @@
 public:
   using AnswerCallback = std::function<void(const AdviceAnswer&)>;
 
-  // aAdvisor may be null; every call then ends without a reply.
-  explicit AdviceWorker(Advisor* aAdvisor);
+  // aAdvisor may be null; every call then ends without a reply. aMetrics gets
+  // the time that each call waits here and the time that it takes.
+  AdviceWorker(Advisor* aAdvisor, MetricsSink& aMetrics);
   ~AdviceWorker();
   AdviceWorker(const AdviceWorker&) = delete;
   AdviceWorker& operator=(const AdviceWorker&) = delete;
@@ -36,6 +39,7 @@
   void Run();
 
   Advisor* const m_advisor;
+  MetricsSink& m_metrics;
   TaskQueue m_queue;
   std::thread m_thread;
 };
--- a/src/jobhost/event_log.cpp
+++ b/src/jobhost/event_log.cpp
@@ -75,6 +75,23 @@
     ++m_dropped;
     return;
   }
+  Queue(aEvent, aFields);
+}
+
+void EventLog::WriteSummary(const std::string& aEvent,
+                            const std::string& aFields)
+{
+  m_metrics.Count("lycheestep_events_total", "event=\"" + aEvent + '"', 1);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  if (m_lines.size() >= kMaxQueuedLines) {
+    ++m_dropped;
+    return;
+  }
+  Queue(aEvent, aFields);
+}
+
+void EventLog::Queue(const std::string& aEvent, const std::string& aFields)
+{
   m_lines.push_back("event=" + aEvent + " " + aFields);
   if (m_lines.size() == 1) {
     m_lineReady.notify_one();
--- a/src/jobhost/event_log.h
+++ b/src/jobhost/event_log.h
@@ -30,12 +30,17 @@
 
   void Write(const std::string& aEvent, const std::string& aFields);
 
+  // As Write, but the line does not count towards the limit per second, nor is
+  // it dropped because of it.
+  void WriteSummary(const std::string& aEvent, const std::string& aFields);
+
   // Writes the queued lines, and waits at most aTimeout until they are written.
   // Lines that are logged later may be lost.
   void Finish(Duration aTimeout);
 
 private:
   void Run();
+  void Queue(const std::string& aEvent, const std::string& aFields);
   // Returns false if a line at aNow exceeds a limit; counts the line otherwise.
   bool AdmitLine(TimePoint aNow);
 
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -98,7 +98,7 @@
         m_peers.Send(aAddress, std::move(aMessage));
       })
   , m_requestHandler(m_store, m_log, m_metrics)
-  , m_advice(aDependencies.m_advisor)
+  , m_advice(aDependencies.m_advisor, m_metrics)
   , m_storeRelayPool("relay", kRelayThreads)
   , m_carrier(
       aDependencies.m_orders,
@@ -467,6 +467,7 @@
                              m_dependencies.m_documents,
                              m_config,
                              m_log,
+                             m_metrics,
                              m_writer,
                              m_peers,
                              m_advice,
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -342,6 +342,11 @@
   return m_adviceDispatcher.CanAsk(m_now);
 }
 
+AdvisorUse Leader::GetAdvisorUse() const
+{
+  return m_adviceDispatcher.Use(m_now);
+}
+
 void Leader::Ask(const AdviceRequest& aRequest, Duration aServiceTime)
 {
   m_adviceDispatcher.Ask(aRequest, aServiceTime, m_now);
@@ -378,4 +383,9 @@
   m_dependencies.m_log.Write(aEvent, aFields);
 }
 
+void Leader::LogSummary(const std::string& aEvent, const std::string& aFields)
+{
+  m_dependencies.m_log.WriteSummary(aEvent, aFields);
+}
+
 } // namespace lycheestep
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -24,6 +24,7 @@
 class CommitWriter;
 class ConfigHolder;
 class EventLog;
+class MetricsSink;
 class PeerMessenger;
 class PlatformDocuments;
 class RelayedStore;
@@ -39,6 +40,7 @@
   const PlatformDocuments& m_documents;
   const ConfigHolder& m_config;
   EventLog& m_log;
+  MetricsSink& m_metrics;
   CommitWriter& m_writer;
   PeerMessenger& m_peers;
   AdviceWorker& m_advice;
@@ -122,7 +124,11 @@
   void Forget(const TargetId& aTarget) override;
   bool CanAsk() const override;
   void Ask(const AdviceRequest& aRequest, Duration aServiceTime) override;
+  AdvisorUse GetAdvisorUse() const override;
   void Log(const std::string& aEvent, const std::string& aFields) override;
+  void LogSummary(const std::string& aEvent,
+                  const std::string& aFields) override;
+  MetricsSink& Metrics() override { return m_dependencies.m_metrics; }
 
 private:
   void StartWatches();
--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "job_effects.h"
+#include "lycheestep/metrics_sink.h"
 #include "placement.h"
 #include "run_text.h"
 #include "target_manager.h"
@@ -84,6 +85,12 @@
            [aNow](const auto& aFit) { return aFit.second.m_until > aNow; });
 }
 
+bool AdviceCache::IsAsking(const StepName& aStep) const
+{
+  const auto step = m_steps.find(aStep);
+  return step != m_steps.end() && step->second.m_call != 0;
+}
+
 void AdviceCache::ForEachPermitted(
   const StepName& aStep,
   TimePoint aNow,
@@ -267,9 +274,11 @@
       continue;
     }
     newFitTargets += isNew ? 1 : 0;
-    advice.m_fit[target] = Permission{ good->m_permission,
-                                       aNow + aAnswer.m_validFor,
-                                       call.m_started[i] };
+    Permission& permission = advice.m_fit[target];
+    CountPermission(permission, aNow);
+    permission = Permission{
+      good->m_permission, aNow + aAnswer.m_validFor, call.m_started[i], false
+    };
   }
   if (newTargets > 0) {
     double& share =
@@ -295,14 +304,43 @@
   }
 }
 
-void AdviceCache::RemoveJob(const JobId& aJob)
+void AdviceCache::NoteUsed(const StepName& aStep, const TargetId& aTarget)
+{
+  const auto step = m_steps.find(aStep);
+  if (step != m_steps.end()) {
+    const auto fit = step->second.m_fit.find(aTarget);
+    if (fit != step->second.m_fit.end()) {
+      fit->second.m_used = true;
+    }
+  }
+}
+
+void AdviceCache::RemoveJob(const JobId& aJob, TimePoint aNow)
 {
   auto step = m_steps.lower_bound(StepName{ aJob, 0, 0 });
   while (step != m_steps.end() && step->first.m_job == aJob) {
+    for (const auto& [target, permission] : step->second.m_fit) {
+      CountPermission(permission, aNow);
+    }
     step = m_steps.erase(step);
   }
 }
 
+void AdviceCache::CountPermission(const Permission& aPermission,
+                                  TimePoint aNow) const
+{
+  if (aPermission.m_text.empty()) {
+    return; // new in the cache
+  }
+  const char* outcome = "outcome=\"unused\"";
+  if (aPermission.m_used) {
+    outcome = "outcome=\"used\"";
+  } else if (aPermission.m_until <= aNow) {
+    outcome = "outcome=\"lapsed\"";
+  }
+  m_effects.Metrics().Count("lycheestep_permissions_total", outcome, 1);
+}
+
 double AdviceCache::FitShare(const QueueName& aQueue) const
 {
   const auto found = m_fitShares.find(aQueue);
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -35,6 +35,9 @@
   // aNow. The target's incarnation is not compared.
   bool HasPermission(const StepName& aStep, TimePoint aNow) const;
 
+  // Returns true while a call for the step is under way.
+  bool IsAsking(const StepName& aStep) const;
+
   // Calls aUse for each target on which the step has a permission that is valid
   // at aNow.
   void ForEachPermitted(
@@ -64,9 +67,12 @@
   // Invalidates the permission for the step on the target, which refused it.
   void InvalidatePermission(const StepName& aStep, const TargetId& aTarget);
 
+  // Records that a task of the step was placed on the target.
+  void NoteUsed(const StepName& aStep, const TargetId& aTarget);
+
   // Removes all cached answers for the job's steps. The answer to a call under
   // way is ignored unless Ask is called for its step again.
-  void RemoveJob(const JobId& aJob);
+  void RemoveJob(const JobId& aJob, TimePoint aNow);
 
 private:
   struct Permission
@@ -76,6 +82,8 @@
     // The start time of the target's incarnation for which the permission is
     // valid. The start time identifies the incarnation.
     WallTime m_started{ 0 };
+    // True once a task was placed by it.
+    bool m_used = false;
   };
 
   // The advisor's answers for one step.
@@ -129,6 +137,8 @@
                                                 const StepName& aStep,
                                                 TargetsToAsk& aToAsk,
                                                 std::size_t aMissing) const;
+  // Counts a permission that is replaced or removed by what became of it.
+  void CountPermission(const Permission& aPermission, TimePoint aNow) const;
   double FitShare(const QueueName& aQueue) const;
 
   JobEffects& m_effects;
--- a/src/jobs/gang_reservations.h
+++ b/src/jobs/gang_reservations.h
@@ -63,6 +63,12 @@
   // or begins its pause if its reservation has timed out.
   void OnGangNotPlaced(const WaitingGang& aGang, TimePoint aNow);
 
+  // Returns true if any gang has reserved the target.
+  bool IsReserved(const TargetId& aTarget) const
+  {
+    return m_reservedBy.count(aTarget) > 0;
+  }
+
   // Removes the reservation of a gang that was placed or is no longer needed.
   void Release(const StepName& aStep);
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -49,6 +49,9 @@
   bool m_stored = false;
   // True if the target confirmed that it has the newest run.
   bool m_seenRunning = false;
+  // When this leader placed the newest run, the default TimePoint if another
+  // one did, and when a target first confirmed the run.
+  TimePoint m_placedAt;
   TimePoint m_startedAt;
   // The progress of the newest run in percent, and when it last changed; the
   // default TimePoint if the run has reported no progress.
--- a/src/jobs/job_effects.h
+++ b/src/jobs/job_effects.h
@@ -10,6 +10,8 @@
 
 namespace lycheestep {
 
+class MetricsSink;
+
 // The connection to a target that carries a hold order. A hold order extends
 // the lease of all runs on the target unless its m_leaseEnd is zero, allows the
 // target to forget run ends that are stored, and asks which runs are on the
@@ -53,9 +55,18 @@
   // AdviceAnswer; if the advisor did not reply, its m_answered is false.
   virtual void Ask(const AdviceRequest& aRequest, Duration aServiceTime) = 0;
 
+  virtual AdvisorUse GetAdvisorUse() const = 0;
+
   // Writes one line to the log: the event's name, followed by aFields, which
   // are "name=value" pairs.
   virtual void Log(const std::string& aEvent, const std::string& aFields) = 0;
+
+  // As Log, but the line is written even if the log is over its rate limit. For
+  // events that sum up many others.
+  virtual void LogSummary(const std::string& aEvent,
+                          const std::string& aFields) = 0;
+
+  virtual MetricsSink& Metrics() = 0;
 };
 
 } // namespace lycheestep
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -43,6 +43,7 @@
   m_placementDue = false;
   m_lastPlacement = aNow;
   m_gangReservations.BeginRound(m_keeper.Targets().size(), aNow);
+  m_monitor.BeginRound(aNow);
   for (const ReadyStep* step : RankReadySteps(aNow)) {
     const bool adviceNeeded = step->m_job->m_terms.m_advice.m_required;
     // Gangs are always tried, so that they keep the targets that they reserved.
@@ -52,6 +53,8 @@
     if (worthTrying) {
       // Passes a copy, as m_ready loses a step when all its tasks are placed.
       PlaceStep(ReadyStep(*step), aNow);
+    } else {
+      NoteWait(*step, aNow);
     }
   }
 }
@@ -76,6 +79,27 @@
     };
     m_advice.Ask(job, aStep.m_name, missing, mayUse, aNow);
   }
+  if (missing > 0) {
+    NoteWait(aStep, aNow);
+  } else if (m_ready.count(aStep.m_name) == 0) {
+    m_monitor.NotePlaced(aStep.m_name,
+                         aStep.m_step->m_gang,
+                         aStep.m_step->m_count,
+                         aStep.m_readySince,
+                         aNow);
+  }
+}
+
+void JobScheduler::NoteWait(const ReadyStep& aStep, TimePoint aNow)
+{
+  StepWait wait = StepWait::kCapacity;
+  if (m_advice.IsAsking(aStep.m_name)) {
+    wait = StepWait::kAdvice;
+  } else if (aStep.m_job->m_terms.m_advice.m_required && !m_effects.CanAsk() &&
+             !m_advice.HasPermission(aStep.m_name, aNow)) {
+    wait = StepWait::kAdvisor;
+  }
+  m_monitor.NoteWaiting(aStep.m_name, aStep.m_step->m_gang, wait);
 }
 
 // Reserves targets for a gang that did not fit. A gang that is too late to be
@@ -270,6 +294,8 @@
   task.m_target = aTarget;
   task.m_stored = false;
   task.m_seenRunning = false;
+  task.m_placedAt = m_now;
+  m_advice.NoteUsed(aStep.m_name, aTarget);
   ++progress.m_dispatched;
   progress.m_lastRun = std::max(progress.m_lastRun, aRun);
   const RunName run{ TaskName{ aStep.m_name, aIndex }, aRun };
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -5,6 +5,7 @@
 
 #include "job_effects.h"
 #include "job_scheduler.h"
+#include "lycheestep/metrics_sink.h"
 #include "run_text.h"
 
 namespace lycheestep {
@@ -165,6 +166,10 @@
   if (!ref.m_task->m_seenRunning) {
     ref.m_task->m_seenRunning = true;
     ref.m_task->m_startedAt = aNow;
+    if (ref.m_task->m_placedAt != TimePoint()) {
+      m_effects.Metrics().Observe(
+        "lycheestep_start_seconds", "", aNow - ref.m_task->m_placedAt);
+    }
     ref.m_task->m_percent = 0;
     ref.m_task->m_progressAt = TimePoint();
   }
@@ -198,7 +203,7 @@
     finish(*aRef.m_task);
   }
   if (progress.IsDone()) {
-    m_advice.RemoveJob(aName.m_step.m_job);
+    m_advice.RemoveJob(aName.m_step.m_job, m_now);
   }
   MarkChanged(*aRef.m_job);
   CheckJobDone(*aRef.m_job);
@@ -306,7 +311,7 @@
                   std::to_string(static_cast<int>(aState)) + " after_ms=" +
                   std::to_string(ToMilliseconds(aNow - aJob.m_acceptedAt)));
   StopAllRuns(aJob, aNow);
-  m_advice.RemoveJob(aJob.m_id);
+  m_advice.RemoveJob(aJob.m_id, aNow);
   m_finishedJobs.emplace(aNow + m_settings.m_retention, aJob.m_id);
   aJob.m_spec.m_payload.clear();
   MarkChanged(aJob);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -54,6 +54,7 @@
   , m_effects(aEffects)
   , m_keeper(aSettings.m_targets, aEffects, *this)
   , m_advice(aEffects, m_keeper)
+  , m_monitor(aEffects)
 {
 }
 
@@ -257,6 +258,7 @@
   if ((m_placementDue && sincePlacement >= kMinPlacementInterval) ||
       sincePlacement >= kMaxPlacementInterval) {
     PlaceAll(aNow);
+    m_monitor.ReportFleet(m_keeper, m_gangReservations, aNow);
   }
   CommitIfDue(aNow);
 }
@@ -341,7 +343,11 @@
         remaining = RemainingCriticalPath(aJob.m_spec, occurrence);
         remainingKnown = true;
       }
-      ReadyStep& ready = m_ready[name];
+      const auto [found, isNew] = m_ready.try_emplace(name);
+      ReadyStep& ready = found->second;
+      if (isNew) {
+        ready.m_readySince = m_now;
+      }
       ready.m_name = name;
       ready.m_job = &aJob;
       ready.m_step = &aJob.m_spec.m_steps[s];
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -14,6 +14,7 @@
 #include "job_rows.h"
 #include "lycheestep/queue_config.h"
 #include "placement.h"
+#include "placement_monitor.h"
 #include "run_listener.h"
 #include "target_manager.h"
 
@@ -139,6 +140,8 @@
     const JobStep* m_step = nullptr;
     StepProgress* m_progress = nullptr;
     TimePoint m_due;
+    // When the step last became ready.
+    TimePoint m_readySince;
     // The estimated time that the unfinished steps of the occurrence need,
     // along their longest path.
     Duration m_remaining = Duration::zero();
@@ -188,6 +191,8 @@
                      const RunningTask& aRunning,
                      TaskRef& aRef,
                      TimePoint aNow);
+  // Tells m_monitor why the step's tasks are not all placed.
+  void NoteWait(const ReadyStep& aStep, TimePoint aNow);
   std::vector<PlacementCandidate> FindCandidates(const ReadyStep& aStep,
                                                  TimePoint aNow);
   void ReserveForGang(const ReadyStep& aStep, TimePoint aNow);
@@ -224,6 +229,7 @@
   TargetManager m_keeper;
   AdviceCache m_advice;
   GangReservations m_gangReservations;
+  PlacementMonitor m_monitor;
   ClusterConfig m_config;
   std::map<JobId, Job> m_jobs;
   std::map<StepName, ReadyStep> m_ready;
--- /dev/null
+++ b/src/jobs/mock_job_effects.h
@@ -0,0 +1,38 @@
+#ifndef LYCHEESTEP_MOCK_JOB_EFFECTS_H
+#define LYCHEESTEP_MOCK_JOB_EFFECTS_H
+
+#include <string>
+#include <vector>
+
+#include <gmock/gmock.h>
+
+#include "job_effects.h"
+
+namespace lycheestep {
+
+class MockJobEffects : public JobEffects
+{
+public:
+  MOCK_METHOD(void,
+              Commit,
+              (std::vector<RowWrite>, std::vector<RowKey>),
+              (override));
+  MOCK_METHOD(void, Start, (const StartOrder&), (override));
+  MOCK_METHOD(void, Stop, (const StopOrder&), (override));
+  MOCK_METHOD(void, Pace, (const PaceOrder&), (override));
+  MOCK_METHOD(void, Hold, (const HoldOrder&, HoldPath), (override));
+  MOCK_METHOD(void, Forget, (const TargetId&), (override));
+  MOCK_METHOD(bool, CanAsk, (), (const, override));
+  MOCK_METHOD(void, Ask, (const AdviceRequest&, Duration), (override));
+  MOCK_METHOD(AdvisorUse, GetAdvisorUse, (), (const, override));
+  MOCK_METHOD(void, Log, (const std::string&, const std::string&), (override));
+  MOCK_METHOD(void,
+              LogSummary,
+              (const std::string&, const std::string&),
+              (override));
+  MOCK_METHOD(MetricsSink&, Metrics, (), (override));
+};
+
+} // namespace lycheestep
+
+#endif
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -27,7 +27,9 @@
 
 } // namespace
 
-JobCellModel::JobCellModel(std::uint64_t aSeed, std::size_t aTargets)
+JobCellModel::JobCellModel(std::uint64_t aSeed,
+                           std::size_t aTargets,
+                           const Resources& aCapacity)
   : m_random(static_cast<std::uint32_t>(aSeed))
   , m_now(std::chrono::seconds(1000))
 {
@@ -45,7 +47,7 @@
     record.m_address = "address-" + std::to_string(i);
     record.m_rack = RackName("rack-" + std::to_string(i / kTargetsPerRack));
     record.m_kind = "a";
-    record.m_capacity = Resources(32000, 131072, 0, 0, 0);
+    record.m_capacity = aCapacity;
     record.m_started = kWallStart;
     m_targets.push_back(std::make_unique<JobTargetModel>(
       record,
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -26,13 +26,28 @@
   bool m_storeDown = false;
 };
 
+// How the advisor of the cell answers.
+struct CellAdvisor
+{
+  // The number of hosts that can each make one call at a time.
+  std::size_t m_hosts = 8;
+  // The share of targets that are fit for a step of the queue; kFitShare for
+  // other queues.
+  std::map<QueueName, double> m_fitShareOf;
+  // How long a permission is valid.
+  Duration m_validFor = std::chrono::milliseconds(1500);
+};
+
 // A cell on virtual time: the store, targets, the advisor and one leader after
 // another, around the real JobScheduler. It keeps its own account of what the
 // targets did, and names each promise that was broken.
 class JobCellModel
 {
 public:
-  explicit JobCellModel(std::uint64_t aSeed, std::size_t aTargets);
+  explicit JobCellModel(
+    std::uint64_t aSeed,
+    std::size_t aTargets,
+    const Resources& aCapacity = Resources(32000, 131072, 0, 0, 0));
   ~JobCellModel();
   JobCellModel(const JobCellModel&) = delete;
   JobCellModel& operator=(const JobCellModel&) = delete;
@@ -40,6 +55,7 @@
   // The queue's terms that Submit uses; advice is asked for if required.
   QueueConfig& Queue() { return m_queue; }
   CellFaults& Faults() { return m_faults; }
+  CellAdvisor& Advisor() { return m_advisor; }
 
   // Writes what the leaders log there, with virtual milliseconds.
   void TraceTo(std::ostream* aTrace) { m_trace = aTrace; }
@@ -104,6 +120,7 @@
   std::multimap<TimePoint, std::function<void()>> m_tasks;
   QueueConfig m_queue;
   CellFaults m_faults;
+  CellAdvisor m_advisor;
   std::vector<std::unique_ptr<JobTargetModel>> m_targets;
   // The order that a target carries out just now is a late one.
   bool m_carriesOutLate = false;
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "ignored_metrics.h"
 #include "job_cell_model.h"
 #include "run_text.h"
 
@@ -117,7 +118,7 @@
 
   void Forget(const TargetId& /*aTarget*/) override {}
 
-  bool CanAsk() const override { return m_asking < kAskers; }
+  bool CanAsk() const override { return m_asking < m_cell.m_advisor.m_hosts; }
 
   void Ask(const AdviceRequest& aRequest, Duration aTurn) override
   {
@@ -127,12 +128,12 @@
       AdviceAnswer answer;
       answer.m_ticket = aRequest.m_ticket;
       answer.m_answered = true;
-      answer.m_validFor = std::chrono::milliseconds(1500);
+      answer.m_validFor = m_cell.m_advisor.m_validFor;
+      const double fitShare = FitShareOf(aRequest.m_step.m_job);
       for (const TargetId& target : aRequest.m_targets) {
         const std::string text = StepText(aRequest.m_step) + target.Text();
         // One target is fit for everything, so that every job can end.
-        if (target.Text() == "target-0" ||
-            std::hash<std::string>()(text) % 2 == 0) {
+        if (target.Text() == "target-0" || DrawOf(text) < fitShare) {
           answer.m_good.push_back(AdvisedTarget{ target, "ticket" });
         }
       }
@@ -149,17 +150,45 @@
     }
   }
 
+  void LogSummary(const std::string& aEvent,
+                  const std::string& aFields) override
+  {
+    Log(aEvent, aFields);
+  }
+
+  AdvisorUse GetAdvisorUse() const override
+  {
+    return AdvisorUse{ m_cell.m_advisor.m_hosts, m_asking, m_asking };
+  }
+
+  MetricsSink& Metrics() override { return m_metrics; }
+
 private:
   using Done = std::function<void()>;
   using Work = std::function<void(Done)>;
 
-  static constexpr int kAskers = 8;
   // A leader waits this long for an answer.
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
   // When orders that are carried out late arrive.
   static constexpr Duration kEarliestLate = std::chrono::seconds(2);
   static constexpr Duration kLatestLate = std::chrono::seconds(12);
 
+  double FitShareOf(const JobId& aJob) const
+  {
+    constexpr double kFitShare = 0.5;
+    const auto& shares = m_cell.m_advisor.m_fitShareOf;
+    const auto share = shares.find(m_cell.m_jobs.at(aJob).m_terms.m_name);
+    return share != shares.end() ? share->second : kFitShare;
+  }
+
+  // Returns a number from 0 to 1, always the same for the same text.
+  static double DrawOf(const std::string& aText)
+  {
+    constexpr std::size_t kDraws = 10000;
+    return static_cast<double>(std::hash<std::string>()(aText) % kDraws) /
+           kDraws;
+  }
+
   void Write(const std::vector<RowWrite>& aWrites)
   {
     if (m_cell.m_faults.m_storeDown) {
@@ -314,7 +343,8 @@
   JobScheduler m_scheduler;
   std::uint64_t m_rowVersion;
   bool m_alive = true;
-  int m_asking = 0;
+  std::size_t m_asking = 0;
+  IgnoredMetrics m_metrics;
   // Fence of the last start without answer, by target.
   std::map<TargetId, FencingToken> m_unanswered;
   std::map<std::pair<TargetId, HoldPath>, std::deque<Work>> m_queues;
