Reserve capacity for gangs task by task, by when it becomes free

What callers saw: the widest gangs did not start on a busy fleet. Cause: a gang reserved whole targets and waited until all that ran there had ended; steps of a higher rank took the capacity in between, narrow gangs used up the part of the fleet that may be reserved, and the rest of a reserved target was idle.

A gang now reserves capacity for each of its tasks, that which is free or ends first by the progress that targets report. The rest of the target stays open, and short tasks use the reserved capacity if they end before the gang can start. Gangs reserve in the order of their ranks, and after the first for which too little is left no other does. Permissions are asked for when the capacity is expected. A step asks about new targets only when its former calls were answered.

--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -31,7 +31,7 @@
 // fit so many times into the whole capacity of the targets. The step then waits
 // for capacity on these targets. The second number grows with each call that
 // renewed permissions, as the capacity did not come in their time.
-constexpr double kFreeCapacityFactor = 1.4;
+constexpr double kFreeCapacityFactor = 2;
 constexpr double kWholeCapacityFactor = 3;
 
 // A permission is renewed if it is valid for less than the time of the call and
@@ -163,7 +163,11 @@
     return;
   }
   TargetsToAsk toAsk = FindTargetsToAsk(aJob, aStep, advice, aNeed, aNow);
-  while (m_effects.CanAsk()) {
+  // Free capacity changes all the time. Further calls wait for the answers, or
+  // each change would cause another small call.
+  const bool mayAskAboutNew =
+    advice.m_calls.size() == (advice.m_renewing ? 1 : 0);
+  while (mayAskAboutNew && m_effects.CanAsk()) {
     const auto targets = TakeNewTargets(aJob, aStep, advice, aNeed, toAsk);
     if (targets.empty()) {
       break;
@@ -171,8 +175,11 @@
     Send(aJob, aStep, targets, false);
   }
   std::vector<TargetToAsk>& renewals = toAsk.m_renewals;
-  const bool usable =
-    !aNeed.m_together || toAsk.m_fittingOnFit >= aNeed.m_missing;
+  const TimePoint answeredAt =
+    aNow + TimeOfCall(aJob.m_terms.m_advice, renewals.size());
+  const bool usable = !aNeed.m_together ||
+                      toAsk.m_fittingOnFit >= aNeed.m_missing ||
+                      (aNeed.m_expectedAt && *aNeed.m_expectedAt <= answeredAt);
   if (renewals.empty() || advice.m_renewing || !usable || !m_effects.CanAsk()) {
     return;
   }
@@ -243,13 +250,14 @@
   for (const auto& [id, target] : m_keeper.Targets()) {
     const bool usable = target.TakesWork(aNow) &&
                         target.m_record.m_service == aJob.m_terms.m_service &&
-                        LabelsAllow(step, target) && aNeed.m_mayUse(target);
+                        LabelsAllow(step, target);
     const std::size_t whole =
       usable ? TasksThatFit(step, target.m_record.m_capacity) : 0;
     if (whole == 0) {
       continue;
     }
-    const TargetToAsk candidate{ TasksThatFit(step, target.Free()), &target };
+    const TargetToAsk candidate{ TasksThatFit(step, aNeed.m_available(target)),
+                                 &target };
     const bool inCall = std::any_of(
       aAdvice.m_calls.begin(),
       aAdvice.m_calls.end(),
@@ -287,7 +295,10 @@
   const std::size_t worth = TargetsWorthACall(aJob.m_terms.m_advice);
   ExpectedTasks& expected = aToAsk.m_expected;
   std::vector<const TargetState*> chosen;
-  if (expected.m_later >= enoughLater) {
+  // A call has a fixed cost, so a small lack of capacity is not worth another.
+  const bool worthACall =
+    aAdvice.m_asked.empty() || expected.m_later < enoughLater / 2;
+  if (!worthACall || expected.m_later >= enoughLater) {
     return chosen;
   }
   std::size_t taken = 0;
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,8 +26,11 @@
   // True if these tasks start together: permissions are then of no use before
   // all of the tasks fit.
   bool m_together = false;
-  // Only targets that this function accepts are named and counted as capacity.
-  std::function<bool(const TargetState&)> m_mayUse;
+  // When a gang expects all of the capacity that it has reserved; nothing if it
+  // has reserved none.
+  std::optional<TimePoint> m_expectedAt;
+  // Returns the free capacity of a target that the step may use.
+  std::function<Resources(const TargetState&)> m_available;
 };
 
 // Caches the advisor's answers: which targets are fit for which steps, and the
--- a/src/jobs/gang_reservations.cpp
+++ b/src/jobs/gang_reservations.cpp
@@ -11,26 +11,38 @@
 
 namespace {
 
-// At most one in this many targets is reserved at the same time.
-constexpr std::size_t kReservableDivisor = 3;
+// At most one part in this many of the fleet's capacity is reserved at the same
+// time.
+constexpr std::int64_t kReservableDivisor = 3;
 
 // A reservation times out after the first of these times, and its gang reserves
-// no targets for the second, so that a gang that never fits does not keep
+// no capacity for the second, so that a gang that never fits does not keep
 // others waiting.
 constexpr Duration kMaxReservationTime = std::chrono::seconds(6);
 constexpr Duration kReservationPause = std::chrono::seconds(2);
 
+// The targets are chosen again after this time, as runs end earlier or later
+// than expected and the advisor finds more targets fit.
+constexpr Duration kChoiceInterval = std::chrono::milliseconds(100);
+
+Resources Times(const Resources& aDemand, std::size_t aCount)
+{
+  return aDemand.Scaled(static_cast<std::int64_t>(aCount), 1);
+}
+
 } // namespace
 
-void GangReservations::BeginRound(std::size_t aTargets, TimePoint aNow)
+void GangReservations::BeginRound(const Resources& aFleet, TimePoint aNow)
 {
-  m_limit = aTargets / kReservableDivisor;
+  m_limit = aFleet.Scaled(1, kReservableDivisor);
+  m_left = m_limit;
+  m_limitReached = false;
   for (auto it = m_reservations.begin(); it != m_reservations.end();) {
     Reservation& reservation = it->second;
     const bool abandoned =
       !reservation.m_triedThisRound && reservation.m_pauseUntil <= aNow;
     if (abandoned) {
-      RemoveTargets(it->first, reservation);
+      RemoveTasks(it->first, reservation);
       it = m_reservations.erase(it);
       continue;
     }
@@ -51,106 +63,161 @@
   }
   reservation.m_triedThisRound = true;
   if (aNow - reservation.m_since > kMaxReservationTime) {
-    RemoveTargets(aGang.m_step, reservation);
+    RemoveTasks(aGang.m_step, reservation);
     reservation.m_pauseUntil = aNow + kReservationPause;
     reservation.m_since = aNow + kReservationPause;
     return;
   }
-  // Each round chooses the targets again, as the platform's list of targets and
-  // the permissions change between rounds.
-  RemoveTargets(aGang.m_step, reservation);
-  std::set<TargetId> chosen = ChooseTargets(aGang);
-  if (ReservedCount() + chosen.size() > m_limit) {
+  const Resources whole = Times(aGang.m_demand, aGang.m_count);
+  const bool tooWide = !whole.FitsIn(m_limit);
+  m_limitReached = m_limitReached || (!tooWide && !whole.FitsIn(m_left));
+  if (tooWide || m_limitReached) {
+    RemoveTasks(aGang.m_step, reservation);
     return;
   }
-  reservation.m_targets = std::move(chosen);
-  for (const TargetId& target : reservation.m_targets) {
-    m_reservedBy[target] = aGang.m_step;
+  if (reservation.m_tasks.empty() ||
+      aNow - reservation.m_chosenAt >= kChoiceInterval) {
+    Choose(aGang, reservation, aNow);
   }
+  m_left -= reservation.m_tasks.empty() ? Resources() : whole;
 }
 
-void GangReservations::Release(const StepName& aStep)
+void GangReservations::Choose(const WaitingGang& aGang,
+                              Reservation& aReservation,
+                              TimePoint aNow)
 {
-  const auto found = m_reservations.find(aStep);
-  if (found != m_reservations.end()) {
-    RemoveTargets(aStep, found->second);
-    m_reservations.erase(found);
+  RemoveTasks(aGang.m_step, aReservation);
+  aReservation.m_chosenAt = aNow;
+  const std::vector<Slot> slots = FindSlots(aGang, aNow);
+  if (slots.size() < aGang.m_count) {
+    return;
+  }
+  aReservation.m_demand = aGang.m_demand;
+  aReservation.m_readyAt = slots[aGang.m_count - 1].m_freeAt;
+  for (std::size_t i = 0; i < aGang.m_count; ++i) {
+    const TargetId& target = slots[i].m_target;
+    if (aReservation.m_tasks[target]++ == 0) {
+      m_reservedBy[target].push_back(aGang.m_step);
+    }
   }
 }
 
-ReservationKind GangReservations::KindFor(const StepName& aStep,
-                                          const TargetId& aTarget) const
+// Returns capacity for the gang's tasks, that which is free first at the front.
+std::vector<GangReservations::Slot> GangReservations::FindSlots(
+  const WaitingGang& aGang,
+  TimePoint aNow) const
 {
-  const auto holder = m_reservedBy.find(aTarget);
-  if (holder == m_reservedBy.end() || holder->second == aStep) {
-    return ReservationKind::kNone;
+  std::vector<Slot> slots;
+  for (const TargetState* target : aGang.m_targets) {
+    if (target->TakesWork(aNow)) {
+      AddSlotsOf(aGang, *target, aNow, slots);
+    }
   }
-  return m_reservations.at(holder->second).m_triedThisRound
-           ? ReservationKind::kExclude
-           : ReservationKind::kAvoidIfPossible;
+  std::stable_sort(
+    slots.begin(), slots.end(), [](const Slot& aLeft, const Slot& aRight) {
+      return aLeft.m_freeAt < aRight.m_freeAt;
+    });
+  return slots;
 }
 
-// Chooses the emptiest targets first, as they have capacity for the gang
-// soonest, until the gang would fit on the chosen ones if nothing else ran
-// there. Returns no targets if the gang would not fit even on all of them.
-std::set<TargetId> GangReservations::ChooseTargets(
-  const WaitingGang& aGang) const
+void GangReservations::AddSlotsOf(const WaitingGang& aGang,
+                                  const TargetState& aTarget,
+                                  TimePoint aNow,
+                                  std::vector<Slot>& aSlots) const
 {
+  const TargetId& id = aTarget.m_record.m_target;
   const std::size_t most = aGang.m_maxPerTarget > 0
                              ? std::min(aGang.m_maxPerTarget, aGang.m_count)
                              : aGang.m_count;
-  using Emptiness = std::pair<std::size_t, double>;
-  std::vector<std::pair<Emptiness, const TargetState*>> emptiest;
-  for (const TargetState* target : aGang.m_targets) {
-    const bool usable =
-      target->m_listed && !target->m_record.m_draining &&
-      !IsReservedByOther(aGang.m_step, target->m_record.m_target);
-    if (usable) {
-      const Resources free = target->Free();
-      emptiest.emplace_back(
-        Emptiness(CountThatFit(aGang.m_demand, free, most),
-                  free.DominantShare(target->m_record.m_capacity)),
-        target);
-    }
+  Resources free = aTarget.Free() - ReservedFromGang(aGang.m_step, id);
+  std::size_t found = CountThatFit(aGang.m_demand, free, most);
+  aSlots.insert(aSlots.end(), found, Slot{ aNow, id });
+  std::vector<std::pair<TimePoint, const Resources*>> ends;
+  for (const auto& [name, run] : aTarget.m_runs) {
+    ends.emplace_back(run.ExpectedEnd(aNow), &run.m_demand);
   }
-  std::stable_sort(emptiest.begin(),
-                   emptiest.end(),
-                   [](const auto& aLeft, const auto& aRight) {
-                     return aLeft.first > aRight.first;
-                   });
-  std::set<TargetId> chosen;
-  std::size_t capacity = 0;
-  for (const auto& [emptiness, target] : emptiest) {
-    if (capacity >= aGang.m_count) {
-      break;
+  std::sort(ends.begin(), ends.end());
+  for (const auto& [end, demand] : ends) {
+    free += *demand;
+    const std::size_t fitting = CountThatFit(aGang.m_demand, free, most);
+    if (fitting > found) {
+      aSlots.insert(aSlots.end(), fitting - found, Slot{ end, id });
+      found = fitting;
     }
-    const std::size_t fitWhenEmpty =
-      CountThatFit(aGang.m_demand, target->m_record.m_capacity, most);
-    if (fitWhenEmpty > 0) {
-      chosen.insert(target->m_record.m_target);
-      capacity += fitWhenEmpty;
+  }
+}
+
+bool GangReservations::IsReserved(const TargetId& aTarget) const
+{
+  return m_reservedBy.count(aTarget) > 0;
+}
+
+void GangReservations::Release(const StepName& aStep)
+{
+  const auto found = m_reservations.find(aStep);
+  if (found != m_reservations.end()) {
+    RemoveTasks(aStep, found->second);
+    m_reservations.erase(found);
+  }
+}
+
+Resources GangReservations::ReservedFromGang(const StepName& aGang,
+                                             const TargetId& aTarget) const
+{
+  return SumReserved(
+    aTarget, [&](const StepName& aHolder, const Reservation& aReservation) {
+      return !(aHolder == aGang) && aReservation.m_triedThisRound;
+    });
+}
+
+Resources GangReservations::ReservedFromTasks(const TargetId& aTarget,
+                                              TimePoint aEnd) const
+{
+  return SumReserved(
+    aTarget, [&](const StepName& /*aHolder*/, const Reservation& aReservation) {
+      return aReservation.m_readyAt < aEnd;
+    });
+}
+
+Resources GangReservations::SumReserved(
+  const TargetId& aTarget,
+  const std::function<bool(const StepName&, const Reservation&)>& aCounts) const
+{
+  Resources reserved;
+  const auto holders = m_reservedBy.find(aTarget);
+  if (holders == m_reservedBy.end()) {
+    return reserved;
+  }
+  for (const StepName& holder : holders->second) {
+    const Reservation& reservation = m_reservations.at(holder);
+    if (aCounts(holder, reservation)) {
+      reserved += Times(reservation.m_demand, reservation.m_tasks.at(aTarget));
     }
   }
-  return capacity >= aGang.m_count ? chosen : std::set<TargetId>();
+  return reserved;
 }
 
-bool GangReservations::IsReservedByOther(const StepName& aStep,
-                                         const TargetId& aTarget) const
+std::optional<TimePoint> GangReservations::ReadyAt(const StepName& aStep) const
 {
-  const auto holder = m_reservedBy.find(aTarget);
-  return holder != m_reservedBy.end() && !(holder->second == aStep);
+  const auto found = m_reservations.find(aStep);
+  const bool reserved =
+    found != m_reservations.end() && !found->second.m_tasks.empty();
+  return reserved ? std::optional<TimePoint>(found->second.m_readyAt)
+                  : std::nullopt;
 }
 
-void GangReservations::RemoveTargets(const StepName& aStep,
-                                     Reservation& aReservation)
+void GangReservations::RemoveTasks(const StepName& aStep,
+                                   Reservation& aReservation)
 {
-  for (const TargetId& target : aReservation.m_targets) {
-    const auto holder = m_reservedBy.find(target);
-    if (holder != m_reservedBy.end() && holder->second == aStep) {
-      m_reservedBy.erase(holder);
+  for (const auto& [target, tasks] : aReservation.m_tasks) {
+    const auto holders = m_reservedBy.find(target);
+    std::vector<StepName>& steps = holders->second;
+    steps.erase(std::find(steps.begin(), steps.end(), aStep));
+    if (steps.empty()) {
+      m_reservedBy.erase(holders);
     }
   }
-  aReservation.m_targets.clear();
+  aReservation.m_tasks.clear();
 }
 
 } // namespace lycheestep
--- a/src/jobs/gang_reservations.h
+++ b/src/jobs/gang_reservations.h
@@ -2,8 +2,9 @@
 #define LYCHEESTEP_GANG_RESERVATIONS_H
 
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <vector>
 
 #include "lycheestep/resources.h"
@@ -26,76 +27,95 @@
   std::vector<const TargetState*> m_targets;
 };
 
-// What a gang's reservation of a target means for another step.
-enum class ReservationKind
-{
-  kNone,
-  // A gang of a lower rank reserved the target: the step uses the target only
-  // if it fits on no other.
-  kAvoidIfPossible,
-  // A gang of a higher rank reserved the target: the step does not use it.
-  kExclude,
-};
-
-// Reserves targets for gangs that wait for capacity. On a busy fleet, small
-// tasks take all capacity that becomes free, so that a gang, which needs all of
-// its capacity at once, would wait until the load ends, and the widest gang
-// would wait longest. A placement round tries the steps in the order of their
-// ranks. A gang that does not fit reserves some of the targets on which it may
-// run, and steps of lower ranks are not placed there until the gang fits or its
-// reservation times out. Only a part of the fleet is reserved at any time.
+// Reserves capacity for gangs that wait for it. On a busy fleet, small tasks
+// take all capacity that becomes free, so that a gang, which needs all of its
+// capacity at once, would wait until the load ends, and the widest gang would
+// wait longest. A placement round tries the steps in the order of their ranks.
+// A gang that does not fit reserves, on targets on which it may run, the
+// capacity that is free or is expected to become free first, task by task.
+// Other steps do not use that capacity until the gang fits or its reservation
+// times out, nor do gangs of lower ranks. The rest of these targets stays open
+// to all, so that little capacity is idle while a gang waits. Only a part of
+// the fleet is reserved at any time.
 class GangReservations
 {
 public:
-  // Begins a placement round over aTargets targets, and removes the
-  // reservations of gangs that the previous round did not try. A reservation
-  // excludes other steps only once its gang has been tried in this round.
-  void BeginRound(std::size_t aTargets, TimePoint aNow);
-
-  // Returns true if the gang has reserved targets or is in its pause, or if
-  // the limit of reserved targets is not reached.
-  bool MayReserve(const StepName& aStep) const
-  {
-    return m_reservedBy.size() < m_limit || m_reservations.count(aStep) > 0;
-  }
+  // Begins a placement round over a fleet of aFleet, and removes the
+  // reservations of gangs that the previous round did not try.
+  void BeginRound(const Resources& aFleet, TimePoint aNow);
 
-  // Reserves targets for a gang that was tried in this round and did not fit,
+  // Reserves capacity for a gang that was tried in this round and did not fit,
   // or begins its pause if its reservation has timed out.
   void OnGangNotPlaced(const WaitingGang& aGang, TimePoint aNow);
 
-  // Returns true if any gang has reserved the target.
-  bool IsReserved(const TargetId& aTarget) const
-  {
-    return m_reservedBy.count(aTarget) > 0;
-  }
+  // Returns true if any gang has reserved capacity on the target.
+  bool IsReserved(const TargetId& aTarget) const;
 
   // Removes the reservation of a gang that was placed or is no longer needed.
   void Release(const StepName& aStep);
 
-  // Returns kNone if no other step's gang has reserved the target, kExclude if
-  // the gang that reserved it has been tried in this round, and
-  // kAvoidIfPossible if that gang has not been tried yet.
-  ReservationKind KindFor(const StepName& aStep, const TargetId& aTarget) const;
+  // Returns the capacity of the target, free or not, that a gang does not use
+  // because gangs of higher ranks have reserved it.
+  Resources ReservedFromGang(const StepName& aGang,
+                             const TargetId& aTarget) const;
+
+  // Returns the capacity of the target, free or not, that tasks of a step that
+  // is no gang do not use because gangs have reserved it. If the tasks are
+  // expected to end by aEnd, they use capacity of a gang that is not expected
+  // to start before that.
+  Resources ReservedFromTasks(const TargetId& aTarget, TimePoint aEnd) const;
+
+  // Returns when all capacity that the gang has reserved is expected to be
+  // free; nothing if it has reserved none.
+  std::optional<TimePoint> ReadyAt(const StepName& aStep) const;
 
 private:
   struct Reservation
   {
-    std::set<TargetId> m_targets;
+    // The gang's tasks by target.
+    std::map<TargetId, std::uint32_t> m_tasks;
+    Resources m_demand;
+    // When the last of the reserved capacity is expected to be free.
+    TimePoint m_readyAt;
+    // When the targets were chosen.
+    TimePoint m_chosenAt;
     // When the reservation began; after a pause, when the pause ends.
     TimePoint m_since;
     bool m_triedThisRound = false;
-    // After a timeout, the gang reserves no targets before this time.
+    // After a timeout, the gang reserves no capacity before this time.
     TimePoint m_pauseUntil;
   };
 
-  std::set<TargetId> ChooseTargets(const WaitingGang& aGang) const;
-  bool IsReservedByOther(const StepName& aStep, const TargetId& aTarget) const;
-  std::size_t ReservedCount() const { return m_reservedBy.size(); }
-  void RemoveTargets(const StepName& aStep, Reservation& aReservation);
+  // Capacity for one task of a gang, and when it is expected to be free.
+  struct Slot
+  {
+    TimePoint m_freeAt;
+    TargetId m_target;
+  };
+
+  std::vector<Slot> FindSlots(const WaitingGang& aGang, TimePoint aNow) const;
+  void AddSlotsOf(const WaitingGang& aGang,
+                  const TargetState& aTarget,
+                  TimePoint aNow,
+                  std::vector<Slot>& aSlots) const;
+  void Choose(const WaitingGang& aGang,
+              Reservation& aReservation,
+              TimePoint aNow);
+  Resources SumReserved(
+    const TargetId& aTarget,
+    const std::function<bool(const StepName&, const Reservation&)>& aCounts)
+    const;
+  void RemoveTasks(const StepName& aStep, Reservation& aReservation);
 
   std::map<StepName, Reservation> m_reservations;
-  std::map<TargetId, StepName> m_reservedBy;
-  std::size_t m_limit = 0;
+  // The gangs that have reserved capacity on each target.
+  std::map<TargetId, std::vector<StepName>> m_reservedBy;
+  // What gangs may reserve in all, and what is left of it in this round. Gangs are tried in the order of
+  // their ranks; after the first one for which too little is left, no further
+  // one reserves any, or narrow gangs would keep a wide one waiting.
+  Resources m_limit;
+  Resources m_left;
+  bool m_limitReached = false;
 };
 
 } // namespace lycheestep
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -42,7 +42,7 @@
 {
   m_placementDue = false;
   m_lastPlacement = aNow;
-  m_gangReservations.BeginRound(m_keeper.Targets().size(), aNow);
+  m_gangReservations.BeginRound(m_keeper.ListedCapacity(), aNow);
   m_monitor.BeginRound(aNow);
   for (const ReadyStep* step : RankReadySteps(aNow)) {
     const bool adviceNeeded = step->m_job->m_terms.m_advice.m_required;
@@ -75,10 +75,9 @@
     AdviceNeed need;
     need.m_missing = missing;
     need.m_together = aStep.m_step->m_gang;
-    need.m_mayUse = [&](const TargetState& aTarget) {
-      return m_gangReservations.KindFor(aStep.m_name,
-                                        aTarget.m_record.m_target) !=
-             ReservationKind::kExclude;
+    need.m_expectedAt = m_gangReservations.ReadyAt(aStep.m_name);
+    need.m_available = [&](const TargetState& aTarget) {
+      return FreeFor(aStep, aTarget, aNow);
     };
     m_advice.Ask(job, aStep.m_name, need, aNow);
   }
@@ -109,8 +108,7 @@
 // of use to its caller reserves none, so as to keep no capacity from others.
 void JobScheduler::ReserveForGang(const ReadyStep& aStep, TimePoint aNow)
 {
-  if (aStep.m_rank.m_lateness == StepRank::Lateness::kTooLate ||
-      !m_gangReservations.MayReserve(aStep.m_name)) {
+  if (aStep.m_rank.m_lateness == StepRank::Lateness::kTooLate) {
     return;
   }
   const JobStep& step = *aStep.m_step;
@@ -154,30 +152,40 @@
   return candidates;
 }
 
+Resources JobScheduler::FreeFor(const ReadyStep& aStep,
+                                const TargetState& aTarget,
+                                TimePoint aNow) const
+{
+  const TargetId& target = aTarget.m_record.m_target;
+  const Resources reserved =
+    aStep.m_step->m_gang
+      ? m_gangReservations.ReservedFromGang(aStep.m_name, target)
+      : m_gangReservations.ReservedFromTasks(target,
+                                             aNow + EstimateOf(*aStep.m_step));
+  return aTarget.Free() - reserved;
+}
+
 void JobScheduler::AddCandidate(const ReadyStep& aStep,
                                 const TargetState& aTarget,
                                 TimePoint aNow,
                                 std::vector<PlacementCandidate>& aCandidates)
 {
   const JobStep& step = *aStep.m_step;
-  const ReservationKind reservation =
-    m_gangReservations.KindFor(aStep.m_name, aTarget.m_record.m_target);
+  const Resources free = FreeFor(aStep, aTarget, aNow);
   const bool usable =
-    reservation != ReservationKind::kExclude && aTarget.TakesWork(aNow) &&
+    aTarget.TakesWork(aNow) &&
     aTarget.m_record.m_service == aStep.m_job->m_terms.m_service &&
-    DemandOf(step).FitsIn(aTarget.Free()) && LabelsAllow(step, aTarget) &&
+    DemandOf(step).FitsIn(free) && LabelsAllow(step, aTarget) &&
     !InterferesWithRuns(step, aTarget);
   if (!usable) {
     return;
   }
   PlacementCandidate candidate;
   candidate.m_target = &aTarget;
-  candidate.m_free = aTarget.Free();
+  candidate.m_free = free;
   candidate.m_tasksLeft = TasksAllowed(aStep.m_name, step, aTarget);
   candidate.m_nearData = step.m_dataRack.empty() ||
                          step.m_dataRack == aTarget.m_record.m_rack.Text();
-  candidate.m_reservedForGang =
-    reservation == ReservationKind::kAvoidIfPossible;
   aCandidates.push_back(candidate);
 }
 
@@ -302,7 +310,7 @@
   ++progress.m_dispatched;
   progress.m_lastRun = std::max(progress.m_lastRun, aRun);
   const RunName run{ TaskName{ aStep.m_name, aIndex }, aRun };
-  m_keeper.Reserve(aTarget, run, DemandOf(step));
+  m_keeper.Reserve(aTarget, run, DemandOf(step), EstimateOf(step));
   m_unstoredDispatches.push_back(run);
   MarkChanged(*aStep.m_job);
 }
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -29,6 +29,9 @@
 // pauses may have ended and permissions may have expired.
 constexpr Duration kMaxPlacementInterval = std::chrono::milliseconds(50);
 
+// The estimated run time of tasks that run until their job is cancelled.
+constexpr Duration kUnlimitedRunTime = std::chrono::hours(24 * 365);
+
 // The upper bound of a job's age as computed from the wall-clock time at which
 // a host accepted the job, because the clocks of hosts differ and jump.
 constexpr WallTime kMaxJobAge = std::chrono::minutes(10);
@@ -157,7 +160,8 @@
       ++progress.m_dispatched;
       m_keeper.ExpectRun(task.m_target,
                          RunName{ stored.m_name, task.m_run },
-                         DemandOf(job.m_spec.m_steps[step.m_step]));
+                         DemandOf(job.m_spec.m_steps[step.m_step]),
+                         EstimateOf(job.m_spec.m_steps[step.m_step]));
     }
   }
   if (job.IsOver()) {
@@ -280,6 +284,11 @@
   return found != m_jobs.end() ? &found->second : nullptr;
 }
 
+Duration JobScheduler::EstimateOf(const JobStep& aStep)
+{
+  return aStep.m_longRunning ? kUnlimitedRunTime : aStep.m_estimate;
+}
+
 Resources JobScheduler::DemandOf(const JobStep& aStep)
 {
   Resources demand = aStep.m_demand;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -182,6 +182,8 @@
   void StopAllRuns(Job& aJob, TimePoint aNow);
   // Returns the capacity that a task of the step takes on its target.
   static Resources DemandOf(const JobStep& aStep);
+  // Returns the estimated run time of a task of the step.
+  static Duration EstimateOf(const JobStep& aStep);
 
   void PlaceAll(TimePoint aNow);
   // Updates the ranks of the ready steps and returns the steps sorted by rank.
@@ -197,6 +199,10 @@
                                                  TimePoint aNow);
   void ReserveForGang(const ReadyStep& aStep, TimePoint aNow);
   bool InterferesWithRuns(const JobStep& aStep, const TargetState& aTarget);
+  // Returns the target's free capacity that no gang has reserved from the step.
+  Resources FreeFor(const ReadyStep& aStep,
+                    const TargetState& aTarget,
+                    TimePoint aNow) const;
   void AddCandidate(const ReadyStep& aStep,
                     const TargetState& aTarget,
                     TimePoint aNow,
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -15,7 +15,7 @@
 constexpr int kTooLateFactor = 3;
 
 // The sort key of a candidate; the smallest is chosen.
-using Score = std::tuple<bool, bool, bool, double>;
+using Score = std::tuple<bool, bool, double>;
 
 double FreeShare(const Resources& aFree, const TargetState& aTarget)
 {
@@ -115,7 +115,6 @@
     }
     const bool avoided = candidate.m_target->m_record.m_target == aAvoid;
     const Score score(avoided,
-                      candidate.m_reservedForGang,
                       !candidate.m_nearData,
                       FreeShare(candidate.m_free, *candidate.m_target));
     if (!best || score < bestScore) {
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -67,18 +67,14 @@
   // True if the target is in the rack of the step's data, or the step names no
   // such rack.
   bool m_nearData = false;
-  // True if a gang of a lower rank reserved the target. Such a target is used
-  // only if nothing else fits.
-  bool m_reservedForGang = false;
 };
 
-// Chooses a target for one task. Prefers targets that are not reserved for a
-// gang, then targets near the step's data, then the target with the smallest
-// share of its capacity free, so that nearly empty targets stay available for
-// gangs and large tasks. aAvoid is chosen only if no other target fits.
-// Subtracts aDemand from the free capacity of the chosen candidate, and one
-// from its m_tasksLeft. Returns an index into aCandidates, or nothing if the
-// task fits nowhere.
+// Chooses a target for one task. Prefers targets near the step's data, then the
+// target with the smallest share of its capacity free, so that nearly empty
+// targets stay available for gangs and large tasks. aAvoid is chosen only if no
+// other target fits. Subtracts aDemand from the free capacity of the chosen
+// candidate, and one from its m_tasksLeft. Returns an index into aCandidates,
+// or nothing if the task fits nowhere.
 std::optional<std::size_t> ChooseTarget(
   std::vector<PlacementCandidate>& aCandidates,
   const Resources& aDemand,
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -172,7 +172,10 @@
       run->second.m_confirmedAt = aNow;
       run->second.m_startedAt = std::max(run->second.m_startedAt, aNow);
     }
-    run->second.m_percentDone = task.m_percentDone;
+    if (run->second.m_percentDone != task.m_percentDone) {
+      run->second.m_percentDone = task.m_percentDone;
+      run->second.m_percentAt = aNow;
+    }
     if (!run->second.m_ofUnknownJob) {
       m_listener.OnRunProgress(aTarget.m_record.m_target, task, aNow);
     }
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -96,7 +96,8 @@
 
 void TargetManager::ExpectRun(const TargetId& aTarget,
                               const RunName& aRun,
-                              const Resources& aDemand)
+                              const Resources& aDemand,
+                              Duration aEstimate)
 {
   const auto [found, isNew] = m_targets.try_emplace(aTarget);
   TargetState& target = found->second;
@@ -106,6 +107,7 @@
   }
   TargetRun run;
   run.m_demand = aDemand;
+  run.m_estimate = aEstimate;
   run.m_sent = true;
   if (target.m_runs.emplace(aRun, run).second) {
     target.m_used += aDemand;
@@ -114,11 +116,13 @@
 
 void TargetManager::Reserve(const TargetId& aTarget,
                             const RunName& aRun,
-                            const Resources& aDemand)
+                            const Resources& aDemand,
+                            Duration aEstimate)
 {
   TargetState& target = m_targets.at(aTarget);
   TargetRun run;
   run.m_demand = aDemand;
+  run.m_estimate = aEstimate;
   if (target.m_runs.emplace(aRun, run).second) {
     target.m_used += aDemand;
   }
@@ -349,6 +353,17 @@
   }
 }
 
+Resources TargetManager::ListedCapacity() const
+{
+  Resources sum;
+  for (const auto& [id, target] : m_targets) {
+    if (target.m_listed) {
+      sum += target.m_record.m_capacity;
+    }
+  }
+  return sum;
+}
+
 const TargetState* TargetManager::Find(const TargetId& aTarget) const
 {
   const auto found = m_targets.find(aTarget);
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -48,14 +48,17 @@
   void OnTargetUnlisted(const TargetId& aTarget, TimePoint aNow);
 
   // Accounts for a run that an earlier leader may have started on the target.
+  // aEstimate is the estimated run time of the whole task.
   void ExpectRun(const TargetId& aTarget,
                  const RunName& aRun,
-                 const Resources& aDemand);
+                 const Resources& aDemand,
+                 Duration aEstimate);
 
   // Reserves capacity for a run that is about to be started.
   void Reserve(const TargetId& aTarget,
                const RunName& aRun,
-               const Resources& aDemand);
+               const Resources& aDemand,
+               Duration aEstimate);
 
   // Frees the capacity reserved for a run whose start was never sent.
   void CancelReservation(const TargetId& aTarget, const RunName& aRun);
@@ -109,6 +112,8 @@
   bool NeedsFencingToken() const { return m_needsFencingToken; }
 
   const std::map<TargetId, TargetState>& Targets() const { return m_targets; }
+  // Returns the sum of the capacities of the listed targets.
+  Resources ListedCapacity() const;
   // Returns null when the target is not managed.
   const TargetState* Find(const TargetId& aTarget) const;
 
--- a/src/jobs/target_state.cpp
+++ b/src/jobs/target_state.cpp
@@ -15,6 +15,17 @@
 
 } // namespace
 
+TimePoint TargetRun::ExpectedEnd(TimePoint aNow) const
+{
+  constexpr std::int64_t kWhole = 100;
+  const TimePoint started = m_startedAt == TimePoint() ? aNow : m_startedAt;
+  if (m_percentDone == 0 || m_percentAt <= started) {
+    return std::max(aNow, started + m_estimate);
+  }
+  const Duration whole = (m_percentAt - started) * kWhole / m_percentDone;
+  return std::max(aNow, started + whole);
+}
+
 bool TargetState::TakesWork(TimePoint aNow) const
 {
   return m_listed && m_phase == TargetPhase::kHeld && m_holdFailures == 0 &&
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -34,10 +34,18 @@
   // True if the target listed the run, but no job of this leader has it.
   bool m_ofUnknownJob = false;
   TimePoint m_stopSentAt;
+  // The run's progress in percent, and when the target reported it.
   std::uint32_t m_percentDone = 0;
+  TimePoint m_percentAt;
+  // The estimated run time of the whole task.
+  Duration m_estimate = Duration::zero();
   // When the start was sent, or when the target first listed the run if it did
   // so before it replied to the start.
   TimePoint m_startedAt;
+
+  // Returns when the run is expected to end: by its progress if it has reported
+  // any, else by its estimate. Not before aNow.
+  TimePoint ExpectedEnd(TimePoint aNow) const;
 };
 
 // What the leader knows about one target, and the orders in flight to it.
