Let the largest hosts take the lead first when all find its row old

Cause: every host finds the leader's row old at the same moment, and four of five hosts have 0.12 of a core and 10 Mbit/s. Such a host does not read the stored jobs and renew within the second after which others replace it.

Hosts rank themselves by the processor shares in the hosts' rows, and lower ranks give higher ones time before they take the lead. LeaderElection.LargestHostLeadsFirstWhenAllFindTheRowOld and HigherRanksGoFirstAfterAnOutageOfTheStore fail without the ranks.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -239,6 +239,9 @@
     m_election.OnReadFailed(BootClockNow());
     return;
   }
+  if (!m_election.IsRanked()) {
+    RankHosts();
+  }
   LeaderRecord record = DecodeLeaderRow(answer);
   record.m_readLatency = BootClockNow() - sent;
   record.m_processEnded = record.m_incarnation == m_leaderIncarnation &&
@@ -259,6 +262,24 @@
   }
 }
 
+void JobHost::RankHosts()
+{
+  RowRange range;
+  range.m_table = kHostTable;
+  const RowAnswer answer = m_store.Read(range, kCallTimeout);
+  if (answer.m_status != RowStatus::kOk) {
+    return;
+  }
+  std::vector<ElectionHost> hosts;
+  for (const Row& row : answer.m_rows) {
+    proto::HostRow host;
+    if (host.ParseFromString(row.m_value)) {
+      hosts.push_back(ElectionHost{ row.m_key.m_key, host.processor_share() });
+    }
+  }
+  m_election.SetHosts(std::move(hosts));
+}
+
 void JobHost::BecomeLeader(const LeaderRecord& aRecord)
 {
   const std::uint64_t term = ++m_term;
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -73,6 +73,8 @@
   void RunControlLoop();
   // Reads the leader row and acquires the leadership if the election allows.
   void TryToLead();
+  // Reads the rows of all hosts, which decide this host's rank in the election.
+  void RankHosts();
   void BecomeLeader(const LeaderRecord& aRecord);
   // Ends the leadership, if this host has it, and starts a new election.
   void StepDown(const char* aReason);
--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <tuple>
 #include <utility>
 
 #include "job_rows.h"
@@ -17,8 +18,9 @@
 constexpr Duration kDelayPerRank = std::chrono::milliseconds(120);
 constexpr std::size_t kMaxRank = 10;
 
-// The rank of a host that the leader does not list as a successor.
-constexpr std::size_t kUnlistedRank = 4;
+// The lowest rank number of a host that the leader does not list as a
+// successor. The leader lists five.
+constexpr std::size_t kMinUnlistedRank = 5;
 
 // Any host may take the lead if the leader's row was not renewed for this long.
 // A slow store slows down renewals as well, as each takes about as long as the
@@ -74,7 +76,9 @@
 
 void LeaderElection::Begin(TimePoint aNow, Duration aFirstDelay)
 {
-  m_successorRank = kUnlistedRank;
+  m_rank = m_rankAmongHosts;
+  m_ranked = false;
+  m_higherRanksHadTime = false;
   m_nextReadTime = aNow + aFirstDelay;
 }
 
@@ -85,14 +89,33 @@
 {
   const auto own = std::find(aSuccessors.begin(), aSuccessors.end(), m_host);
   const auto place = static_cast<std::size_t>(own - aSuccessors.begin());
-  m_successorRank =
-    own == aSuccessors.end() ? kUnlistedRank : std::min(place, kMaxRank);
-  const Duration wait =
-    kDelayPerRank * static_cast<std::int64_t>(m_successorRank);
+  m_rank = own != aSuccessors.end()
+             ? std::min(place, kMaxRank)
+             : std::clamp(m_rankAmongHosts, kMinUnlistedRank, kMaxRank);
+  m_higherRanksHadTime = true; // the wait below gives it to them
+  const Duration wait = kDelayPerRank * static_cast<std::int64_t>(m_rank);
   m_nextReadTime =
     aReleased ? aNow + wait : aNow + kElectionTimeout + wait - aRenewedAgo / 2;
 }
 
+void LeaderElection::SetHosts(std::vector<ElectionHost> aHosts)
+{
+  std::sort(aHosts.begin(),
+            aHosts.end(),
+            [](const ElectionHost& aLeft, const ElectionHost& aRight) {
+              return std::tie(aRight.m_processorShare, aLeft.m_name) <
+                     std::tie(aLeft.m_processorShare, aRight.m_name);
+            });
+  const auto own = std::find_if(
+    aHosts.begin(), aHosts.end(), [this](const ElectionHost& aHost) {
+      return aHost.m_name == m_host;
+    });
+  const auto place = static_cast<std::size_t>(own - aHosts.begin());
+  m_rankAmongHosts = std::min(place, kMaxRank);
+  m_rank = m_rankAmongHosts;
+  m_ranked = true;
+}
+
 bool LeaderElection::OnRowRead(const LeaderRecord& aRecord, TimePoint aNow)
 {
   const bool ownFormerProcess =
@@ -108,12 +131,20 @@
   const bool afterOutage = std::exchange(m_readFailed, false);
   m_nextReadTime =
     aNow + (afterOutage ? kRereadDelayAfterOutage : kRereadDelay);
-  return vacant || (stale && !afterOutage);
+  if (!vacant && (!stale || afterOutage)) {
+    return false;
+  }
+  if (std::exchange(m_higherRanksHadTime, true) || m_rank == 0) {
+    return true;
+  }
+  m_nextReadTime = aNow + kDelayPerRank * static_cast<std::int64_t>(m_rank);
+  return false;
 }
 
 void LeaderElection::OnReadFailed(TimePoint aNow)
 {
   m_readFailed = true;
+  m_higherRanksHadTime = false;
   m_nextReadTime = aNow + kRereadDelay;
 }
 
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -39,6 +39,13 @@
 // be parsed gets the largest renewal age, so that any host may replace it.
 LeaderRecord DecodeLeaderRow(const RowAnswer& aAnswer);
 
+// A host that may lead, as described by its row in the store.
+struct ElectionHost
+{
+  std::string m_name;
+  double m_processorShare = 0;
+};
+
 // Decides when a host that does not lead reads the leader's row, and whether it
 // tries to take the lead then. Heartbeats of a leader that renews postpone the
 // read. The row in the store decides who leads, so that a wrong suspicion costs
@@ -60,12 +67,19 @@
                    bool aReleased,
                    TimePoint aNow);
 
+  // Ranks this host among the hosts that have a row in the store: hosts with a
+  // larger processor share try to take the lead first, as a small host may need
+  // longer to read the stored jobs than a silent leader keeps the lead.
+  void SetHosts(std::vector<ElectionHost> aHosts);
+  bool IsRanked() const { return m_ranked; }
+
   // Returns true if a read of the leader's row is due.
   bool ShouldReadRow(TimePoint aNow) const { return aNow >= m_nextReadTime; }
   TimePoint NextReadTime() const { return m_nextReadTime; }
 
   // Handles a read of the leader's row. Returns true if this host has to try to
-  // take the lead.
+  // take the lead. If hosts of a higher rank may not have read the row yet,
+  // they are given time, and a second read decides.
   bool OnRowRead(const LeaderRecord& aRecord, TimePoint aNow);
 
   // Handles a failed read of the leader's row.
@@ -81,9 +95,13 @@
 private:
   const std::string m_host;
   const std::uint64_t m_incarnation;
-  // This host's index in the list of successors of the last heartbeat, or the
-  // rank of hosts that are not listed.
-  std::size_t m_successorRank = 0;
+  // This host's index in the list of successors of the last heartbeat; for a
+  // host that is not listed, its rank among all hosts.
+  std::size_t m_rank = 0;
+  std::size_t m_rankAmongHosts = 0;
+  bool m_ranked = false;
+  // True once hosts of a higher rank have been given time to take the lead.
+  bool m_higherRanksHadTime = false;
   TimePoint m_nextReadTime;
   // True if the last read of the leader's row failed.
   bool m_readFailed = false;
--- a/src/jobhost/leader_election_test.cpp
+++ b/src/jobhost/leader_election_test.cpp
@@ -94,6 +94,42 @@
   EXPECT_TRUE(election.OnRowRead(RecordOf("a", seconds(4)), now));
 }
 
+// After an outage of the store or a loss of all power, every host finds the row
+// old at the same time. Small hosts took the lead then, could not read the
+// stored jobs and renew in time, and lost it. Seen on both grown deployments.
+TEST(LeaderElection, LargestHostLeadsFirstWhenAllFindTheRowOld)
+{
+  const std::vector<ElectionHost> hosts = { { "a-small", 0.12 },
+                                            { "b-large", 0.5 },
+                                            { "c-small", 0.12 } };
+  LeaderElection large("b-large", 1);
+  LeaderElection small("c-small", 1);
+  const TimePoint now{ seconds(100) };
+  for (LeaderElection* election : { &large, &small }) {
+    election->Begin(now, milliseconds(0));
+    election->SetHosts(hosts);
+  }
+  EXPECT_TRUE(large.OnRowRead(RecordOf("x", seconds(4)), now));
+  EXPECT_FALSE(small.OnRowRead(RecordOf("x", seconds(4)), now));
+  // Time for a read and for the write that takes the lead.
+  EXPECT_GE(small.NextReadTime(), now + milliseconds(200));
+  EXPECT_TRUE(small.OnRowRead(RecordOf("x", seconds(5)), small.NextReadTime()));
+}
+
+TEST(LeaderElection, HigherRanksGoFirstAfterAnOutageOfTheStore)
+{
+  LeaderElection third("c", 1);
+  TimePoint now{ seconds(100) };
+  third.OnHeartbeat({ "a", "b", "c" }, milliseconds(0), false, now);
+  third.OnReadFailed(now);
+  now = third.NextReadTime();
+  EXPECT_FALSE(third.OnRowRead(RecordOf("x", seconds(4)), now));
+  now = third.NextReadTime();
+  EXPECT_FALSE(third.OnRowRead(RecordOf("x", seconds(4)), now));
+  now = third.NextReadTime();
+  EXPECT_TRUE(third.OnRowRead(RecordOf("x", seconds(4)), now));
+}
+
 TEST(LeaderElection, FormerLeasesCoverOrdersThatMayStillBeSent)
 {
   EXPECT_EQ(LeaderElection::RemainingFormerLease(LeaderRecord()),
