Look for targets to ask about ten times a second, not in each round

It now looks when the advisor has answered and each 100 ms, and a gang's targets are collected only when they are chosen. A step that waits longer than a permission lives asks about more targets.

--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -29,10 +29,15 @@
 // The advisor is asked about new targets until the step's tasks are expected to
 // fit, with a margin, into free capacity, or until their number is expected to
 // fit so many times into the whole capacity of the targets. The step then waits
-// for capacity on these targets. The second number grows with each call that
-// renewed permissions, as the capacity did not come in their time.
+// for capacity on these targets. If none comes in the time that a permission is
+// valid, it asks about as many targets again.
 constexpr double kFreeCapacityFactor = 2;
 constexpr double kWholeCapacityFactor = 3;
+constexpr Duration kMinPermissionLife = std::chrono::milliseconds(500);
+
+// What may be asked for a step is found out this long after the last time, or
+// when the advisor has answered.
+constexpr Duration kSurveyInterval = std::chrono::milliseconds(100);
 
 // A permission is renewed if it is valid for less than the time of the call and
 // this margin.
@@ -158,17 +163,19 @@
                       const AdviceNeed& aNeed,
                       TimePoint aNow)
 {
-  const StepAdvice& advice = m_steps[aStep];
+  StepAdvice& advice = m_steps[aStep];
   if (advice.m_retryAt > aNow || !m_effects.CanAsk()) {
     return;
   }
+  advice.m_retryAt = aNow + kSurveyInterval;
   TargetsToAsk toAsk = FindTargetsToAsk(aJob, aStep, advice, aNeed, aNow);
   // Free capacity changes all the time. Further calls wait for the answers, or
   // each change would cause another small call.
   const bool mayAskAboutNew =
     advice.m_calls.size() == (advice.m_renewing ? 1 : 0);
   while (mayAskAboutNew && m_effects.CanAsk()) {
-    const auto targets = TakeNewTargets(aJob, aStep, advice, aNeed, toAsk);
+    const auto targets =
+      TakeNewTargets(aJob, aStep, advice, aNeed, toAsk, aNow);
     if (targets.empty()) {
       break;
     }
@@ -224,7 +231,6 @@
   advice.m_calls[request.m_ticket] =
     std::set<TargetId>(call.m_targets.begin(), call.m_targets.end());
   advice.m_renewing = advice.m_renewing || aRenews;
-  advice.m_renewals += aRenews ? 1 : 0;
   m_effects.Log("advice-asked",
                 "step=" + StepText(aStep) +
                   " call=" + std::to_string(request.m_ticket) +
@@ -285,13 +291,19 @@
   const StepName& aStep,
   const StepAdvice& aAdvice,
   const AdviceNeed& aNeed,
-  TargetsToAsk& aToAsk) const
+  TargetsToAsk& aToAsk,
+  TimePoint aNow) const
 {
   const JobStep& step = aJob.m_spec.m_steps[aStep.m_step];
   const double share = FitShare(aJob.m_terms.m_name);
   const auto missing = static_cast<double>(aNeed.m_missing);
+  const Duration life =
+    std::max(aJob.m_terms.m_advice.m_ticketLife, kMinPermissionLife);
+  const auto lives = aAdvice.m_firstAnswerAt == TimePoint()
+                       ? 0
+                       : (aNow - aAdvice.m_firstAnswerAt) / life;
   const double enoughLater =
-    missing * kWholeCapacityFactor * (1 + aAdvice.m_renewals);
+    missing * kWholeCapacityFactor * static_cast<double>(1 + lives);
   const std::size_t worth = TargetsWorthACall(aJob.m_terms.m_advice);
   ExpectedTasks& expected = aToAsk.m_expected;
   std::vector<const TargetState*> chosen;
@@ -346,6 +358,10 @@
     advice.m_retryAt = aNow + kRetryDelay;
     return;
   }
+  if (advice.m_firstAnswerAt == TimePoint()) {
+    advice.m_firstAnswerAt = aNow;
+  }
+  advice.m_retryAt = aNow;
   std::size_t newTargets = 0;
   std::size_t newFitTargets = 0;
   for (std::size_t i = 0; i < call.m_targets.size(); ++i) {
@@ -373,9 +389,6 @@
       static_cast<double>(newFitTargets) / static_cast<double>(newTargets);
     share += (seen - share) * kFitShareWeight;
   }
-  if (aAnswer.m_good.empty()) {
-    advice.m_retryAt = aNow + kRetryDelay;
-  }
 }
 
 void AdviceCache::InvalidatePermission(const StepName& aStep,
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -112,8 +112,8 @@
     std::map<std::uint64_t, std::set<TargetId>> m_calls;
     // True while a call under way renews permissions.
     bool m_renewing = false;
-    // The number of calls that renewed permissions.
-    std::uint32_t m_renewals = 0;
+    // When the advisor first answered; the default TimePoint before that.
+    TimePoint m_firstAnswerAt;
     // No call is made before this time.
     TimePoint m_retryAt;
   };
@@ -170,7 +170,8 @@
                                                  const StepName& aStep,
                                                  const StepAdvice& aAdvice,
                                                  const AdviceNeed& aNeed,
-                                                 TargetsToAsk& aToAsk) const;
+                                                 TargetsToAsk& aToAsk,
+                                                 TimePoint aNow) const;
   static void SortByFittingTasks(std::vector<TargetToAsk>& aTargets);
   // Sends a call that names the targets.
   void Send(const Job& aJob,
--- a/src/jobs/gang_reservations.cpp
+++ b/src/jobs/gang_reservations.cpp
@@ -108,7 +108,7 @@
   TimePoint aNow) const
 {
   std::vector<Slot> slots;
-  for (const TargetState* target : aGang.m_targets) {
+  for (const TargetState* target : aGang.m_targets()) {
     if (target->TakesWork(aNow)) {
       AddSlotsOf(aGang, *target, aNow, slots);
     }
--- a/src/jobs/gang_reservations.h
+++ b/src/jobs/gang_reservations.h
@@ -23,8 +23,9 @@
   std::uint32_t m_count = 0;
   // The most tasks of the gang on one target; zero means no limit.
   std::uint32_t m_maxPerTarget = 0;
-  // The targets on which the gang may run, with or without free capacity.
-  std::vector<const TargetState*> m_targets;
+  // Returns the targets on which the gang may run, with or without free
+  // capacity. Called only when targets are chosen.
+  std::function<std::vector<const TargetState*>()> m_targets;
 };
 
 // Reserves capacity for gangs that wait for it. On a busy fleet, small tasks
@@ -110,9 +111,10 @@
   std::map<StepName, Reservation> m_reservations;
   // The gangs that have reserved capacity on each target.
   std::map<TargetId, std::vector<StepName>> m_reservedBy;
-  // What gangs may reserve in all, and what is left of it in this round. Gangs are tried in the order of
-  // their ranks; after the first one for which too little is left, no further
-  // one reserves any, or narrow gangs would keep a wide one waiting.
+  // What gangs may reserve in all, and what is left of it in this round. Gangs
+  // are tried in the order of their ranks; after the first one for which too
+  // little is left, no further one reserves any, or narrow gangs would keep a
+  // wide one waiting.
   Resources m_limit;
   Resources m_left;
   bool m_limitReached = false;
--- a/src/jobs/gang_reservations_test.cpp
+++ b/src/jobs/gang_reservations_test.cpp
@@ -47,9 +47,13 @@
     gang.m_step = StepName{ JobId(aJob), 0, 0 };
     gang.m_demand = Resources(kDemand, 0, 0, 0, 0);
     gang.m_count = aCount;
-    for (const TargetState& target : m_targets) {
-      gang.m_targets.push_back(&target);
-    }
+    gang.m_targets = [this] {
+      std::vector<const TargetState*> targets;
+      for (const TargetState& target : m_targets) {
+        targets.push_back(&target);
+      }
+      return targets;
+    };
     return gang;
   }
 
--- a/src/jobs/job_flood_test.cpp
+++ b/src/jobs/job_flood_test.cpp
@@ -27,7 +27,8 @@
   std::int64_t m_milliCores = 0;
   std::int64_t m_memoryMib = 0;
   Duration m_workTime = Duration::zero();
-  bool m_gang = false;
+  // The share of jobs whose tasks are gangs.
+  double m_gangShare = 0;
   // The share of targets that may run a step of this kind.
   double m_fitShare = 1;
 };
@@ -105,7 +106,7 @@
       static_cast<std::uint32_t>(width(m_random)), 1U, aKind.m_maxWidth);
     step.m_demand = Resources(aKind.m_milliCores, aKind.m_memoryMib, 0, 0, 0);
     step.m_estimate = aKind.m_workTime;
-    step.m_gang = aKind.m_gang;
+    step.m_gang = std::bernoulli_distribution(aKind.m_gangShare)(m_random);
     JobSpec spec;
     spec.m_payload = "flood";
     spec.m_steps = { step };
@@ -166,7 +167,7 @@
   plan.m_milliCores = 4500;
   plan.m_memoryMib = 8100;
   plan.m_workTime = seconds(4);
-  plan.m_gang = true;
+  plan.m_gangShare = 1;
   plan.m_fitShare = 0.25;
   Kind round;
   round.m_terms = MakeQueue("rounds",
@@ -196,6 +197,7 @@
   check.m_memoryMib = 3600;
   check.m_workTime = milliseconds(800);
   check.m_fitShare = 0.6;
+  check.m_gangShare = 0.3;
   return { plan, round, check };
 }
 
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -118,18 +118,22 @@
   gang.m_count = step.m_count;
   gang.m_maxPerTarget = step.m_maxPerTarget;
   const ServiceName& service = aStep.m_job->m_terms.m_service;
-  const auto add = [&](const TargetState& aTarget) {
-    if (aTarget.m_record.m_service == service && LabelsAllow(step, aTarget)) {
-      gang.m_targets.push_back(&aTarget);
+  gang.m_targets = [&] {
+    std::vector<const TargetState*> targets;
+    const auto add = [&](const TargetState& aTarget) {
+      if (aTarget.m_record.m_service == service && LabelsAllow(step, aTarget)) {
+        targets.push_back(&aTarget);
+      }
+    };
+    if (aStep.m_job->m_terms.m_advice.m_required) {
+      m_advice.ForEachFit(aStep.m_name, add);
+    } else {
+      for (const auto& [id, target] : m_keeper.Targets()) {
+        add(target);
+      }
     }
+    return targets;
   };
-  if (aStep.m_job->m_terms.m_advice.m_required) {
-    m_advice.ForEachFit(aStep.m_name, add);
-  } else {
-    for (const auto& [id, target] : m_keeper.Targets()) {
-      add(target);
-    }
-  }
   m_gangReservations.OnGangNotPlaced(gang, aNow);
 }
 
