Read tables in pages that the host's link carries in time

A read asked for up to 500 rows or 1 MB and had 0.7 s; a link of 10 Mbit/s carries 0.9 MB in that time, and eight partitions are read at once. Such a host never read the stored jobs, began anew each time, and its renewals waited behind the reads. The number of rows now follows the time that reads take, and a read without answer is made again with half as many rows.

--- a/src/jobhost/table_watch.cpp
+++ b/src/jobhost/table_watch.cpp
@@ -8,6 +8,7 @@
 
 #include "boot_clock.h"
 #include "event_log.h"
+#include "page_size.h"
 #include "worker_pool.h"
 
 namespace lycheestep {
@@ -101,13 +102,24 @@
   RowRange range;
   range.m_table = m_table;
   range.m_partition = aPartition;
+  PageSize size;
   RowAnswer answer;
   do {
+    range.m_limit = size.Rows();
+    const TimePoint sent = BootClockNow();
     answer = m_store.Read(range, kCallTimeout);
     read.m_status = answer.m_status;
-    if (answer.m_status != RowStatus::kOk || m_stopping) {
+    if (m_stopping) {
       return read;
     }
+    if (answer.m_status == RowStatus::kUnknown && size.OnFailure()) {
+      answer.m_more = true;
+      continue;
+    }
+    if (answer.m_status != RowStatus::kOk) {
+      return read;
+    }
+    size.OnAnswer(BootClockNow() - sent);
     if (read.m_rows.empty()) {
       read.m_version = answer.m_version;
     }
@@ -116,7 +128,7 @@
     }
     read.m_rows.insert(
       read.m_rows.end(), answer.m_rows.begin(), answer.m_rows.end());
-  } while (answer.m_more && !answer.m_rows.empty());
+  } while (answer.m_more);
   return read;
 }
 
