Send no call for advice to a host whose answer is overdue

An overdue host now gets no further call, and steps that cannot end in time leave a quarter of the hosts to others.

LateHostsGetNoThirdCall becomes LateHostsGetNoFurtherCall and is stricter: three calls for three late hosts, not six.

--- a/src/jobhost/advice_dispatcher.cpp
+++ b/src/jobhost/advice_dispatcher.cpp
@@ -82,8 +82,11 @@
 {
   const std::pair<const std::string, Host>* best = nullptr;
   for (const auto& entry : m_hosts) {
-    const bool usable = entry.second.m_quarantinedUntil <= aNow &&
-                        entry.second.m_calls < kMaxCallsPerHost;
+    const Host& host = entry.second;
+    // A host whose answer is overdue is busy for an unknown time.
+    const bool overdue = host.m_calls > 0 && host.m_busyUntil <= aNow;
+    const bool usable = host.m_quarantinedUntil <= aNow &&
+                        host.m_calls < kMaxCallsPerHost && !overdue;
     if (usable && (best == nullptr ||
                    entry.second.m_busyUntil < best->second.m_busyUntil)) {
       best = &entry;
--- a/src/jobhost/advice_dispatcher_test.cpp
+++ b/src/jobhost/advice_dispatcher_test.cpp
@@ -64,15 +64,15 @@
 }
 
 // Guards against calls piling up at a host whose expected end of service has
-// passed although the host has not replied: each of the 3 hosts gets 2 calls.
-TEST_F(AdviceDispatcherTest, LateHostsGetNoThirdCall)
+// passed although the host has not replied: each of the 3 hosts gets 1 call.
+TEST_F(AdviceDispatcherTest, LateHostsGetNoFurtherCall)
 {
   std::uint64_t ticket = 0;
   while (m_dispatcher.CanAsk(m_now) && ticket < 100) {
     Ask(++ticket, milliseconds(10));
     m_now += milliseconds(50);
   }
-  EXPECT_EQ(ticket, 6U);
+  EXPECT_EQ(ticket, 3U);
 }
 
 TEST_F(AdviceDispatcherTest, LostCallIsAnsweredAndItsHostQuarantined)
--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -35,6 +35,10 @@
 constexpr double kWholeCapacityFactor = 3;
 constexpr Duration kMinPermissionLife = std::chrono::milliseconds(500);
 
+// One in this many hosts is kept free of calls for steps that can no longer end
+// in time.
+constexpr std::size_t kHostsKeptDivisor = 4;
+
 // What may be asked for a step is found out this long after the last time, or
 // when the advisor has answered.
 constexpr Duration kSurveyInterval = std::chrono::milliseconds(100);
@@ -168,12 +172,15 @@
     return;
   }
   advice.m_retryAt = aNow + kSurveyInterval;
+  if (!MayAsk(aNeed)) {
+    return;
+  }
   TargetsToAsk toAsk = FindTargetsToAsk(aJob, aStep, advice, aNeed, aNow);
   // Free capacity changes all the time. Further calls wait for the answers, or
   // each change would cause another small call.
   const bool mayAskAboutNew =
     advice.m_calls.size() == (advice.m_renewing ? 1 : 0);
-  while (mayAskAboutNew && m_effects.CanAsk()) {
+  while (mayAskAboutNew && MayAsk(aNeed)) {
     const auto targets =
       TakeNewTargets(aJob, aStep, advice, aNeed, toAsk, aNow);
     if (targets.empty()) {
@@ -210,6 +217,16 @@
                    });
 }
 
+bool AdviceCache::MayAsk(const AdviceNeed& aNeed) const
+{
+  if (aNeed.m_inTime) {
+    return m_effects.CanAsk();
+  }
+  const AdvisorUse use = m_effects.GetAdvisorUse();
+  const std::size_t limit = use.m_hosts - use.m_hosts / kHostsKeptDivisor;
+  return use.m_busyHosts < limit && m_effects.CanAsk();
+}
+
 void AdviceCache::Send(const Job& aJob,
                        const StepName& aStep,
                        const std::vector<const TargetState*>& aTargets,
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -26,6 +26,9 @@
   // True if these tasks start together: permissions are then of no use before
   // all of the tasks fit.
   bool m_together = false;
+  // True if the step can still end in time. Other steps leave some hosts free
+  // for the calls of such steps.
+  bool m_inTime = true;
   // When a gang expects all of the capacity that it has reserved; nothing if it
   // has reserved none.
   std::optional<TimePoint> m_expectedAt;
@@ -173,6 +176,8 @@
                                                  TargetsToAsk& aToAsk,
                                                  TimePoint aNow) const;
   static void SortByFittingTasks(std::vector<TargetToAsk>& aTargets);
+  // Returns true if a host is free for a call of a step.
+  bool MayAsk(const AdviceNeed& aNeed) const;
   // Sends a call that names the targets.
   void Send(const Job& aJob,
             const StepName& aStep,
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -75,6 +75,7 @@
     AdviceNeed need;
     need.m_missing = missing;
     need.m_together = aStep.m_step->m_gang;
+    need.m_inTime = aStep.m_rank.m_lateness == StepRank::Lateness::kInTime;
     need.m_expectedAt = m_gangReservations.ReadyAt(aStep.m_name);
     need.m_available = [&](const TargetState& aTarget) {
       return FreeFor(aStep, aTarget, aNow);
