--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -36,8 +36,11 @@
 constexpr Duration kMinPermissionLife = std::chrono::milliseconds(500);
 
 // One in this many hosts is kept free of calls for steps that can no longer end
-// in time.
-constexpr std::size_t kHostsKeptDivisor = 4;
+// in time, and of long calls for other steps, so that quick calls for urgent
+// work never queue behind them.
+constexpr std::size_t kHostsKeptFromLateSteps = 4;
+constexpr std::size_t kHostsKeptFromLongCalls = 8;
+constexpr Duration kLongCall = std::chrono::milliseconds(100);
 
 // What may be asked for a step is found out this long after the last time, or
 // when the advisor has answered.
@@ -172,7 +175,8 @@
     return;
   }
   advice.m_retryAt = aNow + kSurveyInterval;
-  if (!MayAsk(aNeed)) {
+  const AdviceTerms& terms = aJob.m_terms.m_advice;
+  if (!MayAsk(aNeed, terms)) {
     return;
   }
   TargetsToAsk toAsk = FindTargetsToAsk(aJob, aStep, advice, aNeed, aNow);
@@ -180,7 +184,7 @@
   // each change would cause another small call.
   const bool mayAskAboutNew =
     advice.m_calls.size() == (advice.m_renewing ? 1 : 0);
-  while (mayAskAboutNew && MayAsk(aNeed)) {
+  while (mayAskAboutNew && MayAsk(aNeed, terms)) {
     const auto targets =
       TakeNewTargets(aJob, aStep, advice, aNeed, toAsk, aNow);
     if (targets.empty()) {
@@ -217,13 +221,18 @@
                    });
 }
 
-bool AdviceCache::MayAsk(const AdviceNeed& aNeed) const
+bool AdviceCache::MayAsk(const AdviceNeed& aNeed,
+                         const AdviceTerms& aTerms) const
 {
-  if (aNeed.m_inTime) {
+  const bool isLong = aTerms.m_perCall >= kLongCall;
+  if (aNeed.m_inTime && !isLong) {
     return m_effects.CanAsk();
   }
   const AdvisorUse use = m_effects.GetAdvisorUse();
-  const std::size_t limit = use.m_hosts - use.m_hosts / kHostsKeptDivisor;
+  const std::size_t kept =
+    use.m_hosts /
+    (aNeed.m_inTime ? kHostsKeptFromLongCalls : kHostsKeptFromLateSteps);
+  const std::size_t limit = use.m_hosts - kept;
   return use.m_busyHosts < limit && m_effects.CanAsk();
 }
 
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -177,7 +177,7 @@
                                                  TimePoint aNow) const;
   static void SortByFittingTasks(std::vector<TargetToAsk>& aTargets);
   // Returns true if a host is free for a call of a step.
-  bool MayAsk(const AdviceNeed& aNeed) const;
+  bool MayAsk(const AdviceNeed& aNeed, const AdviceTerms& aTerms) const;
   // Sends a call that names the targets.
   void Send(const Job& aJob,
             const StepName& aStep,
