Let gangs reserve a sixth of the fleet, and look up less for waiting steps

Gangs now reserve a sixth in all; a wide gang may reserve a third if it is the first in rank, so that no smaller fleet loses its widest gangs. The times that steps wait are kept with the steps, and expired permissions are passed over at once: with a thousand waiting steps both took much of the leader's processor.

The limit in the test of GangReservations is the new, lower one.

--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -117,11 +117,7 @@
 bool AdviceCache::HasPermission(const StepName& aStep, TimePoint aNow) const
 {
   const auto step = m_steps.find(aStep);
-  return step != m_steps.end() &&
-         std::any_of(
-           step->second.m_fit.begin(),
-           step->second.m_fit.end(),
-           [aNow](const auto& aFit) { return aFit.second.m_until > aNow; });
+  return step != m_steps.end() && step->second.m_validUntil > aNow;
 }
 
 bool AdviceCache::IsAsking(const StepName& aStep) const
@@ -136,14 +132,16 @@
   const std::function<void(const TargetState&)>& aUse) const
 {
   const auto step = m_steps.find(aStep);
-  if (step == m_steps.end()) {
+  if (step == m_steps.end() || step->second.m_validUntil <= aNow) {
     return;
   }
   for (const auto& [id, permission] : step->second.m_fit) {
+    if (permission.m_until <= aNow) {
+      continue;
+    }
     const TargetState* target = m_keeper.Find(id);
-    const bool usable = target != nullptr && permission.m_until > aNow &&
-                        permission.m_started == target->m_record.m_started;
-    if (usable) {
+    if (target != nullptr &&
+        permission.m_started == target->m_record.m_started) {
       aUse(*target);
     }
   }
@@ -388,6 +386,10 @@
     advice.m_firstAnswerAt = aNow;
   }
   advice.m_retryAt = aNow;
+  if (!aAnswer.m_good.empty()) {
+    advice.m_validUntil =
+      std::max(advice.m_validUntil, aNow + aAnswer.m_validFor);
+  }
   std::size_t newTargets = 0;
   std::size_t newFitTargets = 0;
   for (std::size_t i = 0; i < call.m_targets.size(); ++i) {
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -115,6 +115,8 @@
     std::map<std::uint64_t, std::set<TargetId>> m_calls;
     // True while a call under way renews permissions.
     bool m_renewing = false;
+    // When the last permission expires.
+    TimePoint m_validUntil;
     // When the advisor first answered; the default TimePoint before that.
     TimePoint m_firstAnswerAt;
     // No call is made before this time.
--- a/src/jobs/gang_reservations.cpp
+++ b/src/jobs/gang_reservations.cpp
@@ -11,9 +11,12 @@
 
 namespace {
 
-// At most one part in this many of the fleet's capacity is reserved at the same
-// time.
-constexpr std::int64_t kReservableDivisor = 3;
+// At most one part in kReservableDivisor of the fleet's capacity is reserved at
+// the same time, as the more gangs share what becomes free, the longer each of
+// them keeps capacity idle. A single gang may reserve one part in
+// kWidestGangDivisor.
+constexpr std::int64_t kReservableDivisor = 6;
+constexpr std::int64_t kWidestGangDivisor = 3;
 
 // A reservation times out after the first of these times, and its gang reserves
 // no capacity for the second, so that a gang that never fits does not keep
@@ -34,8 +37,9 @@
 
 void GangReservations::BeginRound(const Resources& aFleet, TimePoint aNow)
 {
-  m_limit = aFleet.Scaled(1, kReservableDivisor);
-  m_left = m_limit;
+  m_limit = aFleet.Scaled(1, kWidestGangDivisor);
+  m_left = aFleet.Scaled(1, kReservableDivisor);
+  m_anyReserved = false;
   m_limitReached = false;
   for (auto it = m_reservations.begin(); it != m_reservations.end();) {
     Reservation& reservation = it->second;
@@ -70,7 +74,8 @@
   }
   const Resources whole = Times(aGang.m_demand, aGang.m_count);
   const bool tooWide = !whole.FitsIn(m_limit);
-  m_limitReached = m_limitReached || (!tooWide && !whole.FitsIn(m_left));
+  const bool fitsInLimit = !m_anyReserved || whole.FitsIn(m_left);
+  m_limitReached = m_limitReached || (!tooWide && !fitsInLimit);
   if (tooWide || m_limitReached) {
     RemoveTasks(aGang.m_step, reservation);
     return;
@@ -79,7 +84,10 @@
       aNow - reservation.m_chosenAt >= kChoiceInterval) {
     Choose(aGang, reservation, aNow);
   }
-  m_left -= reservation.m_tasks.empty() ? Resources() : whole;
+  if (!reservation.m_tasks.empty()) {
+    m_left -= whole;
+    m_anyReserved = true;
+  }
 }
 
 void GangReservations::Choose(const WaitingGang& aGang,
--- a/src/jobs/gang_reservations.h
+++ b/src/jobs/gang_reservations.h
@@ -111,12 +111,13 @@
   std::map<StepName, Reservation> m_reservations;
   // The gangs that have reserved capacity on each target.
   std::map<TargetId, std::vector<StepName>> m_reservedBy;
-  // What gangs may reserve in all, and what is left of it in this round. Gangs
-  // are tried in the order of their ranks; after the first one for which too
-  // little is left, no further one reserves any, or narrow gangs would keep a
-  // wide one waiting.
+  // What a single gang may reserve, and what is left for all in this round.
+  // Gangs are tried in the order of their ranks; after the first one for which
+  // too little is left, no further one reserves any, or narrow gangs would keep
+  // a wide one waiting.
   Resources m_limit;
   Resources m_left;
+  bool m_anyReserved = false;
   bool m_limitReached = false;
 };
 
--- a/src/jobs/gang_reservations_test.cpp
+++ b/src/jobs/gang_reservations_test.cpp
@@ -155,8 +155,16 @@
 
 TEST_F(GangReservationsTest, ReservationsAreLimitedToAPartOfTheFleet)
 {
-  RunRound({ MakeGang("a", 6), MakeGang("b", 6), MakeGang("c", 6) });
-  EXPECT_EQ(AllTasksReserved(), 12); // two of the three
+  RunRound({ MakeGang("a", 4), MakeGang("b", 4), MakeGang("c", 4) });
+  EXPECT_EQ(AllTasksReserved(), 8); // two of the three
+  EXPECT_LE(AllTasksReserved() * kDemand,
+            kCapacity * static_cast<std::int64_t>(kTargets) / 6);
+}
+
+TEST_F(GangReservationsTest, WidestGangReservesMoreIfItIsTheFirst)
+{
+  RunRound({ MakeGang("wide", 15), MakeGang("narrow", 1) });
+  EXPECT_EQ(AllTasksReserved(), 15);
   EXPECT_LE(AllTasksReserved() * kDemand,
             kCapacity * static_cast<std::int64_t>(kTargets) / 3);
 }
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -43,10 +43,10 @@
   m_placementDue = false;
   m_lastPlacement = aNow;
   m_gangReservations.BeginRound(m_keeper.ListedCapacity(), aNow);
-  m_monitor.BeginRound(aNow);
-  for (const ReadyStep* step : RankReadySteps(aNow)) {
+  for (ReadyStep* step : RankReadySteps(aNow)) {
     const bool adviceNeeded = step->m_job->m_terms.m_advice.m_required;
-    // Gangs are always tried, so that they keep the targets that they reserved.
+    // Gangs are always tried, so that they keep the capacity that they
+    // reserved.
     const bool worthTrying =
       !adviceNeeded || step->m_step->m_gang || m_effects.CanAsk() ||
       m_advice.HasPermission(step->m_name, aNow + kMinValidityAtPlacement);
@@ -54,7 +54,8 @@
       // Passes a copy, as m_ready loses a step when all its tasks are placed.
       PlaceStep(ReadyStep(*step), aNow);
     } else {
-      NoteWait(*step, aNow);
+      const bool asking = m_advice.IsAsking(step->m_name);
+      step->m_waits.Note(asking ? StepWait::kAdvice : StepWait::kAdvisor, aNow);
     }
   }
 }
@@ -82,27 +83,37 @@
     };
     m_advice.Ask(job, aStep.m_name, need, aNow);
   }
-  if (missing > 0) {
-    NoteWait(aStep, aNow);
-  } else if (m_ready.count(aStep.m_name) == 0) {
-    m_monitor.NotePlaced(aStep.m_name,
-                         aStep.m_step->m_gang,
-                         aStep.m_step->m_count,
-                         aStep.m_readySince,
-                         aNow);
+  const auto ready = m_ready.find(aStep.m_name);
+  if (ready != m_ready.end()) {
+    ready->second.m_waits.Note(WaitOf(aStep, aNow), aNow);
+  } else {
+    m_monitor.ReportPlaced(aStep.m_name,
+                           aStep.m_step->m_gang,
+                           aStep.m_step->m_count,
+                           aStep.m_waits,
+                           aNow);
   }
 }
 
-void JobScheduler::NoteWait(const ReadyStep& aStep, TimePoint aNow)
+StepWait JobScheduler::WaitOf(const ReadyStep& aStep, TimePoint aNow) const
 {
-  StepWait wait = StepWait::kCapacity;
   if (m_advice.IsAsking(aStep.m_name)) {
-    wait = StepWait::kAdvice;
-  } else if (aStep.m_job->m_terms.m_advice.m_required && !m_effects.CanAsk() &&
-             !m_advice.HasPermission(aStep.m_name, aNow)) {
-    wait = StepWait::kAdvisor;
+    return StepWait::kAdvice;
+  }
+  const bool lacksHost = aStep.m_job->m_terms.m_advice.m_required &&
+                         !m_effects.CanAsk() &&
+                         !m_advice.HasPermission(aStep.m_name, aNow);
+  return lacksHost ? StepWait::kAdvisor : StepWait::kCapacity;
+}
+
+void JobScheduler::ReportFleet(TimePoint aNow)
+{
+  WaitingSteps waiting;
+  for (const auto& [name, step] : m_ready) {
+    waiting.m_gangs += step.m_step->m_gang ? 1 : 0;
+    ++waiting.m_steps[static_cast<std::size_t>(WaitOf(step, aNow))];
   }
-  m_monitor.NoteWaiting(aStep.m_name, aStep.m_step->m_gang, wait);
+  m_monitor.ReportFleet(waiting, m_keeper, m_gangReservations, aNow);
 }
 
 // Reserves targets for a gang that did not fit. A gang that is too late to be
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -262,7 +262,9 @@
   if ((m_placementDue && sincePlacement >= kMinPlacementInterval) ||
       sincePlacement >= kMaxPlacementInterval) {
     PlaceAll(aNow);
-    m_monitor.ReportFleet(m_keeper, m_gangReservations, aNow);
+    if (m_monitor.FleetReportIsDue(aNow)) {
+      ReportFleet(aNow);
+    }
   }
   CommitIfDue(aNow);
 }
@@ -355,7 +357,7 @@
       const auto [found, isNew] = m_ready.try_emplace(name);
       ReadyStep& ready = found->second;
       if (isNew) {
-        ready.m_readySince = m_now;
+        ready.m_waits.Begin(m_now);
       }
       ready.m_name = name;
       ready.m_job = &aJob;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -140,8 +140,7 @@
     const JobStep* m_step = nullptr;
     StepProgress* m_progress = nullptr;
     TimePoint m_due;
-    // When the step last became ready.
-    TimePoint m_readySince;
+    StepWaits m_waits;
     // The estimated time that the unfinished steps of the occurrence need,
     // along their longest path.
     Duration m_remaining = Duration::zero();
@@ -193,8 +192,9 @@
                      const RunningTask& aRunning,
                      TaskRef& aRef,
                      TimePoint aNow);
-  // Tells m_monitor why the step's tasks are not all placed.
-  void NoteWait(const ReadyStep& aStep, TimePoint aNow);
+  // Returns what the step waits for now.
+  StepWait WaitOf(const ReadyStep& aStep, TimePoint aNow) const;
+  void ReportFleet(TimePoint aNow);
   std::vector<PlacementCandidate> FindCandidates(const ReadyStep& aStep,
                                                  TimePoint aNow);
   void ReserveForGang(const ReadyStep& aStep, TimePoint aNow);
--- a/src/jobs/placement_monitor.cpp
+++ b/src/jobs/placement_monitor.cpp
@@ -43,47 +43,35 @@
 {
 }
 
-void PlacementMonitor::BeginRound(TimePoint aNow)
+void StepWaits::Begin(TimePoint aNow)
 {
-  const Duration elapsed = aNow - m_roundStart;
-  m_roundStart = aNow;
-  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-    Waiting& waiting = it->second;
-    if (!waiting.m_mentioned) {
-      it = m_waiting.erase(it);
-      continue;
-    }
-    waiting.m_mentioned = false;
-    waiting.m_waited[static_cast<std::size_t>(waiting.m_wait)] += elapsed;
-    ++it;
-  }
+  *this = StepWaits();
+  m_readySince = aNow;
+  m_since = aNow;
 }
 
-void PlacementMonitor::NoteWaiting(const StepName& aStep,
-                                   bool aGang,
-                                   StepWait aWait)
+void StepWaits::Note(StepWait aWait, TimePoint aNow)
 {
-  Waiting& waiting = m_waiting[aStep];
-  waiting.m_gang = aGang;
-  waiting.m_wait = aWait;
-  waiting.m_mentioned = true;
+  m_waited[static_cast<std::size_t>(m_wait)] += aNow - m_since;
+  m_since = aNow;
+  m_wait = aWait;
 }
 
-void PlacementMonitor::NotePlaced(const StepName& aStep,
-                                  bool aGang,
-                                  std::size_t aTasks,
-                                  TimePoint aReadySince,
-                                  TimePoint aNow)
+void PlacementMonitor::ReportPlaced(const StepName& aStep,
+                                    bool aGang,
+                                    std::size_t aTasks,
+                                    StepWaits aWaits,
+                                    TimePoint aNow)
 {
-  const Waiting waiting = m_waiting[aStep];
-  m_waiting.erase(aStep);
-  std::string fields =
-    "step=" + StepText(aStep) + " tasks=" + std::to_string(aTasks) +
-    " gang=" + (aGang ? "yes" : "no") +
-    " after_ms=" + std::to_string(ToMilliseconds(aNow - aReadySince));
+  aWaits.Note(aWaits.m_wait, aNow);
+  const Duration after = aNow - aWaits.m_readySince;
+  std::string fields = "step=" + StepText(aStep) +
+                       " tasks=" + std::to_string(aTasks) +
+                       " gang=" + (aGang ? "yes" : "no") +
+                       " after_ms=" + std::to_string(ToMilliseconds(after));
   for (std::size_t i = 0; i < kStepWaits; ++i) {
     const std::string name = ToString(static_cast<StepWait>(i));
-    const Duration waited = waiting.m_waited[i];
+    const Duration waited = aWaits.m_waited[i];
     fields += " " + name + "_ms=" + std::to_string(ToMilliseconds(waited));
     m_effects.Metrics().Observe(
       "lycheestep_step_wait_seconds", "for=\"" + name + '"', waited);
@@ -91,6 +79,11 @@
   m_effects.LogSummary("step-placed", fields);
 }
 
+bool PlacementMonitor::FleetReportIsDue(TimePoint aNow) const
+{
+  return aNow - m_reportedAt >= kReportPeriod;
+}
+
 PlacementMonitor::FleetCapacity PlacementMonitor::Measure(
   const TargetManager& aTargets,
   const GangReservations& aReservations,
@@ -120,20 +113,16 @@
   return capacity;
 }
 
-void PlacementMonitor::ReportFleet(const TargetManager& aTargets,
+void PlacementMonitor::ReportFleet(const WaitingSteps& aWaiting,
+                                   const TargetManager& aTargets,
                                    const GangReservations& aReservations,
                                    TimePoint aNow)
 {
-  if (aNow - m_reportedAt < kReportPeriod) {
-    return;
-  }
   m_reportedAt = aNow;
   const FleetCapacity capacity = Measure(aTargets, aReservations, aNow);
-  std::size_t gangs = 0;
-  std::array<std::size_t, kStepWaits> steps{};
-  for (const auto& [name, waiting] : m_waiting) {
-    gangs += waiting.m_gang ? 1 : 0;
-    ++steps[static_cast<std::size_t>(waiting.m_wait)];
+  std::size_t steps = 0;
+  for (const std::size_t count : aWaiting.m_steps) {
+    steps += count;
   }
   std::string fields =
     "targets=" + std::to_string(aTargets.Targets().size()) +
@@ -144,11 +133,11 @@
     PercentField(
       "reserved_free_percent", capacity.m_freeReserved, capacity.m_total) +
     PercentField("unusable_percent", capacity.m_unusable, capacity.m_total) +
-    " waiting_steps=" + std::to_string(m_waiting.size()) +
-    " waiting_gangs=" + std::to_string(gangs);
+    " waiting_steps=" + std::to_string(steps) +
+    " waiting_gangs=" + std::to_string(aWaiting.m_gangs);
   for (std::size_t i = 0; i < kStepWaits; ++i) {
     fields += std::string(" for_") + ToString(static_cast<StepWait>(i)) + "=" +
-              std::to_string(steps[i]);
+              std::to_string(aWaiting.m_steps[i]);
   }
   const AdvisorUse advisor = m_effects.GetAdvisorUse();
   fields += " advisor_hosts=" + std::to_string(advisor.m_hosts) +
@@ -164,9 +153,9 @@
                    static_cast<double>(capacity.m_freeReserved) / 1000);
   metrics.SetGauge("lycheestep_fleet_unusable_processors",
                    static_cast<double>(capacity.m_unusable) / 1000);
-  metrics.SetGauge("lycheestep_waiting_steps",
-                   static_cast<double>(m_waiting.size()));
-  metrics.SetGauge("lycheestep_waiting_gangs", static_cast<double>(gangs));
+  metrics.SetGauge("lycheestep_waiting_steps", static_cast<double>(steps));
+  metrics.SetGauge("lycheestep_waiting_gangs",
+                   static_cast<double>(aWaiting.m_gangs));
 }
 
 } // namespace lycheestep
--- a/src/jobs/placement_monitor.h
+++ b/src/jobs/placement_monitor.h
@@ -2,8 +2,8 @@
 #define LYCHEESTEP_PLACEMENT_MONITOR_H
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
-#include <map>
 #include <string>
 
 #include "lycheestep/resources.h"
@@ -28,44 +28,54 @@
 // Returns the reason's name in logs and metrics.
 const char* ToString(StepWait aWait);
 
-// Measures what delays the placement of steps, and how the fleet's capacity is
-// used. Writes one log line for each step whose tasks are all placed, and one
-// line per second about the whole fleet; both also go into metrics. Makes no
-// decisions.
+// How long a step that is ready has waited, by reason.
+struct StepWaits
+{
+  // When the step last became ready.
+  TimePoint m_readySince;
+  // The reason since m_since.
+  StepWait m_wait = StepWait::kAdvice;
+  TimePoint m_since;
+  std::array<Duration, kStepWaits> m_waited{};
+
+  // Begins to wait at aNow.
+  void Begin(TimePoint aNow);
+  // Adds the time since the last call to the reason that held until aNow. The
+  // step waits for aWait from then on.
+  void Note(StepWait aWait, TimePoint aNow);
+};
+
+// The steps that wait to be placed.
+struct WaitingSteps
+{
+  std::array<std::size_t, kStepWaits> m_steps{};
+  std::size_t m_gangs = 0;
+};
+
+// Reports what delays the placement of steps, and how the fleet's capacity is
+// used: one log line for each step whose tasks are all placed, and one line per
+// second about the whole fleet; both also go into metrics. Makes no decisions.
 class PlacementMonitor
 {
 public:
   explicit PlacementMonitor(JobEffects& aEffects);
 
-  // Begins a placement round. Forgets the steps that the previous round did not
-  // mention, as they need no placement any more.
-  void BeginRound(TimePoint aNow);
-
-  // Records that the step could not be placed completely in this round.
-  void NoteWaiting(const StepName& aStep, bool aGang, StepWait aWait);
+  // Reports that the last tasks of a step of aTasks tasks were placed.
+  void ReportPlaced(const StepName& aStep,
+                    bool aGang,
+                    std::size_t aTasks,
+                    StepWaits aWaits,
+                    TimePoint aNow);
 
-  // Records that the last aTasks tasks of the step were placed in this round.
-  void NotePlaced(const StepName& aStep,
-                  bool aGang,
-                  std::size_t aTasks,
-                  TimePoint aReadySince,
-                  TimePoint aNow);
+  // Returns true if a second has passed since the last report on the fleet.
+  bool FleetReportIsDue(TimePoint aNow) const;
 
-  // Reports on the fleet if a second has passed since the last report.
-  void ReportFleet(const TargetManager& aTargets,
+  void ReportFleet(const WaitingSteps& aWaiting,
+                   const TargetManager& aTargets,
                    const GangReservations& aReservations,
                    TimePoint aNow);
 
 private:
-  // How long a step has waited so far.
-  struct Waiting
-  {
-    bool m_gang = false;
-    StepWait m_wait = StepWait::kCapacity;
-    std::array<Duration, kStepWaits> m_waited{};
-    bool m_mentioned = false;
-  };
-
   // The capacity of the fleet by use: thousandths of cores, and MiB.
   struct FleetCapacity
   {
@@ -86,8 +96,6 @@
                                TimePoint aNow);
 
   JobEffects& m_effects;
-  std::map<StepName, Waiting> m_waiting;
-  TimePoint m_roundStart;
   TimePoint m_reportedAt;
 };
 
