--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -14,6 +14,7 @@
 #include "job_effects.h"
 #include "job_scheduler.h"
 #include "order_dispatcher.h"
+#include "peer_host.h"
 #include "table_watch.h"
 #include "target_connection.h"
 #include "target_list.h"
@@ -49,20 +50,6 @@
   std::function<void(std::function<void()>)> m_post;
 };
 
-// Another host of the system, as described by its row in the store.
-struct PeerHost
-{
-  // Where the host listens for peers.
-  std::string m_address;
-  DataCentreName m_dataCentre;
-  double m_processorShare = 0;
-  // When the host last replied to a heartbeat or its row was last read,
-  // whichever was later.
-  TimePoint m_lastSeen;
-  // True if the host replied to a heartbeat since its row was last read.
-  bool m_answeredHeartbeat = false;
-};
-
 // One term of this host as the leader. A Leader reads the stored jobs, progress
 // and cancellations, then lets JobScheduler decide, and executes the decisions.
 // Used on the control thread only; other threads post to that thread.
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -130,6 +130,7 @@
 
 void Leader::OnHostRows(const std::vector<Row>& aRows, bool aIsSnapshot)
 {
+  const std::map<std::string, PeerHost> known = m_hosts;
   if (aIsSnapshot) {
     m_hosts.clear();
   }
@@ -141,10 +142,14 @@
       m_hosts.erase(name);
       continue;
     }
-    m_hosts[name] = PeerHost{ host.peer_address(),
-                              DataCentreName(host.data_centre()),
-                              host.processor_share(),
-                              m_now };
+    PeerHost updated;
+    updated.m_address = host.peer_address();
+    updated.m_dataCentre = DataCentreName(host.data_centre());
+    updated.m_processorShare = host.processor_share();
+    updated.m_lastSeen = m_now;
+    const auto found = known.find(name);
+    m_hosts[name] =
+      found != known.end() ? UpdatedPeerHost(updated, found->second) : updated;
   }
 }
 
