--- a/src/jobs/gang_reservations.cpp
+++ b/src/jobs/gang_reservations.cpp
@@ -24,6 +24,10 @@
 constexpr Duration kMaxReservationTime = std::chrono::seconds(6);
 constexpr Duration kReservationPause = std::chrono::seconds(2);
 
+// A gang whose capacity is expected to be free within this time is about to
+// start.
+constexpr Duration kAboutToStart = std::chrono::milliseconds(300);
+
 // The targets are chosen again after this time, as runs end earlier or later
 // than expected and the advisor finds more targets fit.
 constexpr Duration kChoiceInterval = std::chrono::milliseconds(100);
@@ -101,6 +105,7 @@
     return;
   }
   aReservation.m_demand = aGang.m_demand;
+  aReservation.m_priority = aGang.m_priority;
   aReservation.m_readyAt = slots[aGang.m_count - 1].m_freeAt;
   for (std::size_t i = 0; i < aGang.m_count; ++i) {
     const TargetId& target = slots[i].m_target;
@@ -178,12 +183,15 @@
     });
 }
 
-Resources GangReservations::ReservedFromTasks(const TargetId& aTarget,
-                                              TimePoint aEnd) const
+Resources GangReservations::ReservedFromTask(const TargetId& aTarget,
+                                             const TaskUse& aUse) const
 {
+  const TimePoint soon =
+    std::min(aUse.m_start + kAboutToStart, aUse.m_expectedEnd);
   return SumReserved(
     aTarget, [&](const StepName& /*aHolder*/, const Reservation& aReservation) {
-      return aReservation.m_readyAt < aEnd;
+      const bool moreUrgent = aUse.m_priority < aReservation.m_priority;
+      return aReservation.m_readyAt < (moreUrgent ? soon : aUse.m_expectedEnd);
     });
 }
 
--- a/src/jobs/gang_reservations.h
+++ b/src/jobs/gang_reservations.h
@@ -19,6 +19,8 @@
 struct WaitingGang
 {
   StepName m_step;
+  // The priority of its queue; smaller numbers are more urgent.
+  std::uint32_t m_priority = 0;
   Resources m_demand;
   std::uint32_t m_count = 0;
   // The most tasks of the gang on one target; zero means no limit.
@@ -28,6 +30,15 @@
   std::function<std::vector<const TargetState*>()> m_targets;
 };
 
+// The use that a task of a step that is no gang would make of a target.
+struct TaskUse
+{
+  // The priority of its queue; smaller numbers are more urgent.
+  std::uint32_t m_priority = 0;
+  TimePoint m_start;
+  TimePoint m_expectedEnd;
+};
+
 // Reserves capacity for gangs that wait for it. On a busy fleet, small tasks
 // take all capacity that becomes free, so that a gang, which needs all of its
 // capacity at once, would wait until the load ends, and the widest gang would
@@ -60,11 +71,12 @@
   Resources ReservedFromGang(const StepName& aGang,
                              const TargetId& aTarget) const;
 
-  // Returns the capacity of the target, free or not, that tasks of a step that
-  // is no gang do not use because gangs have reserved it. If the tasks are
-  // expected to end by aEnd, they use capacity of a gang that is not expected
-  // to start before that.
-  Resources ReservedFromTasks(const TargetId& aTarget, TimePoint aEnd) const;
+  // Returns the capacity of the target, free or not, that a task of a step that
+  // is no gang does not use because gangs have reserved it. The task uses the
+  // capacity of a gang that is expected to start after the task's end, and, if
+  // it is more urgent, the capacity of a gang that is not about to start.
+  Resources ReservedFromTask(const TargetId& aTarget,
+                             const TaskUse& aUse) const;
 
   // Returns when all capacity that the gang has reserved is expected to be
   // free; nothing if it has reserved none.
@@ -76,6 +88,7 @@
     // The gang's tasks by target.
     std::map<TargetId, std::uint32_t> m_tasks;
     Resources m_demand;
+    std::uint32_t m_priority = 0;
     // When the last of the reserved capacity is expected to be free.
     TimePoint m_readyAt;
     // When the targets were chosen.
--- a/src/jobs/gang_reservations_test.cpp
+++ b/src/jobs/gang_reservations_test.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kTargets = 16;
 constexpr std::int64_t kCapacity = 32000;
 constexpr std::int64_t kDemand = 10000;
+constexpr std::uint32_t kPriority = 1;
 
 class GangReservationsTest : public testing::Test
 {
@@ -45,6 +46,7 @@
   {
     WaitingGang gang;
     gang.m_step = StepName{ JobId(aJob), 0, 0 };
+    gang.m_priority = kPriority;
     gang.m_demand = Resources(kDemand, 0, 0, 0, 0);
     gang.m_count = aCount;
     gang.m_targets = [this] {
@@ -78,8 +80,8 @@
   std::int64_t TasksReserved(std::size_t aIndex) const
   {
     return m_gangReservations
-             .ReservedFromTasks(m_targets[aIndex].m_record.m_target,
-                                m_now + seconds(60))
+             .ReservedFromTask(m_targets[aIndex].m_record.m_target,
+                               TaskUse{ kPriority, m_now, m_now + seconds(60) })
              .Get(ResourceKind::kProcessors) /
            kDemand;
   }
@@ -134,10 +136,21 @@
   RunRound({ gang });
   const TargetId& target = m_targets[0].m_record.m_target;
   const TimePoint ready = *m_gangReservations.ReadyAt(gang.m_step);
-  EXPECT_TRUE(m_gangReservations.ReservedFromTasks(target, ready).IsZero());
-  EXPECT_FALSE(
-    m_gangReservations.ReservedFromTasks(target, ready + milliseconds(1))
-      .IsZero());
+  TaskUse use{ kPriority, m_now, ready };
+  EXPECT_TRUE(m_gangReservations.ReservedFromTask(target, use).IsZero());
+  use.m_expectedEnd = ready + milliseconds(1);
+  EXPECT_FALSE(m_gangReservations.ReservedFromTask(target, use).IsZero());
+}
+
+TEST_F(GangReservationsTest, UrgentTasksUseCapacityUntilTheGangIsAboutToStart)
+{
+  const WaitingGang gang = MakeGang("gang", 3); // starts in a second
+  RunRound({ gang });
+  const TargetId& target = m_targets[0].m_record.m_target;
+  TaskUse use{ kPriority - 1, m_now, m_now + seconds(60) };
+  EXPECT_TRUE(m_gangReservations.ReservedFromTask(target, use).IsZero());
+  use.m_start = m_now + milliseconds(800);
+  EXPECT_FALSE(m_gangReservations.ReservedFromTask(target, use).IsZero());
 }
 
 TEST_F(GangReservationsTest, OnlyGangsOfLowerRanksAreKeptOut)
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -126,6 +126,7 @@
   const JobStep& step = *aStep.m_step;
   WaitingGang gang;
   gang.m_step = aStep.m_name;
+  gang.m_priority = aStep.m_job->m_terms.m_priority;
   gang.m_demand = DemandOf(step);
   gang.m_count = step.m_count;
   gang.m_maxPerTarget = step.m_maxPerTarget;
@@ -176,8 +177,11 @@
   const Resources reserved =
     aStep.m_step->m_gang
       ? m_gangReservations.ReservedFromGang(aStep.m_name, target)
-      : m_gangReservations.ReservedFromTasks(target,
-                                             aNow + EstimateOf(*aStep.m_step));
+      : m_gangReservations.ReservedFromTask(
+          target,
+          TaskUse{ aStep.m_job->m_terms.m_priority,
+                   aNow,
+                   aNow + EstimateOf(*aStep.m_step) });
   return aTarget.Free() - reserved;
 }
 
