--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -50,8 +50,7 @@
 // this margin.
 constexpr Duration kRenewalMargin = std::chrono::milliseconds(250);
 
-// The delay before the next call for a step after a call that failed or named
-// no fit target.
+// The delay before the next call for a step after a call that failed.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(150);
 
 // Returns how long the advisor takes for a call that names aTargets targets.
@@ -191,12 +190,12 @@
     Send(aJob, aStep, targets, false);
   }
   std::vector<TargetToAsk>& renewals = toAsk.m_renewals;
-  const TimePoint answeredAt =
-    aNow + TimeOfCall(aJob.m_terms.m_advice, renewals.size());
+  const TimePoint answeredAt = aNow + TimeOfCall(terms, renewals.size());
   const bool usable = !aNeed.m_together ||
                       toAsk.m_fittingOnFit >= aNeed.m_missing ||
                       (aNeed.m_expectedAt && *aNeed.m_expectedAt <= answeredAt);
-  if (renewals.empty() || advice.m_renewing || !usable || !m_effects.CanAsk()) {
+  const bool mayRenew = !advice.m_renewing && MayAsk(aNeed, terms);
+  if (renewals.empty() || !usable || !mayRenew) {
     return;
   }
   SortByFittingTasks(renewals);
