Ask about new targets again while they have room for the step

Cause: a step whose first calls found too little free capacity waited for the targets of these calls, though others that it had not asked about had room. Such a step now asks again.

--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -187,7 +187,7 @@
     if (targets.empty()) {
       break;
     }
-    Send(aJob, aStep, targets, false);
+    Send(aJob, aStep, targets, false, aNow);
   }
   std::vector<TargetToAsk>& renewals = toAsk.m_renewals;
   const TimePoint answeredAt = aNow + TimeOfCall(terms, renewals.size());
@@ -205,7 +205,7 @@
       targets.push_back(renewal.m_target);
     }
   }
-  Send(aJob, aStep, targets, true);
+  Send(aJob, aStep, targets, true, aNow);
 }
 
 // Sorts the targets on which the most tasks fit first.
@@ -236,12 +236,15 @@
 void AdviceCache::Send(const Job& aJob,
                        const StepName& aStep,
                        const std::vector<const TargetState*>& aTargets,
-                       bool aRenews)
+                       bool aRenews,
+                       TimePoint aNow)
 {
   Call call;
   call.m_step = aStep;
   call.m_queue = aJob.m_terms.m_name;
   call.m_renews = aRenews;
+  call.m_answeredAtEarliest =
+    aNow + TimeOfCall(aJob.m_terms.m_advice, aTargets.size());
   AdviceRequest request;
   request.m_ticket = ++m_lastCall;
   request.m_step = aStep;
@@ -330,10 +333,18 @@
   const std::size_t worth = TargetsWorthACall(aJob.m_terms.m_advice);
   ExpectedTasks& expected = aToAsk.m_expected;
   std::vector<const TargetState*> chosen;
-  // A call has a fixed cost, so a small lack of capacity is not worth another.
-  const bool worthACall =
-    aAdvice.m_asked.empty() || expected.m_later < enoughLater / 2;
-  if (!worthACall || expected.m_later >= enoughLater) {
+  // A call has a fixed cost, so a small lack of targets is not worth another.
+  const bool firstCalls = aAdvice.m_asked.empty();
+  const bool tooFewTargets =
+    expected.m_later < (firstCalls ? enoughLater : enoughLater / 2);
+  double freeOnNew = 0;
+  for (const TargetToAsk& candidate : aToAsk.m_newTargets) {
+    freeOnNew += share * static_cast<double>(candidate.m_fittingTasks);
+  }
+  const bool fitsOnNewTargets =
+    expected.m_now < missing &&
+    expected.m_now + freeOnNew >= missing * kFreeCapacityFactor;
+  if (!tooFewTargets && !fitsOnNewTargets) {
     return chosen;
   }
   std::size_t taken = 0;
@@ -385,9 +396,11 @@
     advice.m_firstAnswerAt = aNow;
   }
   advice.m_retryAt = aNow;
+  // The advisor answered some time ago, but not before it can have done so.
+  const TimePoint validUntil =
+    std::min(aNow, call.m_answeredAtEarliest) + aAnswer.m_validFor;
   if (!aAnswer.m_good.empty()) {
-    advice.m_validUntil =
-      std::max(advice.m_validUntil, aNow + aAnswer.m_validFor);
+    advice.m_validUntil = std::max(advice.m_validUntil, validUntil);
   }
   std::size_t newTargets = 0;
   std::size_t newFitTargets = 0;
@@ -405,9 +418,8 @@
     newFitTargets += isNew ? 1 : 0;
     Permission& permission = advice.m_fit[target];
     CountPermission(permission, aNow);
-    permission = Permission{
-      good->m_permission, aNow + aAnswer.m_validFor, call.m_started[i], false
-    };
+    permission =
+      Permission{ good->m_permission, validUntil, call.m_started[i], false };
   }
   if (newTargets > 0) {
     double& share =
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -129,6 +129,8 @@
     StepName m_step;
     QueueName m_queue;
     bool m_renews = false;
+    // The advisor does not answer before this time.
+    TimePoint m_answeredAtEarliest;
     std::vector<TargetId> m_targets;
     // The start time of the incarnation of each of m_targets, in the same
     // order.
@@ -184,7 +186,8 @@
   void Send(const Job& aJob,
             const StepName& aStep,
             const std::vector<const TargetState*>& aTargets,
-            bool aRenews);
+            bool aRenews,
+            TimePoint aNow);
   // Counts a permission that is replaced or removed by what became of it.
   void CountPermission(const Permission& aPermission, TimePoint aNow) const;
   double FitShare(const QueueName& aQueue) const;
