--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -30,7 +30,7 @@
 // fit, with a margin, into free capacity, or until their number is expected to
 // fit so many times into the whole capacity of the targets. The step then waits
 // for capacity on these targets. If none comes in the time that a permission is
-// valid, it asks about as many targets again.
+// valid, a step that can be in time asks about as many targets again.
 constexpr double kFreeCapacityFactor = 2;
 constexpr double kWholeCapacityFactor = 3;
 constexpr Duration kMinPermissionLife = std::chrono::milliseconds(500);
@@ -325,9 +325,9 @@
   const auto missing = static_cast<double>(aNeed.m_missing);
   const Duration life =
     std::max(aJob.m_terms.m_advice.m_ticketLife, kMinPermissionLife);
-  const auto lives = aAdvice.m_firstAnswerAt == TimePoint()
-                       ? 0
-                       : (aNow - aAdvice.m_firstAnswerAt) / life;
+  const bool asksForMore =
+    aNeed.m_inTime && aAdvice.m_firstAnswerAt != TimePoint();
+  const auto lives = asksForMore ? (aNow - aAdvice.m_firstAnswerAt) / life : 0;
   const double enoughLater =
     missing * kWholeCapacityFactor * static_cast<double>(1 + lives);
   const std::size_t worth = TargetsWorthACall(aJob.m_terms.m_advice);
