Configure again before the linter runs

In a build folder that was configured before a file was added, the linter has no compile command for the file and does not find its headers (placement_monitor_test.cpp, in the whole check on a folder that was kept).

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 	@clang-format --dry-run --Werror $(SOURCES)
 
 lint: $(BUILD)/build.ninja ## run the linter on every source file
+	@cmake $(BUILD) >/dev/null # new files need their compile commands
 	@echo $(filter %.cpp,$(SOURCES)) | tr ' ' '\n' | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
 
 scenario: $(BUILD)/build.ninja ## run one scripted case with its trace: CASE=entry-pauses
