Review: work that was cancelled runs after a late write

A POST gets 504, as the store loses the answers of its writes. The DELETE that follows is answered 410. Seconds later one of the writes is done, and the submission runs to its end.

--- a/review/standins.py
+++ b/review/standins.py
@@ -34,6 +34,8 @@
 STOP_S = 0.2
 CHECKPOINT_S = 0.5
 TX_S = 0.004
+# A channel on which an answer was lost stays open and silent for this long.
+SILENT_S = 3
 ROW_BYTES = 65536
 MAX_ENTRIES = 100
 GRACE_S = 6
@@ -92,6 +94,13 @@
         super().__init__(port, 1)
         self.record = record
         self.on_commit = None
+        self.lost_share, self.late_s = 0, (0, 0)
+
+    def lose_answers(self, share, late_s):
+        """From now on this share of the writes gets no answer and is done
+        later, by a time between the two of late_s, if its condition still
+        holds then."""
+        self.lost_share, self.late_s = share, late_s
 
     def transact(self, body):
         entries = sum(len(body.get(kind, []))
@@ -103,6 +112,16 @@
                              "value has %d bytes" % (entries, longest))
             return 400, {}
         time.sleep(TX_S)
+        if self.random.random() < self.lost_share:
+            timer = threading.Timer(self.random.uniform(*self.late_s),
+                                    self.apply, (body,))
+            timer.daemon = True
+            timer.start()
+            time.sleep(SILENT_S)
+            return None
+        return self.apply(body)
+
+    def apply(self, body):
         answer = super().transact(body)
         if answer[0] == 200 and self.on_commit:
             self.on_commit(body)
