Review: a script that can't run exits with 2 and ends its hosts

An exception in a stand-in ended a script with 1, which says that the rule was broken; SIGTERM left the hosts running.

--- a/review/standins.py
+++ b/review/standins.py
@@ -476,7 +476,7 @@
         for host in self.hosts:
             if rows and host.name.encode() in rows[0]:
                 return host
-        return None
+        raise NotRun("no host leads")
 
     def end_all(self):
         for host in self.hosts:
@@ -489,6 +489,7 @@
     """Plays a case: make_cell(folder, record) returns a cell with a method
     play(trouble). Exits with the code that the review asks for."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     path = os.path.join(os.path.dirname(os.path.abspath(script)),
                         "record.txt")
     record = Record(path)
@@ -500,8 +501,8 @@
             cell = make_cell(folder, record)
             cell.play(trouble)
             code = BROKEN if cell.broken else HELD
-        except NotRun as error:
-            record.note("not run: %s" % error, show=True)
+        except (Exception, KeyboardInterrupt) as error:
+            record.note("not run: %r" % error, show=True)
         finally:
             if cell is not None:
                 cell.end_all()
