--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,75 +1,94 @@
-"""Work that fills comes in after a lasting submission with a task on each
-worker."""
+"""The leader is killed after the failure of one member of a gang is stored."""
 import os
+import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-from standins import FINISH_S, Cell, play  # noqa: E402
+from standins import Cell, NotRun, play  # noqa: E402
 
 HOSTS = 3
 WORKERS = 24
-# The lasting submission has this long to start before the traffic begins.
-LEAD_S = 5
-TRAFFIC_S = 12
-PAUSE_S = 0.5
-# One task of 1 of the 32 cores on each worker.
-LASTING = [{"count": WORKERS, "cpu": 1000, "mem_mb": 256,
-            "estimate_ms": 0, "long_running": True, "target_ms": 50,
-            "image": "desk-1", "max_per_server": 1, "may_miss": 2}]
-FILLING = [{"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 500,
-            "image": "report-1", "fills": True}]
-LASTS_S, FILLING_WORK_S = 1000, 0.5
-IDLE_S = 3
+# Two of the workers, of the kind that the gangs require, fail all that they
+# start in the first seconds of a round.
+GREY_KIND = "b"
+GREY = 2
+ROUNDS = 4
+MAX_ATTEMPTS = 2
+# Each member takes most of a worker, so that there is one on each.
+GANG = [{"count": GREY, "cpu": 20000, "mem_mb": 256, "estimate_ms": 1000,
+         "gang": True, "requires": GREY_KIND}]
+FAILS_AFTER_S, WORK_S = 0.1, 1.0
+# The answers of the second of the two workers take this long.
+SLOW_ANSWER_S = 0.1
+DOWN_S = 3.0
+ROUND_LIMIT_S = 20
 
 
-class FillingWork(Cell):
+class FailingGang(Cell):
     def __init__(self, folder, record):
-        super().__init__(folder, record, HOSTS, WORKERS)
-        self.lasting = None
-        for _ in range(WORKERS):
-            self.add_worker()
+        super().__init__(folder, record, HOSTS, WORKERS,
+                         max_attempts=MAX_ATTEMPTS)
+        for number in range(WORKERS):
+            self.add_worker(kind=GREY_KIND if number < GREY else "a")
+        self.workers[1].hold_s = SLOW_ANSWER_S
+        self.failed_runs = {}  # job -> numbers of the runs that failed
+        self.waits_for = None  # the job whose next commit is waited for
+        self.committed = threading.Event()
+        self.store.on_commit = self.on_commit
 
     def plan(self, worker, task, run):
-        if task.split(".")[0] == self.lasting:
-            return LASTING[0]["cpu"], LASTS_S, "done"
-        return 0, FILLING_WORK_S, "done"
+        """The first run of each gang fails, on both workers."""
+        if run == 1:
+            return GANG[0]["cpu"], FAILS_AFTER_S, "failed"
+        return GANG[0]["cpu"], WORK_S, "done"
+
+    def on_end(self, worker, run, how):
+        if how != "failed":
+            return
+        job_id = run.task.split(".")[0]
+        with self.lock:
+            self.failed_runs.setdefault(job_id, set()).add(run.number)
+            if worker is self.workers[0]:
+                self.waits_for = job_id
+
+    def on_commit(self, body):
+        job_id = self.waits_for
+        if job_id and any(entry["key"] == job_id
+                          for entry in body.get("writes", [])):
+            self.record.note("the first failure in %s is stored" % job_id)
+            self.waits_for = None
+            self.committed.set()
 
     def play(self, trouble):
         self.start_hosts()
         time.sleep(4)
-        if trouble:
-            self.lasting = self.submit(LASTING)
-        time.sleep(LEAD_S)
-        self.submit_until(time.monotonic() + TRAFFIC_S)
-        time.sleep(FINISH_S)
-        self.check_nothing_is_stuck()
+        for _ in range(ROUNDS):
+            self.play_round(trouble)
 
-    def submit_until(self, end):
-        while time.monotonic() < end:
-            self.submit(FILLING)
-            time.sleep(PAUSE_S)
-
-    def running_jobs(self):
-        return {run.task.split(".")[0] for worker in self.workers
-                for run in list(worker.runs.values())}
-
-    def check_nothing_is_stuck(self):
-        idle = set(self.unfinished()) - {self.lasting}
-        end = time.monotonic() + IDLE_S
-        while time.monotonic() < end:
-            idle -= self.running_jobs()
-            time.sleep(0.05)
-        used = sum(run.cpu for worker in self.workers
-                   for run in list(worker.runs.values()))
-        self.record.note("in use: %d of %d thousandths of a core" % (
-            used, sum(worker.cpu for worker in self.workers)))
-        for job_id, state in self.unfinished().items():
-            if job_id in idle:
-                self.breach("submission %s is %s and has had nothing running "
-                            "for %d s, %d s after the traffic" % (
-                                job_id, state, IDLE_S, FINISH_S))
+    def play_round(self, trouble):
+        self.committed.clear()
+        job_id = self.submit(GANG)
+        if not self.committed.wait(ROUND_LIMIT_S):
+            raise NotRun("no failure was stored")
+        if trouble:
+            leader = self.leader()
+            leader.kill()
+            time.sleep(DOWN_S)
+            leader.start()
+        end = time.monotonic() + ROUND_LIMIT_S
+        while job_id in self.unfinished() and time.monotonic() < end:
+            time.sleep(0.5)
+        failed = self.failed_runs.get(job_id, set())
+        state = self.jobs[job_id].state
+        self.record.note("%s is %s, runs that failed: %s" % (
+            job_id, state, sorted(failed)))
+        if state == "failed" and len(failed) < MAX_ATTEMPTS:
+            self.breach("submission %s is shown as failed after %d failed run "
+                        "of its gang, of %d attempts" % (
+                            job_id, len(failed), MAX_ATTEMPTS))
 
 
-play(__file__, FillingWork)
+play(__file__, FailingGang)
