--- a/src/include/lycheestep/job_host_settings.h
+++ b/src/include/lycheestep/job_host_settings.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "lycheestep/row_store.h"
 #include "lycheestep/time_types.h"
 
 namespace lycheestep {
@@ -34,6 +35,8 @@
   // The platform's row store and its advisor; the latter may be empty.
   std::string m_store;
   std::string m_advisor;
+  // The longest value of a row of the store, in bytes.
+  std::size_t m_storeRowBytes = kDefaultRowBytes;
 
   // Longest lease that a target grants.
   Duration m_longestLease = std::chrono::seconds(10);
--- a/src/include/lycheestep/row_store.h
+++ b/src/include/lycheestep/row_store.h
@@ -63,6 +63,20 @@
 // Entries of all three kinds that one transaction may hold.
 constexpr std::size_t kRowTransactionLimit = 100;
 
+// The most bytes of a row's key.
+constexpr std::size_t kRowKeyLimit = 200;
+
+// The longest value of a row in bytes, unless the settings name another limit.
+constexpr std::size_t kDefaultRowBytes = 65536;
+
+// Returns the longest value that may be written to a store with the limit
+// aRowBytes. Values are sent in base64, which takes four bytes for three, and
+// the limit may count either.
+constexpr std::size_t MaxValueBytes(std::size_t aRowBytes)
+{
+  return aRowBytes / 4 * 3;
+}
+
 // Rows of one partition from m_first on, in the order of their keys.
 struct RowRange
 {
@@ -81,6 +95,7 @@
   kRefused,     // the store turned the call away: nothing was done
   kUnknown,     // no answer: a write may have taken effect, or may yet
   kHistoryLost, // a feed has to start anew from a read of the table
+  kInvalid,     // the store never takes this call: nothing was done
 };
 
 // The store's answer.
--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "boot_clock.h"
@@ -11,6 +12,7 @@
 #include "job_rows.h"
 #include "jobs.pb.h"
 #include "lycheestep/metrics_sink.h"
+#include "pending_rows.h"
 
 namespace lycheestep {
 
@@ -32,13 +34,15 @@
                            EventLog& aLog,
                            MetricsSink& aMetrics,
                            OnCommitted aOnCommitted,
-                           OnLeadershipLost aOnLeadershipLost)
+                           OnLeadershipLost aOnLeadershipLost,
+                           OnCommitRejected aOnCommitRejected)
   : m_identity(std::move(aIdentity))
   , m_store(aStore)
   , m_log(aLog)
   , m_metrics(aMetrics)
   , m_onCommitted(std::move(aOnCommitted))
   , m_onLeadershipLost(std::move(aOnLeadershipLost))
+  , m_onCommitRejected(std::move(aOnCommitRejected))
 {
   m_thread = std::thread([this] { Run(); });
   pthread_setname_np(m_thread.native_handle(), "commit");
@@ -66,6 +70,8 @@
     m_storeClock = aStoreClock;
     m_storeClockAt = sent;
     m_pending.reset();
+    m_omitsPending = false;
+    m_succession = LeaderSuccession::kAnyRelease;
     m_released = false;
     m_queued.reset();
     transaction = MakeTransaction(Batch(), sent);
@@ -120,6 +126,12 @@
   m_pending = std::move(aPending);
 }
 
+void CommitWriter::SetSuccession(LeaderSuccession aSuccession)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_succession = aSuccession;
+}
+
 void CommitWriter::ReleaseLeadership(Duration aTimeout)
 {
   std::unique_lock<std::mutex> lock(m_mutex);
@@ -216,46 +228,88 @@
       m_version = row->m_version; // an earlier attempt took effect
       continue;
     }
+    if (answer.m_status == RowStatus::kInvalid) {
+      if (OnInvalid(aLock, aBatch)) {
+        continue;
+      }
+      return;
+    }
     aLock.unlock();
     std::this_thread::sleep_for(kRetryDelay);
     aLock.lock();
   }
 }
 
+bool CommitWriter::OnInvalid(std::unique_lock<std::mutex>& aLock,
+                             const Batch& aBatch)
+{
+  const bool hadCounts = m_pending && !m_omitsPending;
+  m_omitsPending = true;
+  if (hadCounts) {
+    return true;
+  }
+  aLock.unlock();
+  m_log.Write("commit-invalid",
+              "writes=" + std::to_string(aBatch.m_writes.size()) +
+                " removals=" + std::to_string(aBatch.m_removals.size()));
+  if (aBatch.m_isCommit) {
+    m_onCommitRejected();
+  }
+  aLock.lock();
+  return false;
+}
+
 RowTransaction CommitWriter::MakeTransaction(const Batch& aBatch,
                                              TimePoint aNow) const
 {
   RowTransaction transaction;
   transaction.m_conditions.push_back(RowCondition{ LeaderKey(), m_version });
   transaction.m_writes = aBatch.m_writes;
-  transaction.m_writes.push_back(RowWrite{ LeaderKey(), EncodeRow(aNow) });
+  AddLeaderRows(aNow, transaction.m_writes);
   transaction.m_removals = aBatch.m_removals;
   return transaction;
 }
 
-std::string CommitWriter::EncodeRow(TimePoint aNow) const
+void CommitWriter::AddLeaderRows(TimePoint aNow,
+                                 std::vector<RowWrite>& aWrites) const
 {
+  const Duration storeClock = m_storeClock + (aNow - m_storeClockAt);
   proto::LeaderRow row;
-  row.set_host(m_identity.m_host);
-  row.set_incarnation(m_identity.m_incarnation);
-  row.set_renewed_ms(ToMilliseconds(m_storeClock + (aNow - m_storeClockAt)));
-  row.set_released(m_released);
+  SetHolder(
+    LeaderRowHolder{
+      m_identity.m_host, m_identity.m_incarnation, storeClock, m_released },
+    m_succession,
+    row);
   row.set_lease_ms(ToMilliseconds(m_identity.m_lease));
   row.set_validity_ms(ToMilliseconds(m_identity.m_validity));
-  row.set_pending_known(m_pending.has_value());
-  for (const auto& [queue, pending] : m_pending.value_or(PendingCounts())) {
-    proto::QueuePending* entry = row.add_pending();
-    entry->set_queue(queue.Text());
-    entry->set_pending(pending);
+  if (m_pending && !m_omitsPending) {
+    row.set_pending_known(true);
+    for (const auto& [queue, pending] : *m_pending) {
+      proto::QueuePending* entry = row.add_pending();
+      entry->set_queue(queue.Text());
+      entry->set_pending(pending);
+    }
+  }
+  if (row.ByteSizeLong() > m_identity.m_valueBytes) {
+    row.clear_pending();
+    row.set_pending_known(false);
+    std::vector<RowWrite> rows =
+      EncodePendingRows(*m_pending, storeClock, m_identity.m_valueBytes);
+    row.set_pending_row_count(static_cast<std::uint32_t>(rows.size()));
+    std::move(rows.begin(), rows.end(), std::back_inserter(aWrites));
   }
-  return row.SerializeAsString();
+  aWrites.push_back(RowWrite{ LeaderKey(), row.SerializeAsString() });
 }
 
 bool CommitWriter::IsOwnRow(const Row& aRow) const
 {
   proto::LeaderRow row;
-  return row.ParseFromString(aRow.m_value) && row.host() == m_identity.m_host &&
-         row.incarnation() == m_identity.m_incarnation;
+  if (!row.ParseFromString(aRow.m_value)) {
+    return false;
+  }
+  const LeaderRowHolder holder = HolderOf(row);
+  return holder.m_host == m_identity.m_host &&
+         holder.m_incarnation == m_identity.m_incarnation;
 }
 
 } // namespace lycheestep
--- a/src/jobhost/commit_writer.h
+++ b/src/jobhost/commit_writer.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "job_scheduler.h"
+#include "leader_row.h"
 #include "lycheestep/row_store.h"
 
 namespace lycheestep {
@@ -30,6 +31,8 @@
   // the leases of this one have expired.
   Duration m_lease = Duration::zero();
   Duration m_validity = Duration::zero();
+  // The longest value of a row, in bytes.
+  std::size_t m_valueBytes = MaxValueBytes(kDefaultRowBytes);
 };
 
 // Writes the leader's rows to the store, one transaction at a time, on its own
@@ -48,13 +51,17 @@
   // Called when a write was refused because the leader row is no longer this
   // process's.
   using OnLeadershipLost = std::function<void()>;
+  // Called when the store refused a commit for good. The commit is dropped, and
+  // the leadership goes on.
+  using OnCommitRejected = std::function<void()>;
 
   CommitWriter(LeaderIdentity aIdentity,
                RowStore& aStore,
                EventLog& aLog,
                MetricsSink& aMetrics,
                OnCommitted aOnCommitted,
-               OnLeadershipLost aOnLeadershipLost);
+               OnLeadershipLost aOnLeadershipLost,
+               OnCommitRejected aOnCommitRejected);
   ~CommitWriter();
   CommitWriter(const CommitWriter&) = delete;
   CommitWriter& operator=(const CommitWriter&) = delete;
@@ -71,6 +78,9 @@
   // Sets the pending counts that are written to the leader row from now on.
   void SetPending(PendingCounts aPending);
 
+  // Sets which releases may succeed this leader, from the next write on.
+  void SetSuccession(LeaderSuccession aSuccession);
+
   // Gives up the leadership: writes the queued commit together with a leader
   // row that is marked as released, and then writes nothing more. Waits for at
   // most aTimeout; the leadership ends even if the write has not finished.
@@ -97,12 +107,18 @@
   };
 
   void Run();
-  // Writes aBatch until it has taken effect or the leadership has ended. aLock
-  // is released during each call to the store.
+  // Writes aBatch until it has taken effect, the store has refused it for good
+  // or the leadership has ended. aLock is released during each call to the
+  // store.
   void WriteWithRetries(std::unique_lock<std::mutex>& aLock,
                         const Batch& aBatch);
+  // Handles a write that the store never takes. Returns true if it is worth
+  // another try without the counts of pending jobs.
+  bool OnInvalid(std::unique_lock<std::mutex>& aLock, const Batch& aBatch);
   RowTransaction MakeTransaction(const Batch& aBatch, TimePoint aNow) const;
-  std::string EncodeRow(TimePoint aNow) const;
+  // Adds the leader row, and the counts of pending jobs if they do not fit into
+  // it.
+  void AddLeaderRows(TimePoint aNow, std::vector<RowWrite>& aWrites) const;
   // Returns true if this process wrote the row.
   bool IsOwnRow(const Row& aRow) const;
 
@@ -112,6 +128,7 @@
   MetricsSink& m_metrics;
   const OnCommitted m_onCommitted;
   const OnLeadershipLost m_onLeadershipLost;
+  const OnCommitRejected m_onCommitRejected;
 
   std::mutex m_mutex;
   std::condition_variable m_changed;
@@ -123,6 +140,9 @@
   std::optional<Batch> m_queued;
   // Empty until the leader has read the jobs from the store.
   std::optional<PendingCounts> m_pending;
+  LeaderSuccession m_succession = LeaderSuccession::kAnyRelease;
+  // True if the store refused a write that contained counts.
+  bool m_omitsPending = false;
   std::uint64_t m_version = 0;
   // The last known time of the store's clock, and this host's time when it was
   // received.
--- a/src/jobhost/commit_writer_test.cpp
+++ b/src/jobhost/commit_writer_test.cpp
@@ -1,12 +1,15 @@
 #include "commit_writer.h"
 
+#include <algorithm>
 #include <future>
+#include <optional>
 
 #include "event_log.h"
 #include "job_rows.h"
 #include "jobs.pb.h"
 #include "metrics_registry.h"
 #include "mock_row_store.h"
+#include "pending_rows.h"
 
 namespace lycheestep {
 
@@ -30,6 +33,10 @@
       Apply(aTransaction);
       return answer;
     }
+    if (m_invalidKey && Contains(aTransaction, *m_invalidKey)) {
+      answer.m_status = RowStatus::kInvalid;
+      return answer;
+    }
     if (aTransaction.m_conditions.front().m_version != m_version) {
       answer.m_status = RowStatus::kConflict;
       Row row;
@@ -64,6 +71,19 @@
     m_losesNext = true;
   }
 
+  // Takes no transaction that writes the key.
+  void RefuseForGood(const std::string& aKey)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_invalidKey = aKey;
+  }
+
+  std::uint64_t Version()
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_version;
+  }
+
   // Overwrites the leader row as another host would.
   void WriteAsOtherHost()
   {
@@ -89,6 +109,15 @@
   }
 
 private:
+  static bool Contains(const RowTransaction& aTransaction,
+                       const std::string& aKey)
+  {
+    return std::any_of(
+      aTransaction.m_writes.begin(),
+      aTransaction.m_writes.end(),
+      [&](const RowWrite& aWrite) { return aWrite.m_key.m_key == aKey; });
+  }
+
   void Apply(const RowTransaction& aTransaction)
   {
     ++m_version;
@@ -104,6 +133,7 @@
   std::uint64_t m_version = 0;
   std::string m_row;
   bool m_losesNext = false;
+  std::optional<std::string> m_invalidKey;
   std::map<std::string, std::size_t> m_writes;
 };
 
@@ -122,7 +152,8 @@
           m_committed.set_value();
           m_committed = std::promise<void>();
         },
-        [this] { m_lost.set_value(); })
+        [this] { m_lost.set_value(); },
+        [this] { m_rejected.set_value(); })
   {
   }
 
@@ -132,6 +163,7 @@
   std::atomic<int> m_commits{ 0 };
   std::promise<void> m_committed;
   std::promise<void> m_lost;
+  std::promise<void> m_rejected;
   CommitWriter m_writer;
 };
 
@@ -183,6 +215,41 @@
   EXPECT_EQ(m_store.WritesOf("job"), 1U);
 }
 
+// Guards against a commit that the store never takes and that is repeated
+// without end, so that the leadership is not renewed.
+TEST_F(CommitWriterTest, CommitThatIsNeverTakenEndsNoLeadership)
+{
+  ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
+  std::future<void> rejected = m_rejected.get_future();
+  m_store.RefuseForGood("job");
+  m_writer.Commit(OneWrite(), {});
+  rejected.wait();
+  const std::uint64_t version = m_store.Version();
+  m_writer.Commit({ RowWrite{ ProgressKey(JobId("other")), "half" } }, {});
+  m_writer.ReleaseLeadership(seconds(5));
+  EXPECT_GT(m_store.Version(), version);
+  EXPECT_EQ(m_store.WritesOf("other"), 1U);
+  EXPECT_EQ(m_store.WritesOf("job"), 0U);
+}
+
+// Guards against a leader row that is too long for the store because many
+// queues have waiting jobs.
+TEST_F(CommitWriterTest, ManyCountsAreStoredInRowsOfTheirOwn)
+{
+  PendingCounts counts;
+  for (std::uint32_t i = 0; i < 5000; ++i) {
+    counts[QueueName("a queue with a long name " + std::to_string(i))] = i;
+  }
+  ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
+  m_writer.SetPending(counts);
+  m_writer.ReleaseLeadership(seconds(5));
+  const proto::LeaderRow row = m_store.LeaderRow();
+  EXPECT_LT(row.ByteSizeLong(), 1000U);
+  EXPECT_FALSE(row.pending_known());
+  ASSERT_GT(row.pending_row_count(), 1U);
+  EXPECT_GE(m_store.WritesOf(PendingRowKey(0).m_key), 1U);
+}
+
 TEST_F(CommitWriterTest, CountsAreUnknownUntilTheyAreSet)
 {
   ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -59,6 +59,7 @@
   JobSchedulerSettings settings;
   settings.m_targets.m_lease = std::min(kLease, aSettings.m_longestLease);
   settings.m_targets.m_longestLease = WithClockMargin(aSettings.m_longestLease);
+  settings.m_valueBytes = MaxValueBytes(aSettings.m_storeRowBytes);
   return settings;
 }
 
@@ -70,6 +71,7 @@
   identity.m_incarnation = aIncarnation;
   identity.m_lease = std::min(kLease, aSettings.m_longestLease);
   identity.m_validity = kValidity;
+  identity.m_valueBytes = MaxValueBytes(aSettings.m_storeRowBytes);
   return identity;
 }
 
@@ -93,7 +95,10 @@
       [this](const std::string& aAddress, proto::JobPeerMessage aMessage) {
         m_peers.Send(aAddress, std::move(aMessage));
       })
-  , m_requestHandler(m_store, m_log, m_metrics)
+  , m_requestHandler(m_store,
+                     m_log,
+                     m_metrics,
+                     MaxValueBytes(aSettings.m_storeRowBytes))
   , m_advice(aDependencies.m_advisor, m_metrics)
   , m_storeRelayPool("relay", kRelayThreads)
   , m_carrier(
@@ -122,7 +127,14 @@
           }
         });
       },
-      [this] { m_queue.Add([this] { StepDown("another host leads"); }); })
+      [this] { m_queue.Add([this] { StepDown("another host leads"); }); },
+      [this] {
+        m_queue.Add([this] {
+          if (m_leader) {
+            m_leader->OnCommitRejected();
+          }
+        });
+      })
   , m_election(aSettings.m_host, m_incarnation)
 {
 }
--- a/src/jobhost/job_request_handler.cpp
+++ b/src/jobhost/job_request_handler.cpp
@@ -7,7 +7,10 @@
 #include "event_log.h"
 #include "job_rows.h"
 #include "jobs.pb.h"
+#include "leader_row.h"
 #include "lycheestep/metrics_sink.h"
+#include "pending_rows.h"
+#include "progress_rows.h"
 
 namespace lycheestep {
 
@@ -31,6 +34,8 @@
       return "no-such-job";
     case JobRequestStatus::kNotServed:
       return "not-taken";
+    case JobRequestStatus::kTooLarge:
+      return "too-large";
     case JobRequestStatus::kUnknown:
       return "unknown";
   }
@@ -41,10 +46,12 @@
 
 JobRequestHandler::JobRequestHandler(RowStore& aStore,
                                      EventLog& aLog,
-                                     MetricsSink& aMetrics)
+                                     MetricsSink& aMetrics,
+                                     std::size_t aMaxValueBytes)
   : m_store(aStore)
   , m_log(aLog)
   , m_metrics(aMetrics)
+  , m_maxValueBytes(aMaxValueBytes)
 {
 }
 
@@ -58,9 +65,12 @@
   job.m_acceptedAt = WallClockNow();
   RowTransaction transaction;
   transaction.m_conditions.push_back(RowCondition{ JobKey(aJob), 0 });
-  transaction.m_writes.push_back(RowWrite{ JobKey(aJob), EncodeJob(job) });
+  transaction.m_writes = EncodeJobRows(aJob, job, m_maxValueBytes);
   const TimePoint begun = BootClockNow();
-  const JobRequestStatus status = WriteWithRetries(transaction);
+  const bool storable =
+    !transaction.m_writes.empty() && CountTasks(aSpec) <= kMaxTasks;
+  const JobRequestStatus status =
+    storable ? WriteWithRetries(transaction) : JobRequestStatus::kTooLarge;
   m_metrics.Observe("lycheestep_submit_seconds",
                     std::string("outcome=\"") + ToString(status) + '"',
                     BootClockNow() - begun);
@@ -81,6 +91,8 @@
       case RowStatus::kOk:
       case RowStatus::kConflict: // the row exists already
         return JobRequestStatus::kOk;
+      case RowStatus::kInvalid:
+        return JobRequestStatus::kTooLarge;
       case RowStatus::kUnknown:
         // The write may still take effect; only a retry of the same write can
         // tell.
@@ -147,10 +159,12 @@
     return answer;
   }
   proto::LeaderRow leader;
-  const bool known =
-    row && leader.ParseFromString(row->m_value) && leader.pending_known();
-  const Duration age =
-    storeClock - std::chrono::milliseconds(leader.renewed_ms());
+  const bool parsed = row && leader.ParseFromString(row->m_value);
+  if (parsed && leader.pending_row_count() > 0) {
+    return ReadPendingRow(aQueue, leader.pending_row_count());
+  }
+  const bool known = parsed && leader.pending_known();
+  const Duration age = storeClock - HolderOf(leader).m_renewed;
   if (!known || age > kMaxPendingCountAge) {
     // No leader counts at present, and an old count would be wrong.
     answer.m_status = JobRequestStatus::kNotServed;
@@ -165,6 +179,25 @@
   return answer;
 }
 
+PendingAnswer JobRequestHandler::ReadPendingRow(const QueueName& aQueue,
+                                                std::uint32_t aRowCount)
+{
+  PendingAnswer answer;
+  answer.m_status = JobRequestStatus::kNotServed;
+  std::optional<Row> row;
+  Duration storeClock = Duration::zero();
+  const RowKey key = PendingRowKey(PendingRowOf(aQueue, aRowCount));
+  if (ReadRow(key, row, &storeClock) != RowStatus::kOk || !row) {
+    return answer;
+  }
+  const auto count = DecodePendingRow(aQueue, row->m_value);
+  if (count && storeClock - count->m_renewed <= kMaxPendingCountAge) {
+    answer.m_status = JobRequestStatus::kOk;
+    answer.m_pending = count->m_pending;
+  }
+  return answer;
+}
+
 RowStatus JobRequestHandler::ReadRow(const RowKey& aKey,
                                      std::optional<Row>& aRow,
                                      Duration* aStoreClock)
--- a/src/jobhost/job_request_handler.h
+++ b/src/jobhost/job_request_handler.h
@@ -20,6 +20,8 @@
   // The request was not executed. Nothing was stored and nothing will be; if
   // the request was a submission, the job never runs.
   kNotServed,
+  // The job can't be stored, whoever tries. It never runs.
+  kTooLarge,
   // The store did not say whether the write took effect. It may take effect
   // later.
   kUnknown,
@@ -47,7 +49,11 @@
 class JobRequestHandler
 {
 public:
-  JobRequestHandler(RowStore& aStore, EventLog& aLog, MetricsSink& aMetrics);
+  // aMaxValueBytes is the longest value of a row.
+  JobRequestHandler(RowStore& aStore,
+                    EventLog& aLog,
+                    MetricsSink& aMetrics,
+                    std::size_t aMaxValueBytes);
 
   // Stores a job. A second submission of the same id leaves the stored job as
   // it is and returns kOk.
@@ -66,6 +72,10 @@
   // Retries a conditional write until the store confirms that the row exists,
   // or until the request times out.
   JobRequestStatus WriteWithRetries(const RowTransaction& aTransaction);
+  // Reads the count of waiting jobs if the counts are in aRowCount rows besides
+  // the leader row.
+  PendingAnswer ReadPendingRow(const QueueName& aQueue,
+                               std::uint32_t aRowCount);
   // Reads one row, with retries until the request times out. If the store has
   // no such row, returns kOk and clears aRow. Sets aStoreClock, if not null, to
   // the store's clock when it answered.
@@ -76,6 +86,7 @@
   RowStore& m_store;
   EventLog& m_log;
   MetricsSink& m_metrics;
+  const std::size_t m_maxValueBytes;
 };
 
 } // namespace lycheestep
--- a/src/jobhost/job_request_handler_test.cpp
+++ b/src/jobhost/job_request_handler_test.cpp
@@ -5,6 +5,7 @@
 #include "jobs.pb.h"
 #include "metrics_registry.h"
 #include "mock_row_store.h"
+#include "pending_rows.h"
 
 namespace lycheestep {
 
@@ -19,7 +20,7 @@
 protected:
   JobRequestHandlerTest()
     : m_log("test", m_metrics)
-    , m_handler(m_store, m_log, m_metrics)
+    , m_handler(m_store, m_log, m_metrics, MaxValueBytes(kDefaultRowBytes))
   {
     m_spec.m_steps.resize(1);
     m_spec.m_steps[0].m_count = 1;
@@ -98,6 +99,58 @@
   EXPECT_EQ(Submit(), JobRequestStatus::kOk);
 }
 
+// Guards against a caller that waits for a job which the store never takes.
+TEST_F(JobRequestHandlerTest, JobThatCannotBeStoredIsRefusedAtOnce)
+{
+  m_spec.m_payload.resize(1000000);
+  EXPECT_CALL(m_store, Transact(_, _)).Times(0);
+  EXPECT_EQ(Submit(), JobRequestStatus::kTooLarge);
+}
+
+TEST_F(JobRequestHandlerTest, JobThatTheStoreNeverTakesIsNotRepeated)
+{
+  EXPECT_CALL(m_store, Transact(_, _))
+    .WillOnce(Return(MakeRowAnswer(RowStatus::kInvalid)));
+  EXPECT_EQ(Submit(), JobRequestStatus::kTooLarge);
+}
+
+TEST_F(JobRequestHandlerTest, LongJobIsStoredInSeveralRowsAtOnce)
+{
+  m_spec.m_payload.resize(100000);
+  EXPECT_CALL(m_store, Transact(_, _))
+    .WillOnce([](const RowTransaction& aTransaction, Duration) {
+      EXPECT_EQ(aTransaction.m_writes.size(), 4U);
+      for (const RowWrite& write : aTransaction.m_writes) {
+        EXPECT_LE(write.m_value.size(), MaxValueBytes(kDefaultRowBytes));
+      }
+      return MakeRowAnswer(RowStatus::kOk, 5);
+    });
+  EXPECT_EQ(Submit(), JobRequestStatus::kOk);
+}
+
+// Guards against counts that are not found because they do not fit into the
+// leader row.
+TEST_F(JobRequestHandlerTest, CountsAreReadFromRowsOfTheirOwn)
+{
+  proto::LeaderRow leader;
+  leader.set_pending_row_count(1);
+  leader.set_renewed_ms(9900);
+  RowAnswer leaderRow = LeaderRow(false, 9900);
+  leaderRow.m_rows.front().m_value = leader.SerializeAsString();
+  const std::vector<RowWrite> writes =
+    EncodePendingRows({ { QueueName("plans"), 7 } },
+                      std::chrono::milliseconds(9900),
+                      MaxValueBytes(kDefaultRowBytes));
+  ASSERT_EQ(writes.size(), 1U);
+  RowAnswer countsRow = leaderRow;
+  countsRow.m_rows.front().m_key = writes.front().m_key;
+  countsRow.m_rows.front().m_value = writes.front().m_value;
+  EXPECT_CALL(m_store, Read(_, _))
+    .WillOnce(Return(leaderRow))
+    .WillOnce(Return(countsRow));
+  EXPECT_EQ(m_handler.Pending(QueueName("plans")).m_pending, 7U);
+}
+
 TEST_F(JobRequestHandlerTest, JobIsReportedMissingIfTheStoreHasNoRow)
 {
   EXPECT_CALL(m_store, Read(_, _))
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -121,6 +121,11 @@
   m_scheduler.OnCommitted(aVersion, aStoreClock, m_now);
 }
 
+void Leader::OnCommitRejected()
+{
+  m_scheduler.OnCommitRejected(m_now);
+}
+
 void Leader::OnAdvice(const AdviceAnswer& aAnswer)
 {
   m_adviceDispatcher.OnAnswer(aAnswer, m_now);
@@ -334,6 +339,9 @@
 void Leader::Commit(std::vector<RowWrite> aWrites,
                     std::vector<RowKey> aRemovals)
 {
+  m_dependencies.m_writer.SetSuccession(m_scheduler.HasSegmentedJobs()
+                                          ? LeaderSuccession::kThisRelease
+                                          : LeaderSuccession::kAnyRelease);
   m_dependencies.m_writer.Commit(std::move(aWrites), std::move(aRemovals));
 }
 
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -12,6 +12,7 @@
 
 #include "advice_dispatcher.h"
 #include "job_effects.h"
+#include "job_row_reader.h"
 #include "job_scheduler.h"
 #include "order_dispatcher.h"
 #include "peer_host.h"
@@ -73,6 +74,8 @@
   // Handles a commit that took effect. aVersion is the new version of the
   // leader's row.
   void OnCommitted(std::uint64_t aVersion, Duration aStoreClock);
+  // Handles a commit that the store refused for good.
+  void OnCommitRejected();
   // Handles the advisor's reply to a call that this host or another one made.
   void OnAdvice(const AdviceAnswer& aAnswer);
   // Handles a host's reply to a heartbeat. aClock is the host's clock when it
@@ -134,6 +137,8 @@
   // Hands the stored rows to the scheduler once all three tables were read.
   void LoadIfComplete();
   void AddJobs(const std::vector<Row>& aRows);
+  void AddProgress(const std::vector<Row>& aRows,
+                   const std::vector<Row>& aJobRows);
   void AddCancels(const std::vector<Row>& aRows);
   void ApplyTargets(const TargetChanges& aChanges);
   void SendHeartbeats();
@@ -189,6 +194,7 @@
   std::optional<std::vector<Row>> m_cancelRows;
   std::optional<std::vector<Row>> m_progressRows;
 
+  JobRowReader m_jobRowReader;
   TargetList m_targets;
   std::map<std::string, PeerHost> m_hosts;
   // When the next heartbeats are sent, and when the waiting jobs are next
--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -7,6 +7,7 @@
 
 #include "job_rows.h"
 #include "jobs.pb.h"
+#include "leader_row.h"
 
 namespace lycheestep {
 
@@ -58,11 +59,11 @@
     record.m_renewalAge = Duration::max(); // no leader renews such a row
     return record;
   }
-  record.m_host = row.host();
-  record.m_incarnation = row.incarnation();
-  record.m_released = row.released();
-  record.m_renewalAge =
-    aAnswer.m_storeClock - std::chrono::milliseconds(row.renewed_ms());
+  const LeaderRowHolder holder = HolderOf(row);
+  record.m_host = holder.m_host;
+  record.m_incarnation = holder.m_incarnation;
+  record.m_released = holder.m_released;
+  record.m_renewalAge = aAnswer.m_storeClock - holder.m_renewed;
   record.m_lease = std::chrono::milliseconds(row.lease_ms());
   record.m_validity = std::chrono::milliseconds(row.validity_ms());
   return record;
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -1,6 +1,8 @@
 // The part of Leader that reads the store's tables: all rows once, then
 // changes.
 #include <chrono>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "event_log.h"
@@ -57,15 +59,7 @@
   m_loaded = true;
   m_loadedAt = m_now;
   AddJobs(*m_jobRows);
-  for (const Row& row : *m_progressRows) {
-    const JobId job(row.m_key.m_key);
-    const auto progress = DecodeProgress(job, row.m_value);
-    if (progress) {
-      m_scheduler.OnProgress(job, *progress, m_now);
-    } else {
-      Log("progress-malformed", "job=" + job.Text());
-    }
-  }
+  AddProgress(*m_progressRows, *m_jobRows);
   AddCancels(*m_cancelRows);
   Log("leader-loaded",
       "jobs=" + std::to_string(m_jobRows->size()) +
@@ -83,15 +77,38 @@
 {
   for (const Row& row : aRows) {
     if (row.m_removed) {
+      m_jobRowReader.Remove(row.m_key);
       continue;
     }
-    const JobId job(row.m_key.m_key);
-    const auto stored = DecodeJob(row.m_value);
-    if (!stored) {
-      Log("job-malformed", "job=" + job.Text());
-      continue;
+    const JobRowResult read = m_jobRowReader.Read(row);
+    if (read.m_status == JobRowResult::Status::kMalformed) {
+      Log("job-malformed", "row=" + row.m_key.m_key);
+    } else if (read.m_status == JobRowResult::Status::kComplete) {
+      m_scheduler.OnJob(read.m_job, read.m_stored, read.m_parts, m_now);
+    }
+  }
+}
+
+void Leader::AddProgress(const std::vector<Row>& aRows,
+                         const std::vector<Row>& aJobRows)
+{
+  const StoredProgressTable table = ReadProgressRows(aRows);
+  for (const RowKey& key : table.m_malformed) {
+    Log("progress-malformed", "row=" + key.m_key);
+  }
+  std::set<std::string> jobs;
+  for (const Row& row : aJobRows) {
+    jobs.insert(row.m_key.m_key);
+  }
+  for (const Row& row : aRows) {
+    // A leader of an earlier release does not remove the rows of segments.
+    const std::string& key = row.m_key.m_key;
+    if (jobs.count(key.substr(0, key.find(kKeySeparator))) == 0) {
+      m_scheduler.RemoveRow(row.m_key);
     }
-    m_scheduler.OnJob(job, *stored, m_now);
+  }
+  for (const auto& [job, progress] : table.m_jobs) {
+    m_scheduler.OnProgress(job, progress, m_now);
   }
 }
 
--- a/src/jobhost/store_messages.cpp
+++ b/src/jobhost/store_messages.cpp
@@ -77,7 +77,7 @@
 RowAnswer DecodeStoreReply(const proto::StoreReply& aReply)
 {
   RowAnswer answer;
-  const auto last = static_cast<std::uint32_t>(RowStatus::kHistoryLost);
+  const auto last = static_cast<std::uint32_t>(RowStatus::kInvalid);
   if (aReply.status() > last) {
     // A newer version of the software may send a status that this version does
     // not know.
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -4,6 +4,15 @@
 
 namespace lycheestep {
 
+std::uint64_t CountTasks(const JobSpec& aSpec)
+{
+  std::uint64_t tasks = 0;
+  for (const JobStep& step : aSpec.m_steps) {
+    tasks += step.m_count;
+  }
+  return tasks;
+}
+
 JobOccurrence MakeOccurrence(const JobSpec& aSpec)
 {
   JobOccurrence occurrence;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -11,6 +11,7 @@
 #include "lycheestep/queue_config.h"
 #include "lycheestep/task_run.h"
 #include "lycheestep/time_types.h"
+#include "segment_name.h"
 
 namespace lycheestep {
 
@@ -44,8 +45,10 @@
   std::string m_checkpoint;
   // The target that the newest run was placed on.
   TargetId m_target;
-  // True if the dispatch is in the row store, so that the start order may be
-  // sent.
+  // True if the dispatch is in the row store.
+  bool m_dispatchStored = false;
+  // True if the start order of the newest run was sent, or may have been sent
+  // by an earlier leader.
   bool m_stored = false;
   // True if the target confirmed that it has the newest run.
   bool m_seenRunning = false;
@@ -96,6 +99,9 @@
   QueueConfig m_terms;
   JobSpec m_spec;
   JobState m_state = JobState::kQueued;
+  // When the job was accepted, by the wall clock of the accepting host and by
+  // this host's clock.
+  WallTime m_acceptedWallTime{ 0 };
   TimePoint m_acceptedAt;
   // The occurrences that are due and not removed as done, by number.
   std::map<std::uint32_t, JobOccurrence> m_occurrences;
@@ -106,6 +112,12 @@
   // The estimated time from the start of an occurrence to its end, with the
   // advisor's calls for one step if its queue requires advice.
   Duration m_criticalPath = Duration::zero();
+  // The number of rows in the job table besides the row with the job's id.
+  std::uint32_t m_jobRowParts = 0;
+  // True if the tasks are stored in segments and not in the job's progress row.
+  bool m_segmented = false;
+  // The segments in the row store with the number of rows that each takes.
+  std::map<SegmentName, std::uint32_t> m_segments;
 
   bool IsOver() const
   {
@@ -114,6 +126,12 @@
   }
 };
 
+// The most tasks of one occurrence of a job that a host can keep in memory.
+constexpr std::uint64_t kMaxTasks = 200000;
+
+// Returns the number of tasks in one occurrence of the job.
+std::uint64_t CountTasks(const JobSpec& aSpec);
+
 // Returns an occurrence in which all tasks of all steps wait.
 JobOccurrence MakeOccurrence(const JobSpec& aSpec);
 
--- /dev/null
+++ b/src/jobs/job_commits.cpp
@@ -0,0 +1,369 @@
+// The part of JobScheduler that stores progress: which rows each commit writes
+// and removes, and what follows when it is done.
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "job_effects.h"
+#include "job_scheduler.h"
+
+namespace lycheestep {
+
+namespace {
+
+// The most bytes of the values in one commit. A small host needs a tenth of a
+// second to send them, so that no commit delays the renewal of the leadership.
+constexpr std::size_t kBytesPerCommit = 150000;
+
+// The most rows that are removed in one commit, if their groups allow it, and
+// the most jobs whose removal begins with one commit.
+constexpr std::size_t kRemovalsPerCommit = 45;
+constexpr std::size_t kOldJobsPerCommit = 10;
+
+// The longest value of a progress row that holds the tasks of its job. The
+// tasks of larger jobs are stored in segments.
+constexpr std::size_t kMaxInlineBytes = 16384;
+
+// Values are not made shorter than this after commits that were rejected.
+constexpr std::size_t kMinValueBytes = 512;
+
+// The minimum time between two commits. The changes in between are batched.
+constexpr Duration kMinCommitInterval = std::chrono::milliseconds(8);
+
+std::size_t SizeOf(const std::vector<RowWrite>& aWrites)
+{
+  std::size_t bytes = 0;
+  for (const RowWrite& write : aWrites) {
+    bytes += write.m_value.size();
+  }
+  return bytes;
+}
+
+void Append(std::vector<RowWrite>& aTo, std::vector<RowWrite> aWrites)
+{
+  std::move(aWrites.begin(), aWrites.end(), std::back_inserter(aTo));
+}
+
+} // namespace
+
+void JobScheduler::MarkChanged(const Job& aJob)
+{
+  m_changes.Add(
+    JobRowName{ aJob.m_id, JobRowName::Kind::kProgress, SegmentName() });
+}
+
+void JobScheduler::MarkTaskChanged(const TaskName& aName)
+{
+  const JobId& id = aName.m_step.m_job;
+  const Job& job = m_jobs.at(id);
+  if (!job.m_segmented) {
+    MarkChanged(job);
+    return;
+  }
+  m_changes.Add(
+    JobRowName{ id, JobRowName::Kind::kSegment, SegmentName::Of(aName) });
+}
+
+void JobScheduler::MarkStepChanged(const StepName& aStep)
+{
+  const JobStep& step = m_jobs.at(aStep.m_job).m_spec.m_steps[aStep.m_step];
+  for (std::uint32_t i = 0; i < step.m_count; i += kTasksPerSegment) {
+    MarkTaskChanged(TaskName{ aStep, i });
+  }
+}
+
+void JobScheduler::CommitIfDue(TimePoint aNow)
+{
+  if (m_committing || aNow - m_lastCommitAt < kMinCommitInterval) {
+    return;
+  }
+  if (m_changes.Empty() && m_keeper.HasUnstoredEnds()) {
+    // These run ends change no stored row, so they count as stored at once.
+    m_keeper.NoteCommitBegun();
+    m_keeper.NoteCommitDone();
+  }
+  RemoveOldJobs(aNow);
+  if (m_changes.Empty() && m_removals.empty() &&
+      !m_keeper.NeedsFencingToken()) {
+    return;
+  }
+  if (!m_endsSnapshot) {
+    m_keeper.NoteCommitBegun();
+    m_endsSnapshot = m_changes.NextSequence();
+  }
+  m_commit = PendingCommit();
+  std::vector<RowKey> removals = TakeRemovals();
+  const std::size_t rowsLeft =
+    m_maxCommitRows - std::min(m_maxCommitRows, removals.size());
+  std::vector<RowWrite> writes;
+  if (rowsLeft > 0) {
+    writes = TakeChanges(rowsLeft);
+  }
+  TakeDispatches();
+  m_commit.m_storesEnds = !m_changes.AnyBefore(*m_endsSnapshot);
+  m_committing = true;
+  m_lastCommitAt = aNow;
+  m_effects.Commit(std::move(writes), std::move(removals));
+}
+
+std::vector<RowKey> JobScheduler::TakeRemovals()
+{
+  std::vector<RowKey> removals;
+  const std::size_t limit = std::min(kRemovalsPerCommit, m_maxCommitRows);
+  while (!m_removals.empty()) {
+    RowGroup& group = m_removals.front();
+    if (!removals.empty() && removals.size() + group.size() > limit) {
+      break;
+    }
+    removals.insert(removals.end(), group.begin(), group.end());
+    m_commit.m_removals.push_back(std::move(group));
+    m_removals.pop_front();
+  }
+  return removals;
+}
+
+std::vector<RowWrite> JobScheduler::TakeChanges(std::size_t aMaxRows)
+{
+  std::vector<RowWrite> writes;
+  std::size_t bytes = 0;
+  while (!m_changes.Empty()) {
+    const JobRowName row = m_changes.Next();
+    std::vector<RowWrite> rows = EncodeRow(row);
+    const std::size_t rowBytes = SizeOf(rows);
+    const std::size_t maxInline = std::min(kMaxInlineBytes, m_maxValueBytes);
+    if (row.m_kind == JobRowName::Kind::kProgress && rowBytes > maxInline) {
+      m_changes.Take();
+      StoreInSegments(m_jobs.at(row.m_job));
+      continue;
+    }
+    const bool fits = writes.size() + rows.size() <= aMaxRows &&
+                      bytes + rowBytes <= kBytesPerCommit;
+    if (!writes.empty() && !fits) {
+      break;
+    }
+    const ChangedRows::Taken taken = m_changes.Take();
+    if (rows.empty()) {
+      continue;
+    }
+    m_commit.m_changes.push_back(taken);
+    bytes += rowBytes;
+    Append(writes, std::move(rows));
+  }
+  return writes;
+}
+
+void JobScheduler::TakeDispatches()
+{
+  std::set<JobRowName> included;
+  for (const ChangedRows::Taken& taken : m_commit.m_changes) {
+    included.insert(taken.m_row);
+  }
+  const auto isIncluded = [&](const RunName& aRun) {
+    const JobId& id = aRun.m_task.m_step.m_job;
+    const auto job = m_jobs.find(id);
+    JobRowName row{ id, JobRowName::Kind::kProgress, SegmentName() };
+    if (job != m_jobs.end() && job->second.m_segmented) {
+      row.m_kind = JobRowName::Kind::kSegment;
+      row.m_segment = SegmentName::Of(aRun.m_task);
+    }
+    return included.count(row) > 0;
+  };
+  const auto later = std::stable_partition(
+    m_unstoredDispatches.begin(), m_unstoredDispatches.end(), isIncluded);
+  m_dispatchesInCommit.assign(m_unstoredDispatches.begin(), later);
+  m_unstoredDispatches.erase(m_unstoredDispatches.begin(), later);
+}
+
+std::vector<RowWrite> JobScheduler::EncodeRow(const JobRowName& aRow)
+{
+  const auto found = m_jobs.find(aRow.m_job);
+  if (found == m_jobs.end()) {
+    return {};
+  }
+  Job& job = found->second;
+  switch (aRow.m_kind) {
+    case JobRowName::Kind::kJob:
+      return EncodeSegmentedJobRow(job);
+    case JobRowName::Kind::kProgress:
+      return { RowWrite{ ProgressKey(job.m_id),
+                         EncodeProgress(job, m_storeClock) } };
+    case JobRowName::Kind::kSegment:
+      return EncodeSegmentRows(job, aRow.m_segment);
+  }
+  return {};
+}
+
+std::vector<RowWrite> JobScheduler::EncodeSegmentRows(
+  Job& aJob,
+  const SegmentName& aSegment)
+{
+  if (aJob.IsOver()) {
+    // The job's state decides. The rows as they are say where runs may have to
+    // be stopped.
+    return {};
+  }
+  std::vector<RowWrite> writes;
+  for (std::string& value : EncodeSegment(aJob, aSegment, m_maxValueBytes)) {
+    const auto number = static_cast<std::uint32_t>(writes.size());
+    writes.push_back(
+      RowWrite{ SegmentKey(aJob.m_id, aSegment, number), std::move(value) });
+  }
+  if (!writes.empty()) {
+    std::uint32_t& rows = aJob.m_segments[aSegment];
+    rows = std::max(rows, static_cast<std::uint32_t>(writes.size()));
+  }
+  return writes;
+}
+
+std::vector<RowWrite> JobScheduler::EncodeSegmentedJobRow(const Job& aJob) const
+{
+  if (aJob.IsOver()) {
+    return {}; // nobody starts its tasks, and the payload is gone
+  }
+  StoredJob stored;
+  stored.m_terms = aJob.m_terms;
+  stored.m_spec = aJob.m_spec;
+  stored.m_acceptedAt = aJob.m_acceptedWallTime;
+  std::string value = EncodeJob(stored, ProgressLayout::kSegments);
+  if (value.size() > m_maxValueBytes) {
+    m_effects.Log("job-row-too-long", "job=" + aJob.m_id.Text());
+    return {};
+  }
+  return { RowWrite{ JobKey(aJob.m_id), std::move(value) } };
+}
+
+void JobScheduler::StoreInSegments(Job& aJob)
+{
+  m_effects.Log("job-segmented", "job=" + aJob.m_id.Text());
+  aJob.m_segmented = true;
+  if (!aJob.IsOver()) {
+    m_segmentedJobs.insert(aJob.m_id);
+  }
+  if (aJob.m_jobRowParts == 0) {
+    // Earlier releases ignore a job of several rows anyway.
+    m_changes.Add(
+      JobRowName{ aJob.m_id, JobRowName::Kind::kJob, SegmentName() });
+  }
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      MarkStepChanged(StepName{ aJob.m_id, number, s });
+    }
+  }
+  // Until the segments are stored, the tasks in the progress row count.
+  MarkChanged(aJob);
+}
+
+void JobScheduler::RemoveOldSegments(Job& aJob)
+{
+  for (auto it = aJob.m_segments.begin(); it != aJob.m_segments.end();) {
+    const bool needed = aJob.m_state != JobState::kDone &&
+                        aJob.m_occurrences.count(it->first.m_occurrence) > 0;
+    if (needed) {
+      ++it;
+      continue;
+    }
+    RemoveSegment(aJob, it->first, it->second);
+    it = aJob.m_segments.erase(it);
+  }
+}
+
+void JobScheduler::RemoveSegment(const Job& aJob,
+                                 const SegmentName& aSegment,
+                                 std::uint32_t aRows)
+{
+  for (std::uint32_t row = 0; row < aRows; ++row) {
+    RemoveRow(SegmentKey(aJob.m_id, aSegment, row));
+  }
+}
+
+void JobScheduler::RemoveOldJobs(TimePoint aNow)
+{
+  std::size_t jobs = 0;
+  for (auto it = m_finishedJobs.begin(); it != m_finishedJobs.end() &&
+                                         it->first <= aNow &&
+                                         jobs < kOldJobsPerCommit;) {
+    const JobId id = it->second;
+    if (m_changes.HasRowsOf(id)) {
+      ++it;
+      continue;
+    }
+    const Job& job = m_jobs.at(id);
+    // The state goes last, so that a new leader finds the job over until then.
+    for (const auto& [segment, rows] : job.m_segments) {
+      RemoveSegment(job, segment, rows);
+    }
+    RowGroup group{ JobKey(id), ProgressKey(id), CancelKey(id) };
+    for (std::uint32_t part = 1; part <= job.m_jobRowParts; ++part) {
+      group.push_back(JobPartKey(id, part));
+    }
+    m_removals.push_back(std::move(group));
+    m_jobs.erase(id);
+    it = m_finishedJobs.erase(it);
+    ++jobs;
+  }
+}
+
+void JobScheduler::OnCommitted(FencingToken aFence,
+                               Duration aStoreClock,
+                               TimePoint aNow)
+{
+  m_committing = false;
+  m_storeClock = aStoreClock;
+  m_maxCommitRows = std::min(kMaxCommitRows, m_maxCommitRows * 2);
+  m_keeper.SetFencingToken(aFence);
+  if (m_commit.m_storesEnds) {
+    m_keeper.NoteCommitDone();
+    m_endsSnapshot.reset();
+  }
+  for (const ChangedRows::Taken& taken : m_commit.m_changes) {
+    const auto job = m_jobs.find(taken.m_row.m_job);
+    if (taken.m_row.m_kind == JobRowName::Kind::kProgress &&
+        job != m_jobs.end()) {
+      RemoveOldSegments(job->second);
+    }
+  }
+  m_commit = PendingCommit();
+  SendStarts(aNow);
+}
+
+void JobScheduler::OnCommitRejected(TimePoint /*aNow*/)
+{
+  m_committing = false;
+  ReduceCommits();
+  m_changes.PutBack(m_commit.m_changes);
+  m_removals.insert(m_removals.begin(),
+                    m_commit.m_removals.begin(),
+                    m_commit.m_removals.end());
+  m_commit = PendingCommit();
+  m_unstoredDispatches.insert(m_unstoredDispatches.begin(),
+                              m_dispatchesInCommit.begin(),
+                              m_dispatchesInCommit.end());
+  m_dispatchesInCommit.clear();
+}
+
+void JobScheduler::ReduceCommits()
+{
+  const std::size_t changes = m_commit.m_changes.size();
+  const std::size_t removals = m_commit.m_removals.size();
+  m_effects.Log("commit-rejected",
+                "changes=" + std::to_string(changes) +
+                  " removals=" + std::to_string(removals));
+  if (changes + removals > 1) {
+    m_maxCommitRows = std::max<std::size_t>(1, (changes + removals) / 2);
+    return;
+  }
+  m_maxCommitRows = 1;
+  if (changes == 1 && m_maxValueBytes > kMinValueBytes) {
+    m_maxValueBytes = std::max(kMinValueBytes, m_maxValueBytes / 2);
+    return;
+  }
+  // The store takes neither the shortest values nor the removal.
+  if (changes == 1) {
+    m_effects.Log("row-unstorable",
+                  "job=" + m_commit.m_changes.front().m_row.m_job.Text());
+  }
+  m_commit.m_changes.clear();
+  m_commit.m_removals.clear();
+}
+
+} // namespace lycheestep
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -323,6 +323,7 @@
   task.m_state = TaskState::kDispatched;
   task.m_run = aRun;
   task.m_target = aTarget;
+  task.m_dispatchStored = false;
   task.m_stored = false;
   task.m_seenRunning = false;
   task.m_placedAt = m_now;
@@ -332,7 +333,7 @@
   const RunName run{ TaskName{ aStep.m_name, aIndex }, aRun };
   m_keeper.Reserve(aTarget, run, DemandOf(step), EstimateOf(step));
   m_unstoredDispatches.push_back(run);
-  MarkChanged(*aStep.m_job);
+  MarkTaskChanged(run.m_task);
 }
 
 void JobScheduler::SendStarts(TimePoint aNow)
@@ -362,27 +363,52 @@
                            ref.m_task->m_state == TaskState::kDispatched &&
                            ref.m_task->m_run == run.m_run;
     if (isCurrent) {
+      ref.m_task->m_dispatchStored = true;
       current.push_back(run);
     }
   }
   if (current.empty()) {
     return;
   }
-  const TaskRef first = FindTask(current.front().m_task);
-  const bool gang = first.m_step->m_gang;
+  const StepName step = current.front().m_task.m_step;
+  if (FindTask(current.front().m_task).m_step->m_gang) {
+    SendGangStarts(step, aNow);
+    return;
+  }
+  for (const RunName& run : current) {
+    SendStart(run, aNow);
+  }
+}
+
+void JobScheduler::SendGangStarts(const StepName& aStep, TimePoint aNow)
+{
+  TaskRef ref = FindTask(TaskName{ aStep, 0 });
+  const std::vector<JobTask>& tasks = ref.m_progress->m_tasks;
+  const bool allStored =
+    std::all_of(tasks.begin(), tasks.end(), [](const JobTask& aTask) {
+      return aTask.m_state == TaskState::kDispatched && aTask.m_dispatchStored;
+    });
+  if (!allStored) {
+    return; // a later commit stores the other members
+  }
+  std::vector<RunName> runs;
+  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+    runs.push_back(RunName{ TaskName{ aStep, i }, tasks[i].m_run });
+  }
   const bool allSendable =
-    std::all_of(current.begin(), current.end(), [&](const RunName& aRun) {
+    std::all_of(runs.begin(), runs.end(), [&](const RunName& aRun) {
       return CanSend(aRun, aNow);
     });
-  if (gang && !allSendable) {
-    TaskRef ref = FindTask(current.front().m_task);
-    StopGang(current.front().m_task.m_step, ref);
-    MarkChanged(*ref.m_job);
+  if (!allSendable) {
+    StopGang(aStep, ref);
     RefreshReady(*ref.m_job);
     return;
   }
-  for (const RunName& run : current) {
-    SendStart(run, aNow);
+  for (const RunName& run : runs) {
+    const TaskRef member = FindTask(run.m_task);
+    if (member.m_task->m_state == TaskState::kDispatched) {
+      SendStart(run, aNow);
+    }
   }
 }
 
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -21,6 +21,16 @@
 constexpr Duration kStallTimeout = std::chrono::milliseconds(4500);
 constexpr std::uint32_t kCompletePercent = 100;
 
+void FinishOne(JobTask& aTask, StepProgress& aProgress)
+{
+  if (aTask.m_state == TaskState::kDone) {
+    return;
+  }
+  aProgress.m_dispatched -= aTask.m_state == TaskState::kDispatched ? 1 : 0;
+  aTask.m_state = TaskState::kDone;
+  ++aProgress.m_done;
+}
+
 } // namespace
 
 void JobScheduler::OnRunProgress(const TargetId& aTarget,
@@ -188,28 +198,28 @@
 void JobScheduler::FinishTask(TaskRef& aRef, const TaskName& aName)
 {
   StepProgress& progress = *aRef.m_progress;
-  const auto finish = [&progress](JobTask& aTask) {
-    if (aTask.m_state == TaskState::kDone) {
-      return;
-    }
-    progress.m_dispatched -= aTask.m_state == TaskState::kDispatched ? 1 : 0;
-    aTask.m_state = TaskState::kDone;
-    ++progress.m_done;
-  };
   if (aRef.m_step->m_gang) {
     // A gang is done as soon as one of its members is.
-    std::for_each(progress.m_tasks.begin(), progress.m_tasks.end(), finish);
+    FinishGang(progress);
+    MarkStepChanged(aName.m_step);
   } else {
-    finish(*aRef.m_task);
+    FinishOne(*aRef.m_task, progress);
+    MarkTaskChanged(aName);
   }
   if (progress.IsDone()) {
     m_advice.RemoveJob(aName.m_step.m_job, m_now);
   }
-  MarkChanged(*aRef.m_job);
   CheckJobDone(*aRef.m_job);
   RefreshReady(*aRef.m_job);
 }
 
+void JobScheduler::FinishGang(StepProgress& aProgress)
+{
+  for (JobTask& member : aProgress.m_tasks) {
+    FinishOne(member, aProgress);
+  }
+}
+
 void JobScheduler::FailTask(TaskRef& aRef, const TaskName& aName)
 {
   Job& job = *aRef.m_job;
@@ -228,6 +238,7 @@
   } else {
     failures = ++aRef.m_task->m_failures;
   }
+  MarkChanged(job);
   RequeueTask(aRef, aName);
   if (!aRef.m_step->m_longRunning && failures >= job.m_terms.m_maxAttempts) {
     EndJob(job, JobState::kFailed, m_now);
@@ -237,13 +248,14 @@
 void JobScheduler::RequeueTask(TaskRef& aRef, const TaskName& aName)
 {
   aRef.m_task->m_state = TaskState::kWaiting;
+  aRef.m_task->m_dispatchStored = false;
   aRef.m_task->m_stored = false;
   aRef.m_task->m_seenRunning = false;
   --aRef.m_progress->m_dispatched;
   if (aRef.m_step->m_gang) {
     StopGang(aName.m_step, aRef);
   }
-  MarkChanged(*aRef.m_job);
+  MarkTaskChanged(aName);
   RefreshReady(*aRef.m_job);
 }
 
@@ -278,7 +290,9 @@
   }
   m_keeper.CancelReservation(aTask.m_target, run);
   aTask.m_state = TaskState::kWaiting;
+  aTask.m_dispatchStored = false;
   --aProgress.m_dispatched;
+  MarkTaskChanged(aName);
 }
 
 void JobScheduler::CheckJobDone(Job& aJob)
@@ -292,6 +306,7 @@
       break;
     }
     ++aJob.m_occurrencesDone;
+    MarkChanged(aJob);
     for (std::uint32_t s = 0; s < it->second.m_steps.size(); ++s) {
       m_ready.erase(StepName{ aJob.m_id, it->first, s });
     }
@@ -306,6 +321,7 @@
 void JobScheduler::EndJob(Job& aJob, JobState aState, TimePoint aNow)
 {
   aJob.m_state = aState;
+  m_segmentedJobs.erase(aJob.m_id);
   m_effects.Log("job-ended",
                 "job=" + aJob.m_id.Text() + " state=" +
                   std::to_string(static_cast<int>(aState)) + " after_ms=" +
--- /dev/null
+++ b/src/jobs/job_row_reader.cpp
@@ -0,0 +1,99 @@
+#include "job_row_reader.h"
+
+#include <charconv>
+#include <utility>
+
+#include "jobs.pb.h"
+
+namespace lycheestep {
+
+namespace {
+
+// Returns the part's number, or nothing if the text is no number from one on.
+std::optional<std::uint32_t> ParsePartNumber(const std::string& aText)
+{
+  std::uint32_t number = 0;
+  const char* last = aText.data() + aText.size();
+  const auto [end, error] = std::from_chars(aText.data(), last, number);
+  const bool valid = error == std::errc() && end == last && number > 0;
+  return valid ? std::optional<std::uint32_t>(number) : std::nullopt;
+}
+
+JobId JobOfKey(const std::string& aKey)
+{
+  return JobId(aKey.substr(0, aKey.find(kKeySeparator)));
+}
+
+} // namespace
+
+JobRowResult JobRowReader::Read(const Row& aRow)
+{
+  const std::string& key = aRow.m_key.m_key;
+  const JobId job = JobOfKey(key);
+  if (job.Text().size() < key.size()) {
+    return ReadPart(job, key.substr(job.Text().size() + 1), aRow.m_value);
+  }
+  JobRowResult result;
+  result.m_job = job;
+  proto::JobRow row;
+  if (!row.ParseFromString(aRow.m_value)) {
+    return result;
+  }
+  if (row.part_count() > 0) {
+    m_partial[job].m_partCount = row.part_count();
+    return Assemble(job);
+  }
+  auto stored = DecodeJob(aRow.m_value);
+  if (stored) {
+    result.m_status = JobRowResult::Status::kComplete;
+    result.m_stored = std::move(*stored);
+  }
+  return result;
+}
+
+void JobRowReader::Remove(const RowKey& aKey)
+{
+  m_partial.erase(JobOfKey(aKey.m_key));
+}
+
+JobRowResult JobRowReader::ReadPart(const JobId& aJob,
+                                    const std::string& aNumber,
+                                    const std::string& aValue)
+{
+  JobRowResult result;
+  result.m_job = aJob;
+  const auto number = ParsePartNumber(aNumber);
+  proto::JobRowPart part;
+  if (!number || !part.ParseFromString(aValue)) {
+    return result;
+  }
+  m_partial[aJob].m_parts[*number] = part.data();
+  return Assemble(aJob);
+}
+
+JobRowResult JobRowReader::Assemble(const JobId& aJob)
+{
+  JobRowResult result;
+  result.m_job = aJob;
+  result.m_status = JobRowResult::Status::kIncomplete;
+  const PartialJob& partial = m_partial[aJob];
+  if (partial.m_partCount == 0 ||
+      partial.m_parts.size() < partial.m_partCount) {
+    return result;
+  }
+  std::string whole;
+  for (const auto& [number, data] : partial.m_parts) {
+    whole += data;
+  }
+  result.m_parts = partial.m_partCount;
+  m_partial.erase(aJob);
+  auto stored = DecodeJob(whole);
+  result.m_status = stored ? JobRowResult::Status::kComplete
+                           : JobRowResult::Status::kMalformed;
+  if (stored) {
+    result.m_stored = std::move(*stored);
+  }
+  return result;
+}
+
+} // namespace lycheestep
--- a/src/jobs/job_rows.cpp
+++ b/src/jobs/job_rows.cpp
@@ -1,5 +1,7 @@
 #include "job_rows.h"
 
+#include <algorithm>
+#include <cctype>
 #include <chrono>
 
 #include <xxhash.h>
@@ -12,6 +14,12 @@
 
 constexpr const char* kLeaderKey = "leader";
 
+// The most bytes that JobRowPart adds to the part of a value.
+constexpr std::size_t kPartOverheadBytes = 16;
+
+// The largest job, so that its rows fit into one transaction of 1 MB in base64.
+constexpr std::size_t kMaxJobBytes = 600000;
+
 std::uint64_t Microseconds(Duration aDuration)
 {
   return static_cast<std::uint64_t>(
@@ -102,37 +110,6 @@
   return queue;
 }
 
-void EncodeTask(const TaskName& aName,
-                const JobTask& aTask,
-                proto::TaskProgressRow& aRow)
-{
-  aRow.set_occurrence(aName.m_step.m_occurrence);
-  aRow.set_step(aName.m_step.m_step);
-  aRow.set_index(aName.m_index);
-  aRow.set_run(aTask.m_run);
-  aRow.set_state(static_cast<std::uint32_t>(aTask.m_state));
-  aRow.set_failures(aTask.m_failures);
-  if (aTask.m_state != TaskState::kDone) {
-    aRow.set_checkpoint(aTask.m_checkpoint);
-  }
-  if (aTask.m_state == TaskState::kDispatched) {
-    aRow.set_target(aTask.m_target.Text());
-  }
-}
-
-StoredTask DecodeTask(const JobId& aJob, const proto::TaskProgressRow& aRow)
-{
-  StoredTask stored;
-  stored.m_name.m_step = StepName{ aJob, aRow.occurrence(), aRow.step() };
-  stored.m_name.m_index = aRow.index();
-  stored.m_task.m_state = static_cast<TaskState>(aRow.state());
-  stored.m_task.m_run = aRow.run();
-  stored.m_task.m_failures = aRow.failures();
-  stored.m_task.m_checkpoint = aRow.checkpoint();
-  stored.m_task.m_target = TargetId(aRow.target());
-  return stored;
-}
-
 std::string PartitionOf(const JobId& aJob)
 {
   const std::string& text = aJob.Text();
@@ -172,13 +149,15 @@
   return RowKey{ kHostTable, "", aHost };
 }
 
-std::string EncodeJob(const StoredJob& aJob)
+std::string EncodeJob(const StoredJob& aJob, ProgressLayout aLayout)
 {
   proto::JobRow row;
   row.set_queue(aJob.m_terms.m_name.Text());
   row.set_payload(aJob.m_spec.m_payload);
   for (const JobStep& step : aJob.m_spec.m_steps) {
-    EncodeStep(step, *row.add_step());
+    EncodeStep(step,
+               aLayout == ProgressLayout::kSegments ? *row.add_segmented_step()
+                                                    : *row.add_step());
   }
   row.set_occurrences(aJob.m_spec.m_occurrences);
   row.set_first_due_ms(aJob.m_spec.m_firstDue.count());
@@ -201,6 +180,9 @@
   for (const proto::JobStepRow& step : row.step()) {
     job.m_spec.m_steps.push_back(DecodeStep(step));
   }
+  for (const proto::JobStepRow& step : row.segmented_step()) {
+    job.m_spec.m_steps.push_back(DecodeStep(step));
+  }
   job.m_spec.m_occurrences = row.occurrences();
   job.m_spec.m_firstDue = WallTime(row.first_due_ms());
   job.m_spec.m_interval = WallTime(row.interval_ms());
@@ -210,48 +192,48 @@
   return job;
 }
 
-std::string EncodeProgress(const Job& aJob, Duration aStoreClock)
+std::vector<RowWrite> EncodeJobRows(const JobId& aJob,
+                                    const StoredJob& aStored,
+                                    std::size_t aMaxValueBytes)
 {
-  proto::JobProgressRow row;
-  row.set_state(static_cast<std::uint32_t>(aJob.m_state));
-  if (aJob.IsOver()) {
-    const auto ended =
-      std::chrono::duration_cast<std::chrono::milliseconds>(aStoreClock);
-    row.set_ended_ms(static_cast<std::uint64_t>(ended.count()));
+  const std::string whole = EncodeJob(aStored);
+  if (whole.size() <= aMaxValueBytes) {
+    return { RowWrite{ JobKey(aJob), whole } };
   }
-  row.set_occurrences_done(aJob.m_occurrencesDone);
-  if (aJob.m_state == JobState::kDone) {
-    return row.SerializeAsString(); // nothing reads the tasks of a finished job
+  const std::size_t partBytes = aMaxValueBytes - kPartOverheadBytes;
+  const std::size_t parts = (whole.size() + partBytes - 1) / partBytes;
+  if (parts + 1 > kMaxJobRows || whole.size() > kMaxJobBytes) {
+    return {};
   }
-  for (const auto& [number, occurrence] : aJob.m_occurrences) {
-    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
-      const std::vector<JobTask>& tasks = occurrence.m_steps[s].m_tasks;
-      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].m_run > 0 || tasks[i].m_state != TaskState::kWaiting) {
-          const TaskName name{ StepName{ aJob.m_id, number, s }, i };
-          EncodeTask(name, tasks[i], *row.add_task());
-        }
-      }
-    }
+  proto::JobRow first;
+  first.set_part_count(static_cast<std::uint32_t>(parts));
+  std::vector<RowWrite> rows{ RowWrite{ JobKey(aJob),
+                                        first.SerializeAsString() } };
+  for (std::size_t i = 0; i < parts; ++i) {
+    proto::JobRowPart part;
+    part.set_data(whole.substr(i * partBytes, partBytes));
+    rows.push_back(
+      RowWrite{ JobPartKey(aJob, static_cast<std::uint32_t>(i + 1)),
+                part.SerializeAsString() });
   }
-  return row.SerializeAsString();
+  return rows;
 }
 
-std::optional<StoredProgress> DecodeProgress(const JobId& aJob,
-                                             const std::string& aBytes)
+RowKey JobPartKey(const JobId& aJob, std::uint32_t aPart)
 {
-  proto::JobProgressRow row;
-  if (!row.ParseFromString(aBytes)) {
-    return std::nullopt;
-  }
-  StoredProgress progress;
-  progress.m_state = static_cast<JobState>(row.state());
-  progress.m_occurrencesDone = row.occurrences_done();
-  progress.m_endedAt = std::chrono::milliseconds(row.ended_ms());
-  for (const proto::TaskProgressRow& task : row.task()) {
-    progress.m_tasks.push_back(DecodeTask(aJob, task));
-  }
-  return progress;
+  RowKey key = JobKey(aJob);
+  key.m_key += kKeySeparator + std::to_string(aPart);
+  return key;
+}
+
+bool IsValidJobId(const std::string& aText)
+{
+  const auto isAllowed = [](char aByte) {
+    return std::isalnum(static_cast<unsigned char>(aByte)) != 0 ||
+           aByte == '-' || aByte == '_' || aByte == '.';
+  };
+  return !aText.empty() && aText.size() <= kMaxJobIdBytes &&
+         std::all_of(aText.begin(), aText.end(), isAllowed);
 }
 
 } // namespace lycheestep
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -45,34 +45,45 @@
   WallTime m_acceptedAt{ 0 };
 };
 
+// How the progress of a job is stored.
+enum class ProgressLayout
+{
+  kOneRow,
+  // In several rows. Releases that know only kOneRow ignore a job whose row
+  // says so.
+  kSegments,
+};
+
 // DecodeJob returns nothing if the bytes do not parse or the job is not well
 // formed.
-std::string EncodeJob(const StoredJob& aJob);
+std::string EncodeJob(const StoredJob& aJob,
+                      ProgressLayout aLayout = ProgressLayout::kOneRow);
 std::optional<StoredJob> DecodeJob(const std::string& aBytes);
 
-// A task as stored in a progress row.
-struct StoredTask
-{
-  TaskName m_name;
-  JobTask m_task;
-};
+// The most rows that one job takes in the job table, so that one transaction
+// can write or remove all of them.
+constexpr std::size_t kMaxJobRows = 40;
 
-// The progress of a job as stored in its row.
-struct StoredProgress
-{
-  JobState m_state = JobState::kQueued;
-  std::uint32_t m_occurrencesDone = 0;
-  // When the job ended, by the store's clock; zero while the job is not over.
-  Duration m_endedAt = Duration::zero();
-  std::vector<StoredTask> m_tasks;
-};
+// Returns the rows that store an accepted job, each value at most
+// aMaxValueBytes long. The row with JobKey comes first; a job that does not fit
+// into that row is stored in further ones. Returns no rows if the job is too
+// large for kMaxJobRows.
+std::vector<RowWrite> EncodeJobRows(const JobId& aJob,
+                                    const StoredJob& aStored,
+                                    std::size_t aMaxValueBytes);
+
+// Returns the key of the row with a part of the job, counted from one.
+RowKey JobPartKey(const JobId& aJob, std::uint32_t aPart);
+
+// Separates the job's id from the rest of a key. No job's id contains it.
+constexpr char kKeySeparator = '/';
+
+// The longest id of a job in bytes. It leaves room for what follows in a key.
+constexpr std::size_t kMaxJobIdBytes = 128;
 
-// EncodeProgress leaves out tasks that have never been dispatched, and all
-// tasks of a job that is done. aStoreClock is the store's current time.
-// DecodeProgress returns nothing if the bytes do not parse.
-std::string EncodeProgress(const Job& aJob, Duration aStoreClock);
-std::optional<StoredProgress> DecodeProgress(const JobId& aJob,
-                                             const std::string& aBytes);
+// Returns true if the text may be the id of a job: it can be part of keys and
+// of task names, and is no longer than kMaxJobIdBytes.
+bool IsValidJobId(const std::string& aText);
 
 } // namespace lycheestep
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -12,17 +12,8 @@
 
 namespace {
 
-// Limits on the job rows in one commit, by number and by bytes. The limits do
-// not include the leader's own row and the store's encoding.
-constexpr std::size_t kRowsPerCommit = 60;
-constexpr std::size_t kBytesPerCommit = 500000;
-
-// The most jobs whose rows are removed in one commit.
-constexpr std::size_t kRemovalsPerCommit = 10;
-
-// The minimum time between two commits and between two placement rounds. The
-// changes in between are batched.
-constexpr Duration kMinCommitInterval = std::chrono::milliseconds(8);
+// The minimum time between two placement rounds. The changes in between are
+// batched.
 constexpr Duration kMinPlacementInterval = std::chrono::milliseconds(8);
 
 // A placement round runs after this time even if no event called for one, as
@@ -36,6 +27,10 @@
 // a host accepted the job, because the clocks of hosts differ and jump.
 constexpr WallTime kMaxJobAge = std::chrono::minutes(10);
 
+// The most tasks of a job in all of its occurrences that are open at once. It
+// is twice what the largest fleet runs.
+constexpr std::uint64_t kMaxOpenTasks = 20000;
+
 // The average number of targets that the advisor is asked about for one step.
 constexpr std::int64_t kTargetsAskedPerStep = 30;
 
@@ -58,6 +53,8 @@
   , m_keeper(aSettings.m_targets, aEffects, *this)
   , m_advice(aEffects, m_keeper)
   , m_monitor(aEffects)
+  , m_maxCommitRows(kMaxCommitRows)
+  , m_maxValueBytes(aSettings.m_valueBytes)
 {
 }
 
@@ -84,6 +81,7 @@
 
 void JobScheduler::OnJob(const JobId& aJob,
                          const StoredJob& aStored,
+                         std::uint32_t aRowParts,
                          TimePoint aNow)
 {
   const auto [found, isNew] = m_jobs.try_emplace(aJob);
@@ -94,6 +92,8 @@
   job.m_id = aJob;
   job.m_terms = aStored.m_terms;
   job.m_spec = aStored.m_spec;
+  job.m_jobRowParts = aRowParts;
+  job.m_acceptedWallTime = aStored.m_acceptedAt;
   const WallTime age =
     std::clamp(m_wallNow - aStored.m_acceptedAt, WallTime(0), kMaxJobAge);
   job.m_acceptedAt = aNow - age;
@@ -132,6 +132,11 @@
   const bool settled = job.IsOver() && m_storeClock - aProgress.m_endedAt >
                                          m_settings.m_targets.m_longestLease;
   job.m_occurrencesDone = aProgress.m_occurrencesDone;
+  job.m_segments = aProgress.m_segments;
+  job.m_segmented = !job.m_segments.empty();
+  if (job.m_segmented && !job.IsOver()) {
+    m_segmentedJobs.insert(aJob);
+  }
   for (const StoredTask& stored : aProgress.m_tasks) {
     const StepName& step = stored.m_name.m_step;
     const bool inSpec =
@@ -141,6 +146,10 @@
       m_effects.Log("progress-malformed", "job=" + aJob.Text());
       continue;
     }
+    if (step.m_occurrence < job.m_occurrencesDone ||
+        job.m_state == JobState::kDone) {
+      continue; // the row of the task is not removed yet
+    }
     const auto [occurrence, isNew] =
       job.m_occurrences.try_emplace(step.m_occurrence);
     if (isNew) {
@@ -149,6 +158,7 @@
     StepProgress& progress = occurrence->second.m_steps[step.m_step];
     JobTask& task = progress.m_tasks[stored.m_name.m_index];
     task = stored.m_task;
+    task.m_dispatchStored = true;
     task.m_stored = true;
     progress.m_lastRun = std::max(progress.m_lastRun, task.m_run);
     progress.m_gangFailures =
@@ -164,13 +174,42 @@
                          EstimateOf(job.m_spec.m_steps[step.m_step]));
     }
   }
+  for (const auto& [step, gang] : aProgress.m_gangs) {
+    RestoreGang(job, step, gang);
+  }
   if (job.IsOver()) {
     StopAllRuns(job, aNow);
     m_finishedJobs.emplace(aNow + m_settings.m_retention, aJob);
+  } else {
+    // The former leader may have ended before it stored the end of the job.
+    CheckJobDone(job);
   }
   RefreshReady(job);
 }
 
+// A gang may have been stored partly when the former leader ended.
+void JobScheduler::RestoreGang(Job& aJob,
+                               const StepName& aStep,
+                               const StoredGang& aGang)
+{
+  const auto occurrence = aJob.m_occurrences.find(aStep.m_occurrence);
+  if (occurrence == aJob.m_occurrences.end() ||
+      aStep.m_step >= occurrence->second.m_steps.size()) {
+    return;
+  }
+  StepProgress& progress = occurrence->second.m_steps[aStep.m_step];
+  progress.m_gangFailures = std::max(progress.m_gangFailures, aGang.m_failures);
+  for (JobTask& member : progress.m_tasks) {
+    member.m_failures = progress.m_gangFailures;
+    member.m_checkpoint = aGang.m_checkpoint;
+  }
+  if (progress.m_done > 0 && !progress.IsDone()) {
+    // A gang is done as soon as one of its members is.
+    FinishGang(progress);
+    MarkStepChanged(aStep);
+  }
+}
+
 void JobScheduler::OnCancel(const JobId& aJob, TimePoint aNow)
 {
   const auto found = m_jobs.find(aJob);
@@ -231,17 +270,6 @@
   m_placementDue = true;
 }
 
-void JobScheduler::OnCommitted(FencingToken aFence,
-                               Duration aStoreClock,
-                               TimePoint aNow)
-{
-  m_committing = false;
-  m_storeClock = aStoreClock;
-  m_keeper.SetFencingToken(aFence);
-  m_keeper.NoteCommitDone();
-  SendStarts(aNow);
-}
-
 void JobScheduler::SetTime(TimePoint aNow, WallTime aWallNow)
 {
   m_now = aNow;
@@ -327,11 +355,6 @@
   return ref;
 }
 
-void JobScheduler::MarkChanged(Job& aJob)
-{
-  m_changedJobs.insert(aJob.m_id);
-}
-
 void JobScheduler::RefreshReady(Job& aJob)
 {
   for (auto& [number, occurrence] : aJob.m_occurrences) {
@@ -376,9 +399,16 @@
   aJob.m_nextOccurrence =
     std::max(aJob.m_nextOccurrence, aJob.m_occurrencesDone);
   bool opened = false;
-  while (!aJob.IsOver() && aJob.m_nextOccurrence < spec.m_occurrences &&
-         spec.m_firstDue + spec.m_interval * aJob.m_nextOccurrence <=
-           aWallNow) {
+  const std::uint64_t tasks = CountTasks(spec);
+  // One occurrence is opened in any case. The others wait until the job has few
+  // open tasks.
+  const auto hasRoom = [&] {
+    return aJob.m_occurrences.empty() ||
+           (aJob.m_occurrences.size() + 1) * tasks <= kMaxOpenTasks;
+  };
+  while (
+    !aJob.IsOver() && hasRoom() && aJob.m_nextOccurrence < spec.m_occurrences &&
+    spec.m_firstDue + spec.m_interval * aJob.m_nextOccurrence <= aWallNow) {
     const auto [occurrence, isNew] =
       aJob.m_occurrences.try_emplace(aJob.m_nextOccurrence);
     if (isNew) {
@@ -402,68 +432,4 @@
   return m_now - (m_wallNow - due);
 }
 
-void JobScheduler::CommitIfDue(TimePoint aNow)
-{
-  if (m_committing || aNow - m_lastCommitAt < kMinCommitInterval) {
-    return;
-  }
-  if (m_changedJobs.empty() && m_keeper.HasUnstoredEnds()) {
-    // These run ends change no stored row, so they count as stored at once.
-    m_keeper.NoteCommitBegun();
-    m_keeper.NoteCommitDone();
-  }
-  std::vector<RowKey> removals;
-  removals.swap(m_removals);
-  RemoveOldRows(aNow, removals);
-  if (m_changedJobs.empty() && removals.empty() &&
-      !m_keeper.NeedsFencingToken()) {
-    return;
-  }
-  std::vector<RowWrite> writes;
-  std::size_t bytes = 0;
-  std::set<JobId> included;
-  while (!m_changedJobs.empty() && writes.size() < kRowsPerCommit &&
-         bytes < kBytesPerCommit) {
-    const JobId id = *m_changedJobs.begin();
-    m_changedJobs.erase(m_changedJobs.begin());
-    included.insert(id);
-    writes.push_back(
-      RowWrite{ ProgressKey(id), EncodeProgress(m_jobs.at(id), m_storeClock) });
-    bytes += writes.back().m_value.size();
-  }
-  if (m_changedJobs.empty()) {
-    m_keeper.NoteCommitBegun();
-  }
-  const auto isIncluded = [&included](const RunName& aRun) {
-    return included.count(aRun.m_task.m_step.m_job) > 0;
-  };
-  const auto later = std::stable_partition(
-    m_unstoredDispatches.begin(), m_unstoredDispatches.end(), isIncluded);
-  m_dispatchesInCommit.assign(m_unstoredDispatches.begin(), later);
-  m_unstoredDispatches.erase(m_unstoredDispatches.begin(), later);
-  m_committing = true;
-  m_lastCommitAt = aNow;
-  m_effects.Commit(std::move(writes), std::move(removals));
-}
-
-void JobScheduler::RemoveOldRows(TimePoint aNow, std::vector<RowKey>& aRemovals)
-{
-  std::size_t jobs = 0;
-  for (auto it = m_finishedJobs.begin(); it != m_finishedJobs.end() &&
-                                         it->first <= aNow &&
-                                         jobs < kRemovalsPerCommit;) {
-    const JobId job = it->second;
-    if (m_changedJobs.count(job) > 0) {
-      ++it;
-      continue;
-    }
-    aRemovals.push_back(JobKey(job));
-    aRemovals.push_back(ProgressKey(job));
-    aRemovals.push_back(CancelKey(job));
-    m_jobs.erase(job);
-    it = m_finishedJobs.erase(it);
-    ++jobs;
-  }
-}
-
 } // namespace lycheestep
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -1,20 +1,25 @@
 #ifndef LYCHEESTEP_JOB_SCHEDULER_H
 #define LYCHEESTEP_JOB_SCHEDULER_H
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "advice_cache.h"
+#include "changed_rows.h"
 #include "gang_reservations.h"
 #include "job.h"
 #include "job_rows.h"
 #include "lycheestep/queue_config.h"
 #include "placement.h"
 #include "placement_monitor.h"
+#include "progress_rows.h"
 #include "run_listener.h"
 #include "target_manager.h"
 
@@ -26,6 +31,10 @@
 // no entry.
 using PendingCounts = std::map<QueueName, std::uint32_t>;
 
+// The most rows that the scheduler writes and removes in one commit. The rest
+// of a transaction is for the leader's own rows.
+constexpr std::size_t kMaxCommitRows = kRowTransactionLimit - 15;
+
 // Settings of JobScheduler.
 struct JobSchedulerSettings
 {
@@ -33,6 +42,8 @@
   // The rows of a job are kept this long after its end, so that its state can
   // be read.
   Duration m_retention = std::chrono::seconds(180);
+  // The longest value of a row, in bytes.
+  std::size_t m_valueBytes = MaxValueBytes(kDefaultRowBytes);
 };
 
 // Makes all decisions of the leader: which tasks start where and when, what
@@ -54,8 +65,12 @@
   // current one is ignored.
   void SetConfig(const ClusterConfig& aConfig);
 
-  // Adds an accepted job. A job that was added before is ignored.
-  void OnJob(const JobId& aJob, const StoredJob& aStored, TimePoint aNow);
+  // Adds an accepted job. A job that was added before is ignored. aRowParts is
+  // the number of rows that the job takes besides the one with its id.
+  void OnJob(const JobId& aJob,
+             const StoredJob& aStored,
+             std::uint32_t aRowParts,
+             TimePoint aNow);
 
   // Restores the progress of a job that an earlier leader stored. Called only
   // before the first Tick, and after OnJob for the job.
@@ -65,7 +80,7 @@
 
   // Returns true if the next Tick has placements or commits to make even if no
   // further event arrives.
-  bool IsBusy() const { return m_placementDue || !m_changedJobs.empty(); }
+  bool IsBusy() const { return m_placementDue || !m_changes.Empty(); }
 
   // Cancels a job at its caller's request. If the job was not added yet, it is
   // cancelled when OnJob adds it.
@@ -90,7 +105,7 @@
   void OnAdvice(const AdviceAnswer& aAnswer, TimePoint aNow);
 
   // Removes a row that is no longer needed with the next commit.
-  void RemoveRow(const RowKey& aKey) { m_removals.push_back(aKey); }
+  void RemoveRow(const RowKey& aKey) { m_removals.push_back({ aKey }); }
 
   TargetManager& Targets() { return m_keeper; }
   const TargetManager& Targets() const { return m_keeper; }
@@ -100,10 +115,18 @@
   // aStoreClock the time of the store's clock at the commit.
   void OnCommitted(FencingToken aFence, Duration aStoreClock, TimePoint aNow);
 
+  // Handles a commit that the store never takes. Its rows are written again, in
+  // smaller commits and with shorter values.
+  void OnCommitRejected(TimePoint aNow);
+
   // Does all work that is due: holds on targets, new occurrences, placements,
   // advisor calls and the next commit.
   void Tick(TimePoint aNow);
 
+  // Returns true if the progress of a job that is not over is stored in
+  // segments, which earlier releases can't read.
+  bool HasSegmentedJobs() const { return !m_segmentedJobs.empty(); }
+
   // Counts the jobs of each queue of which no target has confirmed a run.
   PendingCounts Pending() const;
 
@@ -151,8 +174,11 @@
   void MarkRunning(const JobId& aJob);
   // Records that a target has the run; ignored if the run is not the newest.
   void NoteStarted(const RunName& aRun, TimePoint aNow);
-  // Includes the job's progress in one of the next commits.
-  void MarkChanged(Job& aJob);
+  // Include the job's state, or the progress of one task or of all tasks of a
+  // step, in one of the next commits.
+  void MarkChanged(const Job& aJob);
+  void MarkTaskChanged(const TaskName& aName);
+  void MarkStepChanged(const StepName& aStep);
   // Updates the entries of the job's steps in m_ready.
   void RefreshReady(Job& aJob);
   // Adds the occurrences of the job that are due at aWallNow.
@@ -161,7 +187,11 @@
   // otherwise the time at which the job was accepted.
   TimePoint DueAt(const Job& aJob, std::uint32_t aOccurrence) const;
 
+  // Restores what the members of a gang share.
+  void RestoreGang(Job& aJob, const StepName& aStep, const StoredGang& aGang);
   void FinishTask(TaskRef& aRef, const TaskName& aName);
+  // Marks all members of a gang as done.
+  static void FinishGang(StepProgress& aProgress);
   void FailTask(TaskRef& aRef, const TaskName& aName);
   // Makes a dispatched task wait again. If the task belongs to a gang, the runs
   // of the other members are stopped.
@@ -225,10 +255,45 @@
 
   void SendStarts(TimePoint aNow);
   void SendStepStarts(const std::vector<RunName>& aRuns, TimePoint aNow);
+  // Sends the starts of the step's gang if the dispatches of all members are
+  // stored.
+  void SendGangStarts(const StepName& aStep, TimePoint aNow);
   bool CanSend(const RunName& aRun, TimePoint aNow);
   void SendStart(const RunName& aRun, TimePoint aNow);
+  // Rows of one transaction that no other transaction may split.
+  using RowGroup = std::vector<RowKey>;
+
+  // What one commit writes and removes, to be put back if it is rejected.
+  struct PendingCommit
+  {
+    std::vector<ChangedRows::Taken> m_changes;
+    std::vector<RowGroup> m_removals;
+    // True if all run ends of m_endsSnapshot are stored with this commit.
+    bool m_storesEnds = false;
+  };
+
   void CommitIfDue(TimePoint aNow);
-  void RemoveOldRows(TimePoint aNow, std::vector<RowKey>& aRemovals);
+  // Move rows into the commit as long as they fit.
+  std::vector<RowKey> TakeRemovals();
+  std::vector<RowWrite> TakeChanges(std::size_t aMaxRows);
+  // Moves the dispatches whose rows are in the commit to m_dispatchesInCommit.
+  void TakeDispatches();
+  // Returns the writes of a changed row; none if it is not needed any more.
+  std::vector<RowWrite> EncodeRow(const JobRowName& aRow);
+  std::vector<RowWrite> EncodeSegmentRows(Job& aJob,
+                                          const SegmentName& aSegment);
+  // Returns the row that tells earlier releases to ignore the job.
+  std::vector<RowWrite> EncodeSegmentedJobRow(const Job& aJob) const;
+  // Stores the job's tasks in segments from now on.
+  void StoreInSegments(Job& aJob);
+  // Removes the segments of occurrences that are over.
+  void RemoveOldSegments(Job& aJob);
+  void RemoveSegment(const Job& aJob,
+                     const SegmentName& aSegment,
+                     std::uint32_t aRows);
+  void RemoveOldJobs(TimePoint aNow);
+  // Makes the next commits smaller after one was rejected.
+  void ReduceCommits();
 
   const JobSchedulerSettings m_settings;
   JobEffects& m_effects;
@@ -239,6 +304,8 @@
   ClusterConfig m_config;
   std::map<JobId, Job> m_jobs;
   std::map<StepName, ReadyStep> m_ready;
+  // Jobs that are not over and whose tasks are stored in segments.
+  std::set<JobId> m_segmentedJobs;
   // Jobs that have occurrences which are not due yet.
   std::set<JobId> m_recurringJobs;
   // Jobs that are over, by the time at which their rows may be removed.
@@ -246,16 +313,24 @@
   // Jobs that were cancelled before OnJob added them.
   std::set<JobId> m_earlyCancels;
 
-  // Jobs whose progress has to be stored.
-  std::set<JobId> m_changedJobs;
-  std::vector<RowKey> m_removals;
+  // What has to be written and removed. Each group is removed at once.
+  ChangedRows m_changes;
+  std::deque<RowGroup> m_removals;
   bool m_committing = false;
+  PendingCommit m_commit;
+  // The most rows of one commit and the longest value of a row. Both are lower
+  // than the settings say after commits that the store did not take.
+  std::size_t m_maxCommitRows;
+  std::size_t m_maxValueBytes;
+  // The sequence number in m_changes up to which rows have to be written before
+  // the run ends that the targets had reported by then count as stored.
+  std::optional<std::uint64_t> m_endsSnapshot;
   TimePoint m_lastCommitAt;
   Duration m_storeClock = Duration::zero();
   // Dispatches that no commit includes yet.
   std::vector<RunName> m_unstoredDispatches;
   // Dispatches in the commit under way. Their start orders are sent when the
-  // commit is stored.
+  // commit is stored, those of a gang when all of its members are.
   std::vector<RunName> m_dispatchesInCommit;
   bool m_placementDue = false;
   TimePoint m_lastPlacement;
--- /dev/null
+++ b/src/jobs/progress_rows.cpp
@@ -0,0 +1,321 @@
+#include "progress_rows.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+#include "job_rows.h"
+#include "jobs.pb.h"
+
+namespace lycheestep {
+
+namespace {
+
+// Separates the numbers in the key of a segment's row.
+constexpr char kNumberSeparator = '.';
+
+// The most bytes that a row takes besides its tasks: the entry of its gang
+// without the checkpoint.
+constexpr std::size_t kRowOverheadBytes = 64;
+
+// The most bytes that a task takes in a row besides its checkpoint: numbers and
+// the name of its target.
+constexpr std::size_t kTaskOverheadBytes = 300;
+
+void EncodeTask(const TaskName& aName,
+                const JobTask& aTask,
+                proto::TaskProgressRow& aRow)
+{
+  aRow.set_occurrence(aName.m_step.m_occurrence);
+  aRow.set_step(aName.m_step.m_step);
+  aRow.set_index(aName.m_index);
+  aRow.set_run(aTask.m_run);
+  aRow.set_state(static_cast<std::uint32_t>(aTask.m_state));
+  aRow.set_failures(aTask.m_failures);
+  if (aTask.m_state != TaskState::kDone) {
+    aRow.set_checkpoint(aTask.m_checkpoint);
+  }
+  if (aTask.m_state == TaskState::kDispatched) {
+    aRow.set_target(aTask.m_target.Text());
+  }
+}
+
+StoredTask DecodeTask(const JobId& aJob, const proto::TaskProgressRow& aRow)
+{
+  StoredTask stored;
+  stored.m_name.m_step = StepName{ aJob, aRow.occurrence(), aRow.step() };
+  stored.m_name.m_index = aRow.index();
+  stored.m_task.m_state = static_cast<TaskState>(aRow.state());
+  stored.m_task.m_run = aRow.run();
+  stored.m_task.m_failures = aRow.failures();
+  stored.m_task.m_checkpoint = aRow.checkpoint();
+  stored.m_task.m_target = TargetId(aRow.target());
+  return stored;
+}
+
+// Returns true if the task was ever dispatched, or ended with its gang.
+bool HasProgress(const JobTask& aTask)
+{
+  return aTask.m_run > 0 || aTask.m_state != TaskState::kWaiting;
+}
+
+// Returns the checkpoint, or an empty text if it is too long to be stored.
+std::string StorableCheckpoint(const std::string& aCheckpoint,
+                               std::size_t aMaxValueBytes)
+{
+  const std::size_t overhead = kTaskOverheadBytes + kRowOverheadBytes;
+  const std::size_t room =
+    aMaxValueBytes > overhead ? aMaxValueBytes - overhead : 0;
+  const bool fits = aCheckpoint.size() <= std::min(room, kMaxCheckpointBytes);
+  return fits ? aCheckpoint : std::string();
+}
+
+// What the rows of a segment have in common.
+proto::ProgressSegmentRow MakeSegmentRow(const JobStep& aStep,
+                                         const StepProgress& aProgress,
+                                         const SegmentName& aSegment,
+                                         std::size_t aMaxValueBytes)
+{
+  proto::ProgressSegmentRow row;
+  if (aStep.m_gang) {
+    proto::GangProgressRow* gang = row.add_gang();
+    gang->set_occurrence(aSegment.m_occurrence);
+    gang->set_step(aSegment.m_step);
+    gang->set_failures(aProgress.m_gangFailures);
+    gang->set_checkpoint(StorableCheckpoint(
+      aProgress.m_tasks.front().m_checkpoint, aMaxValueBytes));
+  }
+  return row;
+}
+
+// Reads the number at the beginning of aText and removes it together with the
+// separator after it. Returns nothing if there is no number.
+std::optional<std::uint32_t> TakeNumber(std::string& aText)
+{
+  std::uint32_t number = 0;
+  const char* last = aText.data() + aText.size();
+  const auto [end, error] = std::from_chars(aText.data(), last, number);
+  const bool complete = end == last || *end == kNumberSeparator;
+  if (error != std::errc() || !complete) {
+    return std::nullopt;
+  }
+  aText.erase(0, static_cast<std::size_t>(end - aText.data()) + 1);
+  return number;
+}
+
+// The place of a row of a segment, from the key of the row.
+struct SegmentRowName
+{
+  JobId m_job;
+  SegmentName m_segment;
+  std::uint32_t m_row = 0;
+};
+
+std::optional<SegmentRowName> ParseSegmentKey(const std::string& aKey)
+{
+  const std::size_t separator = aKey.find(kKeySeparator);
+  if (separator == std::string::npos) {
+    return std::nullopt;
+  }
+  std::string numbers = aKey.substr(separator + 1);
+  const auto occurrence = TakeNumber(numbers);
+  const auto step = occurrence ? TakeNumber(numbers) : std::nullopt;
+  const auto number = step ? TakeNumber(numbers) : std::nullopt;
+  const auto row = number ? TakeNumber(numbers) : std::nullopt;
+  if (!row) {
+    return std::nullopt;
+  }
+  return SegmentRowName{ JobId(aKey.substr(0, separator)),
+                         SegmentName{ *occurrence, *step, *number },
+                         *row };
+}
+
+// Collects the rows of all jobs in the order of their versions.
+class ProgressReader
+{
+public:
+  void Read(const Row& aRow)
+  {
+    const bool isSegment =
+      aRow.m_key.m_key.find(kKeySeparator) != std::string::npos;
+    const bool read = isSegment ? ReadSegment(aRow) : ReadJob(aRow);
+    if (!read) {
+      m_table.m_malformed.push_back(aRow.m_key);
+    }
+  }
+
+  StoredProgressTable Finish()
+  {
+    for (auto& [name, task] : m_tasks) {
+      StoredProgress& progress = m_table.m_jobs[name.m_step.m_job];
+      progress.m_tasks.push_back(StoredTask{ name, std::move(task) });
+    }
+    return std::move(m_table);
+  }
+
+private:
+  bool ReadJob(const Row& aRow)
+  {
+    const JobId job(aRow.m_key.m_key);
+    auto stored = DecodeProgress(job, aRow.m_value);
+    if (!stored) {
+      return false;
+    }
+    StoredProgress& progress = m_table.m_jobs[job];
+    progress.m_state = stored->m_state;
+    progress.m_occurrencesDone = stored->m_occurrencesDone;
+    progress.m_endedAt = stored->m_endedAt;
+    for (StoredTask& task : stored->m_tasks) {
+      m_tasks[task.m_name] = std::move(task.m_task);
+    }
+    return true;
+  }
+
+  bool ReadSegment(const Row& aRow)
+  {
+    const auto name = ParseSegmentKey(aRow.m_key.m_key);
+    proto::ProgressSegmentRow row;
+    if (!name || !row.ParseFromString(aRow.m_value)) {
+      return false;
+    }
+    StoredProgress& progress = m_table.m_jobs[name->m_job];
+    std::uint32_t& rows = progress.m_segments[name->m_segment];
+    rows = std::max(rows, name->m_row + 1);
+    for (const proto::TaskProgressRow& task : row.task()) {
+      StoredTask stored = DecodeTask(name->m_job, task);
+      m_tasks[stored.m_name] = std::move(stored.m_task);
+    }
+    for (const proto::GangProgressRow& gang : row.gang()) {
+      const StepName step{ name->m_job, gang.occurrence(), gang.step() };
+      progress.m_gangs[step] =
+        StoredGang{ gang.failures(), gang.checkpoint() };
+    }
+    return true;
+  }
+
+  StoredProgressTable m_table;
+  std::map<TaskName, JobTask> m_tasks;
+};
+
+} // namespace
+
+std::string EncodeProgress(const Job& aJob, Duration aStoreClock)
+{
+  proto::JobProgressRow row;
+  row.set_state(static_cast<std::uint32_t>(aJob.m_state));
+  if (aJob.IsOver()) {
+    const auto ended =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aStoreClock);
+    row.set_ended_ms(static_cast<std::uint64_t>(ended.count()));
+  }
+  row.set_occurrences_done(aJob.m_occurrencesDone);
+  if (aJob.m_state == JobState::kDone || aJob.m_segmented) {
+    return row.SerializeAsString(); // nothing reads the tasks of a finished job
+  }
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      const std::vector<JobTask>& tasks = occurrence.m_steps[s].m_tasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        if (HasProgress(tasks[i])) {
+          const TaskName name{ StepName{ aJob.m_id, number, s }, i };
+          EncodeTask(name, tasks[i], *row.add_task());
+        }
+      }
+    }
+  }
+  return row.SerializeAsString();
+}
+
+std::optional<StoredProgress> DecodeProgress(const JobId& aJob,
+                                             const std::string& aBytes)
+{
+  proto::JobProgressRow row;
+  if (!row.ParseFromString(aBytes)) {
+    return std::nullopt;
+  }
+  StoredProgress progress;
+  progress.m_state = static_cast<JobState>(row.state());
+  progress.m_occurrencesDone = row.occurrences_done();
+  progress.m_endedAt = std::chrono::milliseconds(row.ended_ms());
+  for (const proto::TaskProgressRow& task : row.task()) {
+    progress.m_tasks.push_back(DecodeTask(aJob, task));
+  }
+  return progress;
+}
+
+std::vector<std::string> EncodeSegment(const Job& aJob,
+                                       const SegmentName& aSegment,
+                                       std::size_t aMaxValueBytes)
+{
+  const auto occurrence = aJob.m_occurrences.find(aSegment.m_occurrence);
+  if (occurrence == aJob.m_occurrences.end()) {
+    return {};
+  }
+  const JobStep& step = aJob.m_spec.m_steps[aSegment.m_step];
+  const StepProgress& progress = occurrence->second.m_steps[aSegment.m_step];
+  const std::uint32_t first = aSegment.m_number * kTasksPerSegment;
+  const auto count = static_cast<std::uint32_t>(progress.m_tasks.size());
+  const std::uint32_t end = std::min(first + kTasksPerSegment, count);
+  const proto::ProgressSegmentRow empty =
+    MakeSegmentRow(step, progress, aSegment, aMaxValueBytes);
+  std::vector<std::string> values;
+  proto::ProgressSegmentRow row = empty;
+  const auto finishRow = [&] {
+    values.push_back(row.SerializeAsString());
+    row = empty;
+  };
+  for (std::uint32_t i = first; i < end; ++i) {
+    JobTask task = progress.m_tasks[i];
+    if (!HasProgress(task)) {
+      continue;
+    }
+    // The gang's entry holds what its members share.
+    task.m_checkpoint =
+      step.m_gang ? std::string()
+                  : StorableCheckpoint(task.m_checkpoint, aMaxValueBytes);
+    task.m_failures = step.m_gang ? 0 : task.m_failures;
+    const std::size_t taskBytes =
+      task.m_checkpoint.size() + kTaskOverheadBytes;
+    if (row.task_size() > 0 &&
+        row.ByteSizeLong() + taskBytes > aMaxValueBytes) {
+      finishRow();
+    }
+    const StepName name{ aJob.m_id, aSegment.m_occurrence, aSegment.m_step };
+    EncodeTask(TaskName{ name, i }, task, *row.add_task());
+  }
+  if (row.task_size() > 0) {
+    finishRow();
+  }
+  return values;
+}
+
+RowKey SegmentKey(const JobId& aJob,
+                  const SegmentName& aSegment,
+                  std::uint32_t aRow)
+{
+  RowKey key = ProgressKey(aJob);
+  key.m_key += kKeySeparator + std::to_string(aSegment.m_occurrence) +
+               kNumberSeparator + std::to_string(aSegment.m_step) +
+               kNumberSeparator + std::to_string(aSegment.m_number) +
+               kNumberSeparator + std::to_string(aRow);
+  return key;
+}
+
+StoredProgressTable ReadProgressRows(std::vector<Row> aRows)
+{
+  // A row of a higher version counts before one of a lower version. The state
+  // and the segments of one transaction have the same version; a segment counts
+  // before the tasks in the job's progress row then.
+  std::stable_sort(
+    aRows.begin(), aRows.end(), [](const Row& aLeft, const Row& aRight) {
+      return aLeft.m_version < aRight.m_version;
+    });
+  ProgressReader reader;
+  for (const Row& row : aRows) {
+    reader.Read(row);
+  }
+  return reader.Finish();
+}
+
+} // namespace lycheestep
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -63,6 +63,13 @@
 
 JobCellModel::~JobCellModel() = default;
 
+void JobCellModel::SetRowBytes(std::size_t aBytes)
+{
+  m_rowBytes = aBytes;
+  m_table.SetRowBytes(aBytes);
+  ChangeLeader();
+}
+
 JobId JobCellModel::Submit(const JobSpec& aSpec)
 {
   JobId job("job" + std::to_string(++m_lastJob));
@@ -75,7 +82,7 @@
   m_submittedAt[job] = m_now;
   Term& term = *m_terms.back();
   term.Tell(Way(), [this, &term, job, stored] {
-    term.Scheduler().OnJob(job, stored, m_now);
+    term.Scheduler().OnJob(job, stored, 0, m_now);
   });
   return job;
 }
@@ -105,13 +112,12 @@
   scheduler.Targets().SetFormerLeaseExpiry(m_now + kFormerLeases);
   scheduler.OnCommitted(m_leaderVersion, Now(), m_now);
   for (const auto& [id, job] : m_jobs) {
-    scheduler.OnJob(id, job, m_now);
+    scheduler.OnJob(id, job, 0, m_now);
   }
-  for (const auto& [id, bytes] : m_progress) {
-    const auto progress = DecodeProgress(id, bytes);
-    if (progress) {
-      scheduler.OnProgress(id, *progress, m_now);
-    }
+  const StoredProgressTable table =
+    ReadProgressRows(m_table.Rows(kProgressTable));
+  for (const auto& [id, progress] : table.m_jobs) {
+    scheduler.OnProgress(id, progress, m_now);
   }
   for (const JobId& id : m_cancels) {
     scheduler.OnCancel(id, m_now);
@@ -190,9 +196,9 @@
 
 JobState JobCellModel::StateOf(const JobId& aJob) const
 {
-  const auto row = m_progress.find(aJob);
+  const Row* row = m_table.Find(ProgressKey(aJob));
   const auto progress =
-    row != m_progress.end() ? DecodeProgress(aJob, row->second) : std::nullopt;
+    row != nullptr ? DecodeProgress(aJob, row->m_value) : std::nullopt;
   return progress ? progress->m_state : JobState::kQueued;
 }
 
@@ -354,6 +360,7 @@
   plan.m_workTime = step.m_estimate / 2 + step.m_estimate * (draw % 100) / 100;
   plan.m_fails = draw % 31 == 0;
   plan.m_gangSize = step.m_gang ? step.m_count : 1;
+  plan.m_checkpointBytes = step.m_checkpointing ? m_checkpointBytes : 0;
   return plan;
 }
 
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -13,6 +13,7 @@
 #include "job_effects.h"
 #include "job_scheduler.h"
 #include "job_target_model.h"
+#include "row_table_model.h"
 
 namespace lycheestep {
 
@@ -57,6 +58,13 @@
   CellFaults& Faults() { return m_faults; }
   CellAdvisor& Advisor() { return m_advisor; }
 
+  // Sets the longest value of a row that the store takes.
+  void SetRowBytes(std::size_t aBytes);
+  RowTableModel& Table() { return m_table; }
+
+  // Sets the length of the checkpoints of steps that save any.
+  void SetCheckpointBytes(std::size_t aBytes) { m_checkpointBytes = aBytes; }
+
   // Writes what the leaders log there, with virtual milliseconds.
   void TraceTo(std::ostream* aTrace) { m_trace = aTrace; }
 
@@ -121,6 +129,7 @@
   QueueConfig m_queue;
   CellFaults m_faults;
   CellAdvisor m_advisor;
+  std::size_t m_checkpointBytes = 16;
   std::vector<std::unique_ptr<JobTargetModel>> m_targets;
   // The order that a target carries out just now is a late one.
   bool m_carriesOutLate = false;
@@ -131,7 +140,8 @@
   std::uint64_t m_version = 1;
   std::uint64_t m_leaderVersion = 0;
   std::map<JobId, StoredJob> m_jobs;
-  std::map<JobId, std::string> m_progress;
+  std::size_t m_rowBytes = kDefaultRowBytes;
+  RowTableModel m_table;
   std::set<JobId> m_cancels;
 
   std::vector<std::unique_ptr<Term>> m_terms;
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -19,7 +19,7 @@
 public:
   explicit Term(JobCellModel& aCell)
     : m_cell(aCell)
-    , m_scheduler(JobSchedulerSettings(), *this)
+    , m_scheduler(SettingsOf(aCell), *this)
     , m_rowVersion(aCell.m_leaderVersion)
   {
   }
@@ -53,10 +53,12 @@
   }
 
   void Commit(std::vector<RowWrite> aWrites,
-              std::vector<RowKey> /*aRemovals*/) override
+              std::vector<RowKey> aRemovals) override
   {
     m_cell.At(m_cell.Way(),
-              [this, writes = std::move(aWrites)] { Write(writes); });
+              [this,
+               writes = std::move(aWrites),
+               removals = std::move(aRemovals)] { Write(writes, removals); });
   }
 
   void Start(const StartOrder& aOrder) override
@@ -173,6 +175,13 @@
   static constexpr Duration kEarliestLate = std::chrono::seconds(2);
   static constexpr Duration kLatestLate = std::chrono::seconds(12);
 
+  static JobSchedulerSettings SettingsOf(const JobCellModel& aCell)
+  {
+    JobSchedulerSettings settings;
+    settings.m_valueBytes = MaxValueBytes(aCell.m_rowBytes);
+    return settings;
+  }
+
   double FitShareOf(const JobId& aJob) const
   {
     constexpr double kFitShare = 0.5;
@@ -189,20 +198,26 @@
            kDraws;
   }
 
-  void Write(const std::vector<RowWrite>& aWrites)
+  void Write(const std::vector<RowWrite>& aWrites,
+             const std::vector<RowKey>& aRemovals)
   {
     if (m_cell.m_faults.m_storeDown) {
       m_cell.At(std::chrono::milliseconds(100),
-                [this, aWrites] { Write(aWrites); });
+                [this, aWrites, aRemovals] { Write(aWrites, aRemovals); });
       return;
     }
     if (m_cell.m_leaderVersion != m_rowVersion) {
       m_alive = false; // another one leads
       return;
     }
+    if (!m_cell.m_table.Apply(aWrites, aRemovals, m_cell.m_version + 1)) {
+      m_cell.Break("COMMIT BEYOND THE STORE'S LIMITS");
+      Tell(m_cell.Way(),
+           [this] { m_scheduler.OnCommitRejected(m_cell.m_now); });
+      return;
+    }
     for (const RowWrite& write : aWrites) {
       const JobId job(write.m_key.m_key);
-      m_cell.m_progress[job] = write.m_value;
       const auto progress = DecodeProgress(job, write.m_value);
       const bool over = progress && progress->m_state >= JobState::kDone;
       if (over) {
--- a/src/standin/job_target_model.cpp
+++ b/src/standin/job_target_model.cpp
@@ -14,6 +14,9 @@
 // How long a member of a gang waits for the others.
 constexpr Duration kGangPatience = std::chrono::seconds(3);
 
+// How often a run saves a checkpoint.
+constexpr Duration kCheckpointPeriod = std::chrono::milliseconds(500);
+
 // Ends that one answer lists.
 constexpr std::size_t kEndsPerAnswer = 500;
 
@@ -101,6 +104,7 @@
     RunningTask task;
     task.m_run = name;
     task.m_percentDone = PercentOf(run, aNow);
+    task.m_checkpoint = run.CheckpointAt(aNow);
     answer.m_running.push_back(task);
   }
   for (const EndedTask& ended : m_ledger) {
@@ -164,12 +168,26 @@
   m_unknownEnds.clear();
 }
 
+std::string ModelRun::CheckpointAt(TimePoint aNow) const
+{
+  if (m_plan.m_checkpointBytes == 0 || aNow - m_startedAt < kCheckpointPeriod) {
+    return "";
+  }
+  std::string checkpoint =
+    std::to_string((aNow - m_startedAt) / kCheckpointPeriod);
+  checkpoint.resize(m_plan.m_checkpointBytes, '.');
+  return checkpoint;
+}
+
 void JobTargetModel::EndRun(const RunName& aRun, RunEnd aEnd)
 {
-  if (m_running.erase(aRun) == 0) {
+  const auto run = m_running.find(aRun);
+  if (run == m_running.end()) {
     return;
   }
   EndedTask ended;
+  ended.m_checkpoint = run->second.CheckpointAt(m_advancedTo);
+  m_running.erase(run);
   ended.m_number = m_ledger.size() + 1;
   ended.m_run = aRun;
   ended.m_end = aEnd;
--- a/src/standin/job_target_model.h
+++ b/src/standin/job_target_model.h
@@ -20,6 +20,8 @@
   Resources m_demand;
   // Members of the gang that have to run at the same time; one for none.
   std::size_t m_gangSize = 1;
+  // The length of a checkpoint; zero if the run saves none.
+  std::size_t m_checkpointBytes = 0;
 };
 
 // A run on a model target.
@@ -30,6 +32,9 @@
   TimePoint m_endsAt;
   TimePoint m_startedAt;
   bool m_stopping = false;
+
+  // Returns the newest checkpoint at aNow; empty if there is none.
+  std::string CheckpointAt(TimePoint aNow) const;
 };
 
 // A target as the platform's pages describe it, without a network: it obeys
