Store that there is no job before a caller is told so

Cause: a DELETE that found no row of the job answered 410 and left nothing behind, while the store still had the writes of the submission to do. Their only condition was that the row does not exist.

Change: the DELETE writes a withdrawal into the row that the submission needs, on condition that there is none, so that only one of the two takes effect. 410 is answered when it is stored. The leader removes withdrawals after 180 s of the store's clock. A cancellation needs the row of its job, so that a late one does not outlive it. A submission of another job with the id gets 409, one of a withdrawn id 410.

A test that a missing job is reported as missing now lets the store take the withdrawal, and checks besides that nothing is promised if the store does not.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -63,6 +63,13 @@
   return settings;
 }
 
+JobRequestSettings RequestSettingsOf(const JobHostSettings& aSettings)
+{
+  JobRequestSettings settings;
+  settings.m_maxValueBytes = MaxValueBytes(aSettings.m_storeRowBytes);
+  return settings;
+}
+
 LeaderIdentity IdentityOf(const JobHostSettings& aSettings,
                           std::uint64_t aIncarnation)
 {
@@ -95,10 +102,7 @@
       [this](const std::string& aAddress, proto::JobPeerMessage aMessage) {
         m_peers.Send(aAddress, std::move(aMessage));
       })
-  , m_requestHandler(m_store,
-                     m_log,
-                     m_metrics,
-                     MaxValueBytes(aSettings.m_storeRowBytes))
+  , m_requestHandler(m_store, m_log, m_metrics, RequestSettingsOf(aSettings))
   , m_advice(aDependencies.m_advisor, m_metrics)
   , m_storeRelayPool("relay", kRelayThreads)
   , m_carrier(
--- a/src/jobhost/job_request_handler.cpp
+++ b/src/jobhost/job_request_handler.cpp
@@ -1,5 +1,6 @@
 #include "job_request_handler.h"
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -16,12 +17,6 @@
 
 namespace {
 
-// Time limits of one call to the store, and of all calls to the store for one
-// request of a caller.
-constexpr Duration kCallTimeout = std::chrono::milliseconds(500);
-constexpr Duration kRequestLimit = std::chrono::milliseconds(1000);
-constexpr Duration kRetryDelay = std::chrono::milliseconds(60);
-
 // Counts of waiting jobs that are older than this are not returned.
 constexpr Duration kMaxPendingCountAge = std::chrono::milliseconds(1800);
 
@@ -34,6 +29,8 @@
       return "no-such-job";
     case JobRequestStatus::kNotServed:
       return "not-taken";
+    case JobRequestStatus::kOtherJob:
+      return "other-job";
     case JobRequestStatus::kTooLarge:
       return "too-large";
     case JobRequestStatus::kUnknown:
@@ -42,16 +39,48 @@
   return "";
 }
 
+// Returns what a write tells a caller whose request it serves.
+JobRequestStatus StatusOfWrite(RowStatus aStatus)
+{
+  switch (aStatus) {
+    case RowStatus::kOk:
+      return JobRequestStatus::kOk;
+    case RowStatus::kUnknown:
+      return JobRequestStatus::kUnknown;
+    default:
+      return JobRequestStatus::kNotServed;
+  }
+}
+
+// Returns the answer to a submission whose id has a row already. aDigest is
+// that of the submitted job.
+JobRequestStatus StatusOfStoredRow(const RowAnswer& aConflict,
+                                   std::uint64_t aDigest)
+{
+  if (aConflict.m_rows.empty()) {
+    return JobRequestStatus::kOk;
+  }
+  const auto header = DecodeJobHeader(aConflict.m_rows.front().m_value);
+  if (!header) {
+    return JobRequestStatus::kOk; // a job of a newer release
+  }
+  if (header->m_withdrawn) {
+    return JobRequestStatus::kNoSuchJob;
+  }
+  const bool same = header->m_digest == 0 || header->m_digest == aDigest;
+  return same ? JobRequestStatus::kOk : JobRequestStatus::kOtherJob;
+}
+
 } // namespace
 
 JobRequestHandler::JobRequestHandler(RowStore& aStore,
                                      EventLog& aLog,
                                      MetricsSink& aMetrics,
-                                     std::size_t aMaxValueBytes)
+                                     const JobRequestSettings& aSettings)
   : m_store(aStore)
   , m_log(aLog)
   , m_metrics(aMetrics)
-  , m_maxValueBytes(aMaxValueBytes)
+  , m_settings(aSettings)
 {
 }
 
@@ -65,12 +94,13 @@
   job.m_acceptedAt = WallClockNow();
   RowTransaction transaction;
   transaction.m_conditions.push_back(RowCondition{ JobKey(aJob), 0 });
-  transaction.m_writes = EncodeJobRows(aJob, job, m_maxValueBytes);
+  transaction.m_writes = EncodeJobRows(aJob, job, m_settings.m_maxValueBytes);
   const TimePoint begun = BootClockNow();
   const bool storable =
     !transaction.m_writes.empty() && CountTasks(aSpec) <= kMaxTasks;
-  const JobRequestStatus status =
-    storable ? WriteWithRetries(transaction) : JobRequestStatus::kTooLarge;
+  const JobRequestStatus status = storable
+                                    ? StoreJob(transaction, DigestOf(aSpec))
+                                    : JobRequestStatus::kTooLarge;
   m_metrics.Observe("lycheestep_submit_seconds",
                     std::string("outcome=\"") + ToString(status) + '"',
                     BootClockNow() - begun);
@@ -80,17 +110,19 @@
   return status;
 }
 
-JobRequestStatus JobRequestHandler::WriteWithRetries(
-  const RowTransaction& aTransaction)
+JobRequestStatus JobRequestHandler::StoreJob(const RowTransaction& aTransaction,
+                                             std::uint64_t aDigest)
 {
-  const TimePoint until = BootClockNow() + kRequestLimit;
+  const TimePoint until = BootClockNow() + m_settings.m_requestLimit;
   JobRequestStatus status = JobRequestStatus::kNotServed;
   do {
-    const RowAnswer answer = m_store.Transact(aTransaction, kCallTimeout);
+    const RowAnswer answer =
+      m_store.Transact(aTransaction, m_settings.m_callTimeout);
     switch (answer.m_status) {
       case RowStatus::kOk:
-      case RowStatus::kConflict: // the row exists already
         return JobRequestStatus::kOk;
+      case RowStatus::kConflict:
+        return StatusOfStoredRow(answer, aDigest);
       case RowStatus::kInvalid:
         return JobRequestStatus::kTooLarge;
       case RowStatus::kUnknown:
@@ -101,27 +133,82 @@
       default:
         break;
     }
-    std::this_thread::sleep_for(kRetryDelay);
+    std::this_thread::sleep_for(m_settings.m_retryDelay);
   } while (BootClockNow() < until);
   return status;
 }
 
 JobRequestStatus JobRequestHandler::Cancel(const JobId& aJob)
+{
+  const TimePoint until = BootClockNow() + m_settings.m_requestLimit;
+  std::optional<JobRequestStatus> status;
+  do {
+    status = TryCancel(aJob);
+    const bool settled =
+      status == JobRequestStatus::kOk || status == JobRequestStatus::kNoSuchJob;
+    if (settled) {
+      break;
+    }
+    std::this_thread::sleep_for(m_settings.m_retryDelay);
+  } while (BootClockNow() < until);
+  const JobRequestStatus result = status.value_or(JobRequestStatus::kNotServed);
+  m_log.Write("job-cancelled",
+              "job=" + aJob.Text() + " outcome=" + ToString(result));
+  return result;
+}
+
+std::optional<JobRequestStatus> JobRequestHandler::TryCancel(const JobId& aJob)
 {
   std::optional<Row> row;
-  if (ReadRow(JobKey(aJob), row) != RowStatus::kOk) {
+  Duration storeClock = Duration::zero();
+  if (ReadRow(JobKey(aJob), row, &storeClock) != RowStatus::kOk) {
     return JobRequestStatus::kNotServed;
   }
   if (!row) {
+    return Withdraw(aJob, storeClock);
+  }
+  const auto header = DecodeJobHeader(row->m_value);
+  if (header && header->m_withdrawn) {
     return JobRequestStatus::kNoSuchJob;
   }
+  // The condition on the job prevents a cancellation that outlives the job.
   RowTransaction transaction;
+  transaction.m_conditions.push_back(
+    RowCondition{ JobKey(aJob), row->m_version });
   transaction.m_conditions.push_back(RowCondition{ CancelKey(aJob), 0 });
   transaction.m_writes.push_back(RowWrite{ CancelKey(aJob), "cancelled" });
-  const JobRequestStatus status = WriteWithRetries(transaction);
-  m_log.Write("job-cancelled",
-              "job=" + aJob.Text() + " outcome=" + ToString(status));
-  return status;
+  const RowAnswer answer =
+    m_store.Transact(transaction, m_settings.m_callTimeout);
+  if (answer.m_status != RowStatus::kConflict) {
+    return StatusOfWrite(answer.m_status);
+  }
+  const bool cancelled = std::any_of(
+    answer.m_rows.begin(), answer.m_rows.end(), [](const Row& aRow) {
+      return aRow.m_key.m_table == kCancelTable && aRow.m_version > 0;
+    });
+  return cancelled ? std::make_optional(JobRequestStatus::kOk) : std::nullopt;
+}
+
+std::optional<JobRequestStatus> JobRequestHandler::Withdraw(
+  const JobId& aJob,
+  Duration aStoreClock)
+{
+  // A submission writes the same row under the same condition, so that only one
+  // of the two takes effect, however late it is done.
+  RowTransaction transaction;
+  transaction.m_conditions.push_back(RowCondition{ JobKey(aJob), 0 });
+  transaction.m_writes.push_back(
+    RowWrite{ JobKey(aJob), EncodeWithdrawal(aStoreClock) });
+  const RowAnswer answer =
+    m_store.Transact(transaction, m_settings.m_callTimeout);
+  switch (answer.m_status) {
+    case RowStatus::kOk:
+      return JobRequestStatus::kNoSuchJob;
+    case RowStatus::kConflict:
+      return std::nullopt;
+    default:
+      return StatusOfWrite(answer.m_status);
+  }
 }
 
 JobStateAnswer JobRequestHandler::State(const JobId& aJob)
@@ -145,7 +232,10 @@
     answer.m_status = JobRequestStatus::kNotServed;
     return answer;
   }
-  answer.m_status = row ? JobRequestStatus::kOk : JobRequestStatus::kNoSuchJob;
+  const auto header = row ? DecodeJobHeader(row->m_value) : std::nullopt;
+  const bool exists = row && !(header && header->m_withdrawn);
+  answer.m_status =
+    exists ? JobRequestStatus::kOk : JobRequestStatus::kNoSuchJob;
   return answer;
 }
 
@@ -207,10 +297,10 @@
   range.m_partition = aKey.m_partition;
   range.m_first = aKey.m_key;
   range.m_limit = 1;
-  const TimePoint until = BootClockNow() + kRequestLimit;
+  const TimePoint until = BootClockNow() + m_settings.m_requestLimit;
   RowAnswer answer;
   do {
-    answer = m_store.Read(range, kCallTimeout);
+    answer = m_store.Read(range, m_settings.m_callTimeout);
     if (answer.m_status == RowStatus::kOk) {
       const bool found = !answer.m_rows.empty() &&
                          answer.m_rows.front().m_key.m_key == aKey.m_key;
@@ -220,7 +310,7 @@
       aRow = found ? std::optional<Row>(answer.m_rows.front()) : std::nullopt;
       return RowStatus::kOk;
     }
-    std::this_thread::sleep_for(kRetryDelay);
+    std::this_thread::sleep_for(m_settings.m_retryDelay);
   } while (BootClockNow() < until);
   return answer.m_status;
 }
--- a/src/jobhost/job_request_handler.h
+++ b/src/jobhost/job_request_handler.h
@@ -1,6 +1,8 @@
 #ifndef LYCHEESTEP_JOB_REQUEST_HANDLER_H
 #define LYCHEESTEP_JOB_REQUEST_HANDLER_H
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -20,6 +22,8 @@
   // The request was not executed. Nothing was stored and nothing will be; if
   // the request was a submission, the job never runs.
   kNotServed,
+  // Another job has this id already.
+  kOtherJob,
   // The job can't be stored, whoever tries. It never runs.
   kTooLarge,
   // The store did not say whether the write took effect. It may take effect
@@ -42,6 +46,18 @@
   std::uint32_t m_pending = 0;
 };
 
+// Settings of JobRequestHandler.
+struct JobRequestSettings
+{
+  // The longest value of a row, in bytes.
+  std::size_t m_maxValueBytes = MaxValueBytes(kDefaultRowBytes);
+  // Time limits of one call to the store, and of all calls to the store for one
+  // request of a caller, and the delay between two calls.
+  Duration m_callTimeout = std::chrono::milliseconds(500);
+  Duration m_requestLimit = std::chrono::milliseconds(1000);
+  Duration m_retryDelay = std::chrono::milliseconds(60);
+};
+
 // Serves the requests of callers. Submissions and cancellations are stored
 // before they are acknowledged, and states are read from the store, so that
 // every host gives the same answers with or without a leader. Every call blocks
@@ -49,18 +65,19 @@
 class JobRequestHandler
 {
 public:
-  // aMaxValueBytes is the longest value of a row.
   JobRequestHandler(RowStore& aStore,
                     EventLog& aLog,
                     MetricsSink& aMetrics,
-                    std::size_t aMaxValueBytes);
+                    const JobRequestSettings& aSettings);
 
-  // Stores a job. A second submission of the same id leaves the stored job as
-  // it is and returns kOk.
+  // Stores a job. A second submission of the same job returns kOk, one of
+  // another job with the same id kOtherJob, and one of an id for which Cancel
+  // has returned kNoSuchJob lately returns kNoSuchJob.
   JobRequestStatus Submit(const JobId& aJob,
                           const QueueConfig& aQueue,
                           const JobSpec& aSpec);
-  // Stores a cancellation of the job, if the job exists.
+  // Stores a cancellation of the job. Returns kNoSuchJob if the job does not
+  // exist; a submission that is on its way is not stored later then.
   JobRequestStatus Cancel(const JobId& aJob);
   // Reads the job's state. A stored job without progress is reported as queued.
   JobStateAnswer State(const JobId& aJob);
@@ -69,9 +86,16 @@
   PendingAnswer Pending(const QueueName& aQueue);
 
 private:
-  // Retries a conditional write until the store confirms that the row exists,
-  // or until the request times out.
-  JobRequestStatus WriteWithRetries(const RowTransaction& aTransaction);
+  // Retries the write of a job until the store has taken it or has a row with
+  // its id, or until the request times out.
+  JobRequestStatus StoreJob(const RowTransaction& aTransaction,
+                            std::uint64_t aDigest);
+  // Makes one try to cancel the job. Returns nothing if the job's row changed
+  // meanwhile.
+  std::optional<JobRequestStatus> TryCancel(const JobId& aJob);
+  // Stores that there is no such job, unless one was stored meanwhile.
+  std::optional<JobRequestStatus> Withdraw(const JobId& aJob,
+                                           Duration aStoreClock);
   // Reads the count of waiting jobs if the counts are in aRowCount rows besides
   // the leader row.
   PendingAnswer ReadPendingRow(const QueueName& aQueue,
@@ -86,7 +110,7 @@
   RowStore& m_store;
   EventLog& m_log;
   MetricsSink& m_metrics;
-  const std::size_t m_maxValueBytes;
+  const JobRequestSettings m_settings;
 };
 
 } // namespace lycheestep
--- a/src/jobhost/job_request_handler_test.cpp
+++ b/src/jobhost/job_request_handler_test.cpp
@@ -20,7 +20,7 @@
 protected:
   JobRequestHandlerTest()
     : m_log("test", m_metrics)
-    , m_handler(m_store, m_log, m_metrics, MaxValueBytes(kDefaultRowBytes))
+    , m_handler(m_store, m_log, m_metrics, JobRequestSettings())
   {
     m_spec.m_steps.resize(1);
     m_spec.m_steps[0].m_count = 1;
@@ -155,8 +155,13 @@
 {
   EXPECT_CALL(m_store, Read(_, _))
     .WillRepeatedly(Return(MakeRowAnswer(RowStatus::kOk)));
+  EXPECT_CALL(m_store, Transact(_, _))
+    .WillOnce(Return(MakeRowAnswer(RowStatus::kOk)))
+    .WillRepeatedly(Return(MakeRowAnswer(RowStatus::kRefused)));
   EXPECT_EQ(m_handler.State(JobId("a")).m_status, JobRequestStatus::kNoSuchJob);
   EXPECT_EQ(m_handler.Cancel(JobId("a")), JobRequestStatus::kNoSuchJob);
+  // The answer is given only if no late submission can make it untrue.
+  EXPECT_EQ(m_handler.Cancel(JobId("a")), JobRequestStatus::kNotServed);
 }
 
 TEST_F(JobRequestHandlerTest, FailedReadDoesNotReportAJobAsMissing)
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -81,10 +81,19 @@
       continue;
     }
     const JobRowResult read = m_jobRowReader.Read(row);
-    if (read.m_status == JobRowResult::Status::kMalformed) {
-      Log("job-malformed", "row=" + row.m_key.m_key);
-    } else if (read.m_status == JobRowResult::Status::kComplete) {
-      m_scheduler.OnJob(read.m_job, read.m_stored, read.m_parts, m_now);
+    switch (read.m_status) {
+      case JobRowResult::Status::kComplete:
+        m_scheduler.OnJob(read.m_job, read.m_stored, read.m_parts, m_now);
+        break;
+      case JobRowResult::Status::kWithdrawn:
+        m_scheduler.OnWithdrawn(read.m_job, read.m_withdrawnAt, m_now);
+        break;
+      case JobRowResult::Status::kMalformed:
+        Log("job-malformed", "row=" + row.m_key.m_key);
+        m_scheduler.OnUnreadableJob(read.m_job);
+        break;
+      case JobRowResult::Status::kIncomplete:
+        break;
     }
   }
 }
--- a/src/jobhost/pending_rows.cpp
+++ b/src/jobhost/pending_rows.cpp
@@ -14,11 +14,10 @@
 constexpr const char* kPendingKeyPrefix = "pending/";
 
 // Returns the values of aRowCount rows, or nothing if one of them is too long.
-std::optional<std::vector<std::string>> EncodeInto(
-  std::size_t aRowCount,
-  const PendingCounts& aCounts,
-  Duration aRenewed,
-  std::size_t aMaxValueBytes)
+std::optional<std::vector<std::string>> EncodeInto(std::size_t aRowCount,
+                                                   const PendingCounts& aCounts,
+                                                   Duration aRenewed,
+                                                   std::size_t aMaxValueBytes)
 {
   std::vector<proto::PendingCountsRow> rows(aRowCount);
   for (const auto& [queue, pending] : aCounts) {
--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -27,6 +27,9 @@
 // Values are not made shorter than this after commits that were rejected.
 constexpr std::size_t kMinValueBytes = 512;
 
+// How often rows without a job are looked through.
+constexpr Duration kRemovalCheckPeriod = std::chrono::seconds(1);
+
 // The minimum time between two commits. The changes in between are batched.
 constexpr Duration kMinCommitInterval = std::chrono::milliseconds(8);
 
@@ -83,6 +86,7 @@
     m_keeper.NoteCommitDone();
   }
   RemoveOldJobs(aNow);
+  RemoveRowsWithoutJob(aNow);
   if (m_changes.Empty() && m_removals.empty() &&
       !m_keeper.NeedsFencingToken()) {
     return;
@@ -303,12 +307,41 @@
   }
 }
 
+void JobScheduler::RemoveRowsWithoutJob(TimePoint aNow)
+{
+  if (aNow < m_nextRemovalCheck) {
+    return;
+  }
+  m_nextRemovalCheck = aNow + kRemovalCheckPeriod;
+  for (auto it = m_withdrawals.begin(); it != m_withdrawals.end();) {
+    const bool due = it->second <= aNow;
+    if (due) {
+      RemoveRow(JobKey(it->first));
+    }
+    it = due ? m_withdrawals.erase(it) : std::next(it);
+  }
+  for (auto it = m_earlyCancels.begin(); it != m_earlyCancels.end();) {
+    const bool due =
+      it->second <= aNow && m_unreadableJobs.count(it->first) == 0;
+    if (due) {
+      RemoveRow(CancelKey(it->first));
+    }
+    it = due ? m_earlyCancels.erase(it) : std::next(it);
+  }
+}
+
+Duration JobScheduler::StoreClock(TimePoint aNow) const
+{
+  return m_storeClock + (aNow - m_storeClockAt);
+}
+
 void JobScheduler::OnCommitted(FencingToken aFence,
                                Duration aStoreClock,
                                TimePoint aNow)
 {
   m_committing = false;
   m_storeClock = aStoreClock;
+  m_storeClockAt = aNow;
   m_maxCommitRows = std::min(kMaxCommitRows, m_maxCommitRows * 2);
   m_keeper.SetFencingToken(aFence);
   if (m_commit.m_storesEnds) {
@@ -331,9 +364,8 @@
   m_committing = false;
   ReduceCommits();
   m_changes.PutBack(m_commit.m_changes);
-  m_removals.insert(m_removals.begin(),
-                    m_commit.m_removals.begin(),
-                    m_commit.m_removals.end());
+  m_removals.insert(
+    m_removals.begin(), m_commit.m_removals.begin(), m_commit.m_removals.end());
   m_commit = PendingCommit();
   m_unstoredDispatches.insert(m_unstoredDispatches.begin(),
                               m_dispatchesInCommit.begin(),
--- a/src/jobs/job_row_reader.cpp
+++ b/src/jobs/job_row_reader.cpp
@@ -1,6 +1,7 @@
 #include "job_row_reader.h"
 
 #include <charconv>
+#include <chrono>
 #include <utility>
 
 #include "jobs.pb.h"
@@ -43,6 +44,11 @@
     m_partial[job].m_partCount = row.part_count();
     return Assemble(job);
   }
+  if (row.withdrawn_ms() > 0) {
+    result.m_status = JobRowResult::Status::kWithdrawn;
+    result.m_withdrawnAt = std::chrono::milliseconds(row.withdrawn_ms());
+    return result;
+  }
   auto stored = DecodeJob(aRow.m_value);
   if (stored) {
     result.m_status = JobRowResult::Status::kComplete;
@@ -88,8 +94,8 @@
   result.m_parts = partial.m_partCount;
   m_partial.erase(aJob);
   auto stored = DecodeJob(whole);
-  result.m_status = stored ? JobRowResult::Status::kComplete
-                           : JobRowResult::Status::kMalformed;
+  result.m_status =
+    stored ? JobRowResult::Status::kComplete : JobRowResult::Status::kMalformed;
   if (stored) {
     result.m_stored = std::move(*stored);
   }
--- a/src/jobs/job_row_reader.h
+++ b/src/jobs/job_row_reader.h
@@ -17,6 +17,7 @@
   {
     kComplete,   // m_stored holds the job
     kIncomplete, // further rows of the job have to be read
+    kWithdrawn,  // no such job may be stored; m_withdrawnAt says since when
     kMalformed,  // the row does not parse, or the job is not well formed
   };
 
@@ -25,6 +26,8 @@
   StoredJob m_stored;
   // The number of rows besides the one with the job's id.
   std::uint32_t m_parts = 0;
+  // By the store's clock.
+  Duration m_withdrawnAt = Duration::zero();
 };
 
 // Puts the rows of the job table together to jobs. A job may take several rows,
--- a/src/jobs/job_rows.cpp
+++ b/src/jobs/job_rows.cpp
@@ -110,6 +110,22 @@
   return queue;
 }
 
+// Encodes what the caller wrote.
+void EncodeSpec(const JobSpec& aSpec,
+                ProgressLayout aLayout,
+                proto::JobRow& aRow)
+{
+  aRow.set_payload(aSpec.m_payload);
+  for (const JobStep& step : aSpec.m_steps) {
+    EncodeStep(step,
+               aLayout == ProgressLayout::kSegments ? *aRow.add_segmented_step()
+                                                    : *aRow.add_step());
+  }
+  aRow.set_occurrences(aSpec.m_occurrences);
+  aRow.set_first_due_ms(aSpec.m_firstDue.count());
+  aRow.set_interval_ms(aSpec.m_interval.count());
+}
+
 std::string PartitionOf(const JobId& aJob)
 {
   const std::string& text = aJob.Text();
@@ -153,15 +169,8 @@
 {
   proto::JobRow row;
   row.set_queue(aJob.m_terms.m_name.Text());
-  row.set_payload(aJob.m_spec.m_payload);
-  for (const JobStep& step : aJob.m_spec.m_steps) {
-    EncodeStep(step,
-               aLayout == ProgressLayout::kSegments ? *row.add_segmented_step()
-                                                    : *row.add_step());
-  }
-  row.set_occurrences(aJob.m_spec.m_occurrences);
-  row.set_first_due_ms(aJob.m_spec.m_firstDue.count());
-  row.set_interval_ms(aJob.m_spec.m_interval.count());
+  EncodeSpec(aJob.m_spec, aLayout, row);
+  row.set_spec_digest(DigestOf(aJob.m_spec));
   EncodeTerms(aJob.m_terms, *row.mutable_terms());
   row.set_accepted_ms(aJob.m_acceptedAt.count());
   return row.SerializeAsString();
@@ -192,6 +201,36 @@
   return job;
 }
 
+std::string EncodeWithdrawal(Duration aStoreClock)
+{
+  proto::JobRow row;
+  const std::int64_t now = ToMilliseconds(aStoreClock);
+  row.set_withdrawn_ms(
+    static_cast<std::uint64_t>(std::max<std::int64_t>(1, now)));
+  return row.SerializeAsString();
+}
+
+std::optional<JobRowHeader> DecodeJobHeader(const std::string& aBytes)
+{
+  proto::JobRow row;
+  if (!row.ParseFromString(aBytes)) {
+    return std::nullopt;
+  }
+  JobRowHeader header;
+  header.m_withdrawn = row.withdrawn_ms() > 0;
+  header.m_withdrawnAt = std::chrono::milliseconds(row.withdrawn_ms());
+  header.m_digest = row.spec_digest();
+  return header;
+}
+
+std::uint64_t DigestOf(const JobSpec& aSpec)
+{
+  proto::JobRow row;
+  EncodeSpec(aSpec, ProgressLayout::kOneRow, row);
+  const std::string bytes = row.SerializeAsString();
+  return std::max<std::uint64_t>(1, XXH64(bytes.data(), bytes.size(), 0));
+}
+
 std::vector<RowWrite> EncodeJobRows(const JobId& aJob,
                                     const StoredJob& aStored,
                                     std::size_t aMaxValueBytes)
@@ -207,6 +246,7 @@
   }
   proto::JobRow first;
   first.set_part_count(static_cast<std::uint32_t>(parts));
+  first.set_spec_digest(DigestOf(aStored.m_spec));
   std::vector<RowWrite> rows{ RowWrite{ JobKey(aJob),
                                         first.SerializeAsString() } };
   for (std::size_t i = 0; i < parts; ++i) {
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -60,6 +60,28 @@
                       ProgressLayout aLayout = ProgressLayout::kOneRow);
 std::optional<StoredJob> DecodeJob(const std::string& aBytes);
 
+// Returns the value of the row that stands in place of a job which does not
+// exist, so that a submission on its way can't be stored. aStoreClock is the
+// store's current time.
+std::string EncodeWithdrawal(Duration aStoreClock);
+
+// What the row with a job's id says, without the job itself.
+struct JobRowHeader
+{
+  // True if the row stands in place of a job that does not exist, and since
+  // when, by the store's clock.
+  bool m_withdrawn = false;
+  Duration m_withdrawnAt = Duration::zero();
+  // A hash of what the caller wrote; zero if it is not known.
+  std::uint64_t m_digest = 0;
+};
+
+// Returns nothing if the bytes do not parse.
+std::optional<JobRowHeader> DecodeJobHeader(const std::string& aBytes);
+
+// Returns the hash of what the caller wrote; never zero.
+std::uint64_t DigestOf(const JobSpec& aSpec);
+
 // The most rows that one job takes in the job table, so that one transaction
 // can write or remove all of them.
 constexpr std::size_t kMaxJobRows = 40;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -187,6 +187,21 @@
   RefreshReady(job);
 }
 
+void JobScheduler::OnWithdrawn(const JobId& aJob,
+                               Duration aSince,
+                               TimePoint aNow)
+{
+  const Duration age = std::clamp(StoreClock(aNow) - aSince,
+                                  Duration::zero(),
+                                  m_settings.m_withdrawalRetention);
+  m_withdrawals[aJob] = aNow + m_settings.m_withdrawalRetention - age;
+}
+
+void JobScheduler::OnUnreadableJob(const JobId& aJob)
+{
+  m_unreadableJobs.insert(aJob);
+}
+
 // A gang may have been stored partly when the former leader ended.
 void JobScheduler::RestoreGang(Job& aJob,
                                const StepName& aStep,
@@ -214,7 +229,7 @@
 {
   const auto found = m_jobs.find(aJob);
   if (found == m_jobs.end()) {
-    m_earlyCancels.insert(aJob);
+    m_earlyCancels.emplace(aJob, aNow + m_settings.m_withdrawalRetention);
     return;
   }
   if (!found->second.IsOver()) {
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -42,6 +42,10 @@
   // The rows of a job are kept this long after its end, so that its state can
   // be read.
   Duration m_retention = std::chrono::seconds(180);
+  // The row that stands in place of a job which does not exist is kept this
+  // long, and so is a cancellation without its job. No write of a host is done
+  // later.
+  Duration m_withdrawalRetention = std::chrono::seconds(180);
   // The longest value of a row, in bytes.
   std::size_t m_valueBytes = MaxValueBytes(kDefaultRowBytes);
 };
@@ -72,6 +76,15 @@
              std::uint32_t aRowParts,
              TimePoint aNow);
 
+  // Handles a row that stands in place of a job which does not exist. The row
+  // is removed once no submission can be on its way any more. aSince is the
+  // time of the row by the store's clock.
+  void OnWithdrawn(const JobId& aJob, Duration aSince, TimePoint aNow);
+
+  // Handles the row of a job that this release can't read. The rows of the job
+  // are left as they are.
+  void OnUnreadableJob(const JobId& aJob);
+
   // Restores the progress of a job that an earlier leader stored. Called only
   // before the first Tick, and after OnJob for the job.
   void OnProgress(const JobId& aJob,
@@ -292,6 +305,10 @@
                      const SegmentName& aSegment,
                      std::uint32_t aRows);
   void RemoveOldJobs(TimePoint aNow);
+  // Removes the withdrawals and cancellations that are no longer needed.
+  void RemoveRowsWithoutJob(TimePoint aNow);
+  // Estimates the store's clock.
+  Duration StoreClock(TimePoint aNow) const;
   // Makes the next commits smaller after one was rejected.
   void ReduceCommits();
 
@@ -310,8 +327,12 @@
   std::set<JobId> m_recurringJobs;
   // Jobs that are over, by the time at which their rows may be removed.
   std::set<std::pair<TimePoint, JobId>> m_finishedJobs;
-  // Jobs that were cancelled before OnJob added them.
-  std::set<JobId> m_earlyCancels;
+  // Jobs that were cancelled before OnJob added them, and when the cancellation
+  // is removed if none has added them by then.
+  std::map<JobId, TimePoint> m_earlyCancels;
+  // The jobs that do not exist but have a row, and when the row is removed.
+  std::map<JobId, TimePoint> m_withdrawals;
+  std::set<JobId> m_unreadableJobs;
 
   // What has to be written and removed. Each group is removed at once.
   ChangedRows m_changes;
@@ -326,7 +347,11 @@
   // the run ends that the targets had reported by then count as stored.
   std::optional<std::uint64_t> m_endsSnapshot;
   TimePoint m_lastCommitAt;
+  // The store's clock when the last commit took effect, and when that was
+  // reported.
   Duration m_storeClock = Duration::zero();
+  TimePoint m_storeClockAt;
+  TimePoint m_nextRemovalCheck;
   // Dispatches that no commit includes yet.
   std::vector<RunName> m_unstoredDispatches;
   // Dispatches in the commit under way. Their start orders are sent when the
--- a/src/jobs/progress_rows.cpp
+++ b/src/jobs/progress_rows.cpp
@@ -188,8 +188,7 @@
     }
     for (const proto::GangProgressRow& gang : row.gang()) {
       const StepName step{ name->m_job, gang.occurrence(), gang.step() };
-      progress.m_gangs[step] =
-        StoredGang{ gang.failures(), gang.checkpoint() };
+      progress.m_gangs[step] = StoredGang{ gang.failures(), gang.checkpoint() };
     }
     return true;
   }
@@ -275,8 +274,7 @@
       step.m_gang ? std::string()
                   : StorableCheckpoint(task.m_checkpoint, aMaxValueBytes);
     task.m_failures = step.m_gang ? 0 : task.m_failures;
-    const std::size_t taskBytes =
-      task.m_checkpoint.size() + kTaskOverheadBytes;
+    const std::size_t taskBytes = task.m_checkpoint.size() + kTaskOverheadBytes;
     if (row.task_size() > 0 &&
         row.ByteSizeLong() + taskBytes > aMaxValueBytes) {
       finishRow();
