Remove only the host row that this process wrote

Change: the removal has the condition that the row is the one that this process wrote, and a host without heartbeats writes its row again after 10 s. The code moves from JobHost to HostRegistration.

Evidence: host_registration_test; its first and third test are the two orders of events.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -26,7 +26,7 @@
 // after it stepped down.
 constexpr Duration kMaxElectionDelay = std::chrono::milliseconds(300);
 
-// Timeout of a read of the leader row and of a write of the host's own row.
+// Timeout of a read of the leader row.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(600);
 
 // Timeout of the check whether a silent leader's process has ended.
@@ -82,6 +82,17 @@
   return identity;
 }
 
+std::string EncodeHostRow(const JobHostSettings& aSettings,
+                          std::uint64_t aIncarnation)
+{
+  proto::HostRow row;
+  row.set_peer_address(aSettings.m_peers.Text());
+  row.set_data_centre(aSettings.m_dataCentre);
+  row.set_processor_share(aSettings.m_processorShare);
+  row.set_incarnation(aIncarnation);
+  return row.SerializeAsString();
+}
+
 std::uint64_t NewIncarnation()
 {
   std::random_device source;
@@ -140,6 +151,9 @@
         });
       })
   , m_election(aSettings.m_host, m_incarnation)
+  , m_registration(aSettings.m_host,
+                   EncodeHostRow(aSettings, m_incarnation),
+                   m_store)
 {
 }
 
@@ -193,7 +207,7 @@
       m_leader->AnnounceRelease();
       StepDown("this host stops");
     }
-    Unregister();
+    m_registration.Remove();
     done.set_value();
   });
   done.get_future().wait();
@@ -227,9 +241,7 @@
     if (m_leadershipDisabled) {
       continue;
     }
-    if (!m_registered) {
-      Register();
-    }
+    m_registration.Tick(m_leader != nullptr, BootClockNow());
     if (m_leader) {
       m_leader->SetTime(BootClockNow(), WallClockNow());
       m_leader->Tick();
@@ -327,27 +339,6 @@
     m_retiredLeaders.end());
 }
 
-void JobHost::Register()
-{
-  proto::HostRow row;
-  row.set_peer_address(m_settings.m_peers.Text());
-  row.set_data_centre(m_settings.m_dataCentre);
-  row.set_processor_share(m_settings.m_processorShare);
-  row.set_incarnation(m_incarnation);
-  RowTransaction transaction;
-  transaction.m_writes.push_back(
-    RowWrite{ HostKey(m_settings.m_host), row.SerializeAsString() });
-  m_registered =
-    m_store.Transact(transaction, kCallTimeout).m_status == RowStatus::kOk;
-}
-
-void JobHost::Unregister()
-{
-  RowTransaction transaction;
-  transaction.m_removals.push_back(HostKey(m_settings.m_host));
-  m_store.Transact(transaction, kCallTimeout);
-}
-
 void JobHost::OnConfigRows(const std::vector<Row>& aRows)
 {
   for (const Row& row : aRows) {
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -12,6 +12,7 @@
 #include "commit_writer.h"
 #include "config_holder.h"
 #include "event_log.h"
+#include "host_registration.h"
 #include "job_request_handler.h"
 #include "leader.h"
 #include "leader_election.h"
@@ -80,9 +81,6 @@
   void StepDown(const char* aReason);
   // Deletes retired leaders that no longer have work in progress.
   void DeleteFinishedLeaders();
-  // Writes this host's row to the store.
-  void Register();
-  void Unregister();
   void OnConfigRows(const std::vector<Row>& aRows);
   void OnPeerMessage(const proto::JobPeerMessage& aMessage);
   void OnHeartbeat(const proto::JobPeerMessage& aMessage);
@@ -115,6 +113,7 @@
 
   // Used by the control thread only.
   LeaderElection m_election;
+  HostRegistration m_registration;
   std::unique_ptr<Leader> m_leader;
   // Counts how often this process has become the leader.
   std::uint64_t m_term = 0;
@@ -122,7 +121,6 @@
   std::vector<std::unique_ptr<Leader>> m_retiredLeaders;
   // Set by StopLeading: the host no longer registers or tries to lead.
   bool m_leadershipDisabled = false;
-  bool m_registered = false;
   // Counts heartbeats, to reply to only some of them. Heartbeats that always
   // get a reply are not counted: the first one of a new leader, and all while
   // this host carries orders.
--- a/src/jobhost/job_host_peers.cpp
+++ b/src/jobhost/job_host_peers.cpp
@@ -87,6 +87,7 @@
                address = aMessage.address(),
                leader = aMessage.incarnation()] {
     m_election.OnHeartbeat(successors, renewedAgo, released, BootClockNow());
+    m_registration.OnHeartbeat(BootClockNow());
     const bool newLeader = leader != m_leaderIncarnation;
     m_leaderIncarnation = leader;
     m_leaderAddress = address;
