Store which run of a gang failed last

Cause: all failures of one run count once, by the number of the last run that failed, and that number was not in any row. The next leader counted the second member's report as another run. Ruled out: an end reported twice, and a change of the attempts; neither is in the record of the case.

Change: GangProgressRow holds the number, in each row that holds members. Found on the same path and stored or decided anew: the target on which a task or a gang failed, the moment of a job's end (it now counts for the removal of its rows), the last terms of a queue that left the configuration, the stop of a gang's other members.

--- a/src/include/lycheestep/task_run.h
+++ b/src/include/lycheestep/task_run.h
@@ -37,6 +37,10 @@
     return std::tie(aLeft.m_step, aLeft.m_index) <
            std::tie(aRight.m_step, aRight.m_index);
   }
+  friend bool operator==(const TaskName& aLeft, const TaskName& aRight)
+  {
+    return !(aLeft < aRight) && !(aRight < aLeft);
+  }
 };
 
 // One try to run a task. Numbers begin at one and rise.
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -107,6 +107,8 @@
   std::map<std::uint32_t, JobOccurrence> m_occurrences;
   // All occurrences below this number are done and removed from m_occurrences.
   std::uint32_t m_occurrencesDone = 0;
+  // When the job ended, by the store's clock; zero while it is not over.
+  Duration m_endedAt = Duration::zero();
   // Occurrences from this number on are not due yet.
   std::uint32_t m_nextOccurrence = 0;
   // The estimated time from the start of an occurrence to its end, with the
--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -187,10 +187,9 @@
   Job& job = found->second;
   switch (aRow.m_kind) {
     case JobRowName::Kind::kJob:
-      return EncodeSegmentedJobRow(job);
+      return EncodeJobTableRows(job);
     case JobRowName::Kind::kProgress:
-      return { RowWrite{ ProgressKey(job.m_id),
-                         EncodeProgress(job, m_storeClock) } };
+      return { RowWrite{ ProgressKey(job.m_id), EncodeProgress(job) } };
     case JobRowName::Kind::kSegment:
       return EncodeSegmentRows(job, aRow.m_segment);
   }
@@ -219,7 +218,7 @@
   return writes;
 }
 
-std::vector<RowWrite> JobScheduler::EncodeSegmentedJobRow(const Job& aJob) const
+std::vector<RowWrite> JobScheduler::EncodeJobTableRows(Job& aJob)
 {
   if (aJob.IsOver()) {
     return {}; // nobody starts its tasks, and the payload is gone
@@ -228,7 +227,17 @@
   stored.m_terms = aJob.m_terms;
   stored.m_spec = aJob.m_spec;
   stored.m_acceptedAt = aJob.m_acceptedWallTime;
-  std::string value = EncodeJob(stored, ProgressLayout::kSegments);
+  if (aJob.m_jobRowParts > 0) {
+    std::vector<RowWrite> rows =
+      EncodeJobRows(aJob.m_id, stored, m_maxValueBytes);
+    const std::size_t parts = std::max<std::size_t>(1, rows.size()) - 1;
+    aJob.m_jobRowParts =
+      std::max(aJob.m_jobRowParts, static_cast<std::uint32_t>(parts));
+    return rows;
+  }
+  const ProgressLayout layout =
+    aJob.m_segmented ? ProgressLayout::kSegments : ProgressLayout::kOneRow;
+  std::string value = EncodeJob(stored, layout);
   if (value.size() > m_maxValueBytes) {
     m_effects.Log("job-row-too-long", "job=" + aJob.m_id.Text());
     return {};
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -321,6 +321,7 @@
 void JobScheduler::EndJob(Job& aJob, JobState aState, TimePoint aNow)
 {
   aJob.m_state = aState;
+  aJob.m_endedAt = StoreClock(aNow);
   m_segmentedJobs.erase(aJob.m_id);
   m_effects.Log("job-ended",
                 "job=" + aJob.m_id.Text() + " state=" +
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -34,6 +34,17 @@
 // The average number of targets that the advisor is asked about for one step.
 constexpr std::int64_t kTargetsAskedPerStep = 30;
 
+// Returns null if the configuration has no such queue.
+const QueueConfig* FindQueueByName(const ClusterConfig& aConfig,
+                                   const QueueName& aName)
+{
+  const auto found = std::find_if(
+    aConfig.m_queues.begin(),
+    aConfig.m_queues.end(),
+    [&aName](const QueueConfig& aQueue) { return aQueue.m_name == aName; });
+  return found != aConfig.m_queues.end() ? &*found : nullptr;
+}
+
 // Returns the estimated duration of the advisor's calls for one step of the
 // queue; zero if the queue requires no advice.
 Duration AdviceTime(const QueueConfig& aQueue)
@@ -63,20 +74,27 @@
   if (aConfig.m_version <= m_config.m_version) {
     return;
   }
+  const ClusterConfig former = std::move(m_config);
   m_config = aConfig;
   for (auto& [id, job] : m_jobs) {
-    UpdateQueueConfig(job);
+    const QueueName queue = job.m_terms.m_name;
+    const bool isConfigured = UpdateQueueConfig(job);
+    if (!isConfigured && FindQueueByName(former, queue) != nullptr &&
+        !job.IsOver()) {
+      // The next leader no longer finds the terms in the configuration.
+      m_changes.Add(JobRowName{ id, JobRowName::Kind::kJob, SegmentName() });
+    }
   }
   m_placementDue = true;
 }
 
-void JobScheduler::UpdateQueueConfig(Job& aJob) const
+bool JobScheduler::UpdateQueueConfig(Job& aJob) const
 {
-  for (const QueueConfig& queue : m_config.m_queues) {
-    if (queue.m_name == aJob.m_terms.m_name) {
-      aJob.m_terms = queue;
-    }
+  const QueueConfig* queue = FindQueueByName(m_config, aJob.m_terms.m_name);
+  if (queue != nullptr) {
+    aJob.m_terms = *queue;
   }
+  return queue != nullptr;
 }
 
 void JobScheduler::OnJob(const JobId& aJob,
@@ -129,8 +147,11 @@
   // or their leases have expired. Its dispatched tasks therefore become
   // waiting, and no run is expected on a target. If a target lists such a run
   // after all, the run is handled as an unknown run and is stopped.
-  const bool settled = job.IsOver() && m_storeClock - aProgress.m_endedAt >
-                                         m_settings.m_targets.m_longestLease;
+  job.m_endedAt = aProgress.m_endedAt;
+  const Duration sinceEnd =
+    std::max(Duration::zero(), StoreClock(aNow) - job.m_endedAt);
+  const bool settled =
+    job.IsOver() && sinceEnd > m_settings.m_targets.m_longestLease;
   job.m_occurrencesDone = aProgress.m_occurrencesDone;
   job.m_segments = aProgress.m_segments;
   job.m_segmented = !job.m_segments.empty();
@@ -161,8 +182,10 @@
     task.m_dispatchStored = true;
     task.m_stored = true;
     progress.m_lastRun = std::max(progress.m_lastRun, task.m_run);
-    progress.m_gangFailures =
-      std::max(progress.m_gangFailures, task.m_failures);
+    if (job.m_spec.m_steps[step.m_step].m_gang) {
+      progress.m_gangFailures =
+        std::max(progress.m_gangFailures, task.m_failures);
+    }
     progress.m_done += task.m_state == TaskState::kDone ? 1 : 0;
     if (task.m_state == TaskState::kDispatched && settled) {
       task.m_state = TaskState::kWaiting;
@@ -179,8 +202,11 @@
   }
   if (job.IsOver()) {
     StopAllRuns(job, aNow);
-    m_finishedJobs.emplace(aNow + m_settings.m_retention, aJob);
+    const Duration left =
+      std::max(Duration::zero(), m_settings.m_retention - sinceEnd);
+    m_finishedJobs.emplace(aNow + left, aJob);
   } else {
+    StopIncompleteGangs(job);
     // The former leader may have ended before it stored the end of the job.
     CheckJobDone(job);
   }
@@ -209,11 +235,14 @@
 {
   const auto occurrence = aJob.m_occurrences.find(aStep.m_occurrence);
   if (occurrence == aJob.m_occurrences.end() ||
-      aStep.m_step >= occurrence->second.m_steps.size()) {
+      aStep.m_step >= occurrence->second.m_steps.size() ||
+      !aJob.m_spec.m_steps[aStep.m_step].m_gang) {
     return;
   }
   StepProgress& progress = occurrence->second.m_steps[aStep.m_step];
   progress.m_gangFailures = std::max(progress.m_gangFailures, aGang.m_failures);
+  progress.m_failedRun = aGang.m_failedRun;
+  progress.m_failedOn = aGang.m_failedOn;
   for (JobTask& member : progress.m_tasks) {
     member.m_failures = progress.m_gangFailures;
     member.m_checkpoint = aGang.m_checkpoint;
@@ -225,6 +254,25 @@
   }
 }
 
+// The former leader stopped the runs of a gang when one member had failed or
+// got lost. The stop orders are not stored.
+void JobScheduler::StopIncompleteGangs(Job& aJob)
+{
+  for (auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      const StepProgress& progress = occurrence.m_steps[s];
+      const bool incomplete = aJob.m_spec.m_steps[s].m_gang &&
+                              progress.m_dispatched > 0 &&
+                              progress.AnyWaiting();
+      if (incomplete) {
+        const StepName name{ aJob.m_id, number, s };
+        TaskRef ref = FindTask(TaskName{ name, 0 });
+        StopGang(name, ref);
+      }
+    }
+  }
+}
+
 void JobScheduler::OnCancel(const JobId& aJob, TimePoint aNow)
 {
   const auto found = m_jobs.find(aJob);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -202,6 +202,7 @@
 
   // Restores what the members of a gang share.
   void RestoreGang(Job& aJob, const StepName& aStep, const StoredGang& aGang);
+  void StopIncompleteGangs(Job& aJob);
   void FinishTask(TaskRef& aRef, const TaskName& aName);
   // Marks all members of a gang as done.
   static void FinishGang(StepProgress& aProgress);
@@ -218,7 +219,9 @@
                 StepProgress& aProgress,
                 TimePoint aNow);
   void UpdateCheckpoint(TaskRef& aRef, const std::string& aCheckpoint);
-  void UpdateQueueConfig(Job& aJob) const;
+  // Applies the configuration of the job's queue. Returns false if there is
+  // none.
+  bool UpdateQueueConfig(Job& aJob) const;
   void CheckJobDone(Job& aJob);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
   void StopAllRuns(Job& aJob, TimePoint aNow);
@@ -295,8 +298,9 @@
   std::vector<RowWrite> EncodeRow(const JobRowName& aRow);
   std::vector<RowWrite> EncodeSegmentRows(Job& aJob,
                                           const SegmentName& aSegment);
-  // Returns the row that tells earlier releases to ignore the job.
-  std::vector<RowWrite> EncodeSegmentedJobRow(const Job& aJob) const;
+  // Returns the rows of the job in the job table. If its tasks are stored in
+  // segments, they tell earlier releases to ignore the job.
+  std::vector<RowWrite> EncodeJobTableRows(Job& aJob);
   // Stores the job's tasks in segments from now on.
   void StoreInSegments(Job& aJob);
   // Removes the segments of occurrences that are over.
--- a/src/jobs/progress_rows.cpp
+++ b/src/jobs/progress_rows.cpp
@@ -15,13 +15,9 @@
 // Separates the numbers in the key of a segment's row.
 constexpr char kNumberSeparator = '.';
 
-// The most bytes that a row takes besides its tasks: the entry of its gang
-// without the checkpoint.
-constexpr std::size_t kRowOverheadBytes = 64;
-
-// The most bytes that a task takes in a row besides its checkpoint: numbers and
-// the name of its target.
-constexpr std::size_t kTaskOverheadBytes = 300;
+// The most bytes of the names of targets on which a gang failed that are
+// stored.
+constexpr std::size_t kMaxFailedTargetBytes = 256;
 
 void EncodeTask(const TaskName& aName,
                 const JobTask& aTask,
@@ -36,7 +32,9 @@
   if (aTask.m_state != TaskState::kDone) {
     aRow.set_checkpoint(aTask.m_checkpoint);
   }
-  if (aTask.m_state == TaskState::kDispatched) {
+  const bool failed =
+    aTask.m_state == TaskState::kWaiting && aTask.m_failures > 0;
+  if (aTask.m_state == TaskState::kDispatched || failed) {
     aRow.set_target(aTask.m_target.Text());
   }
 }
@@ -64,13 +62,42 @@
 std::string StorableCheckpoint(const std::string& aCheckpoint,
                                std::size_t aMaxValueBytes)
 {
-  const std::size_t overhead = kTaskOverheadBytes + kRowOverheadBytes;
-  const std::size_t room =
-    aMaxValueBytes > overhead ? aMaxValueBytes - overhead : 0;
-  const bool fits = aCheckpoint.size() <= std::min(room, kMaxCheckpointBytes);
+  const std::size_t longest = std::min(aMaxValueBytes / 2, kMaxCheckpointBytes);
+  const bool fits = aCheckpoint.size() <= longest;
   return fits ? aCheckpoint : std::string();
 }
 
+void EncodeGang(const StepName& aStep,
+                const StepProgress& aProgress,
+                const std::string& aCheckpoint,
+                proto::GangProgressRow& aRow)
+{
+  aRow.set_occurrence(aStep.m_occurrence);
+  aRow.set_step(aStep.m_step);
+  aRow.set_failures(aProgress.m_gangFailures);
+  aRow.set_failed_run(aProgress.m_failedRun);
+  aRow.set_checkpoint(aCheckpoint);
+  std::size_t bytes = 0;
+  for (const TargetId& target : aProgress.m_failedOn) {
+    bytes += target.Text().size();
+    if (bytes <= kMaxFailedTargetBytes) {
+      aRow.add_failed_target(target.Text());
+    }
+  }
+}
+
+StoredGang DecodeGang(const proto::GangProgressRow& aRow)
+{
+  StoredGang gang;
+  gang.m_failures = aRow.failures();
+  gang.m_failedRun = aRow.failed_run();
+  gang.m_checkpoint = aRow.checkpoint();
+  for (const std::string& target : aRow.failed_target()) {
+    gang.m_failedOn.insert(TargetId(target));
+  }
+  return gang;
+}
+
 // What the rows of a segment have in common.
 proto::ProgressSegmentRow MakeSegmentRow(const JobStep& aStep,
                                          const StepProgress& aProgress,
@@ -79,12 +106,11 @@
 {
   proto::ProgressSegmentRow row;
   if (aStep.m_gang) {
-    proto::GangProgressRow* gang = row.add_gang();
-    gang->set_occurrence(aSegment.m_occurrence);
-    gang->set_step(aSegment.m_step);
-    gang->set_failures(aProgress.m_gangFailures);
-    gang->set_checkpoint(StorableCheckpoint(
-      aProgress.m_tasks.front().m_checkpoint, aMaxValueBytes));
+    EncodeGang(StepName{ JobId(), aSegment.m_occurrence, aSegment.m_step },
+               aProgress,
+               StorableCheckpoint(aProgress.m_tasks.front().m_checkpoint,
+                                  aMaxValueBytes),
+               *row.add_gang());
   }
   return row;
 }
@@ -169,6 +195,9 @@
     for (StoredTask& task : stored->m_tasks) {
       m_tasks[task.m_name] = std::move(task.m_task);
     }
+    for (auto& [step, gang] : stored->m_gangs) {
+      progress.m_gangs[step] = std::move(gang);
+    }
     return true;
   }
 
@@ -188,7 +217,7 @@
     }
     for (const proto::GangProgressRow& gang : row.gang()) {
       const StepName step{ name->m_job, gang.occurrence(), gang.step() };
-      progress.m_gangs[step] = StoredGang{ gang.failures(), gang.checkpoint() };
+      progress.m_gangs[step] = DecodeGang(gang);
     }
     return true;
   }
@@ -199,14 +228,13 @@
 
 } // namespace
 
-std::string EncodeProgress(const Job& aJob, Duration aStoreClock)
+std::string EncodeProgress(const Job& aJob)
 {
   proto::JobProgressRow row;
   row.set_state(static_cast<std::uint32_t>(aJob.m_state));
   if (aJob.IsOver()) {
-    const auto ended =
-      std::chrono::duration_cast<std::chrono::milliseconds>(aStoreClock);
-    row.set_ended_ms(static_cast<std::uint64_t>(ended.count()));
+    row.set_ended_ms(
+      static_cast<std::uint64_t>(ToMilliseconds(aJob.m_endedAt)));
   }
   row.set_occurrences_done(aJob.m_occurrencesDone);
   if (aJob.m_state == JobState::kDone || aJob.m_segmented) {
@@ -214,13 +242,17 @@
   }
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
     for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
-      const std::vector<JobTask>& tasks = occurrence.m_steps[s].m_tasks;
+      const StepName name{ aJob.m_id, number, s };
+      const StepProgress& progress = occurrence.m_steps[s];
+      const std::vector<JobTask>& tasks = progress.m_tasks;
       for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         if (HasProgress(tasks[i])) {
-          const TaskName name{ StepName{ aJob.m_id, number, s }, i };
-          EncodeTask(name, tasks[i], *row.add_task());
+          EncodeTask(TaskName{ name, i }, tasks[i], *row.add_task());
         }
       }
+      if (aJob.m_spec.m_steps[s].m_gang && progress.m_gangFailures > 0) {
+        EncodeGang(name, progress, tasks.front().m_checkpoint, *row.add_gang());
+      }
     }
   }
   return row.SerializeAsString();
@@ -240,6 +272,10 @@
   for (const proto::TaskProgressRow& task : row.task()) {
     progress.m_tasks.push_back(DecodeTask(aJob, task));
   }
+  for (const proto::GangProgressRow& gang : row.gang()) {
+    const StepName step{ aJob, gang.occurrence(), gang.step() };
+    progress.m_gangs[step] = DecodeGang(gang);
+  }
   return progress;
 }
 
@@ -274,13 +310,13 @@
       step.m_gang ? std::string()
                   : StorableCheckpoint(task.m_checkpoint, aMaxValueBytes);
     task.m_failures = step.m_gang ? 0 : task.m_failures;
-    const std::size_t taskBytes = task.m_checkpoint.size() + kTaskOverheadBytes;
-    if (row.task_size() > 0 &&
-        row.ByteSizeLong() + taskBytes > aMaxValueBytes) {
-      finishRow();
-    }
     const StepName name{ aJob.m_id, aSegment.m_occurrence, aSegment.m_step };
     EncodeTask(TaskName{ name, i }, task, *row.add_task());
+    if (row.task_size() > 1 && row.ByteSizeLong() > aMaxValueBytes) {
+      row.mutable_task()->RemoveLast();
+      finishRow();
+      EncodeTask(TaskName{ name, i }, task, *row.add_task());
+    }
   }
   if (row.task_size() > 0) {
     finishRow();
--- a/src/jobs/progress_rows.h
+++ b/src/jobs/progress_rows.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +34,11 @@
 {
   // The number of runs that failed.
   std::uint32_t m_failures = 0;
+  // The number of the last run that failed.
+  std::uint32_t m_failedRun = 0;
   std::string m_checkpoint;
+  // The targets on which members failed.
+  std::set<TargetId> m_failedOn;
 };
 
 // The progress of a job as stored in its rows.
@@ -61,9 +66,9 @@
 
 // EncodeProgress returns the value of the job's progress row. It leaves out
 // tasks that have never been dispatched, all tasks of a job that is done, and
-// those that are stored in segments. aStoreClock is the store's current time.
-// DecodeProgress returns nothing if the bytes do not parse.
-std::string EncodeProgress(const Job& aJob, Duration aStoreClock);
+// those that are stored in segments. DecodeProgress returns nothing if the
+// bytes do not parse.
+std::string EncodeProgress(const Job& aJob);
 std::optional<StoredProgress> DecodeProgress(const JobId& aJob,
                                              const std::string& aBytes);
 
