--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -300,22 +300,31 @@
       ++it;
       continue;
     }
-    const Job& job = m_jobs.at(id);
-    // The state goes last, so that a new leader finds the job over until then.
-    for (const auto& [segment, rows] : job.m_segments) {
-      RemoveSegment(job, segment, rows);
-    }
-    RowGroup group{ JobKey(id), ProgressKey(id), CancelKey(id) };
-    for (std::uint32_t part = 1; part <= job.m_jobRowParts; ++part) {
-      group.push_back(JobPartKey(id, part));
-    }
-    m_removals.push_back(std::move(group));
-    m_jobs.erase(id);
+    RemoveJob(id);
     it = m_finishedJobs.erase(it);
     ++jobs;
   }
 }
 
+void JobScheduler::RemoveJob(const JobId& aJob)
+{
+  const auto found = m_jobs.find(aJob);
+  if (found == m_jobs.end()) {
+    return;
+  }
+  const Job& job = found->second;
+  // The state goes last, so that a new leader finds the job over until then.
+  for (const auto& [segment, rows] : job.m_segments) {
+    RemoveSegment(job, segment, rows);
+  }
+  RowGroup group{ JobKey(aJob), ProgressKey(aJob), CancelKey(aJob) };
+  for (std::uint32_t part = 1; part <= job.m_jobRowParts; ++part) {
+    group.push_back(JobPartKey(aJob, part));
+  }
+  m_removals.push_back(std::move(group));
+  m_jobs.erase(found);
+}
+
 void JobScheduler::RemoveRowsWithoutJob(TimePoint aNow)
 {
   if (aNow < m_nextRemovalCheck) {
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -309,6 +309,8 @@
                      const SegmentName& aSegment,
                      std::uint32_t aRows);
   void RemoveOldJobs(TimePoint aNow);
+  // Removes all rows of a job that is over, and forgets the job.
+  void RemoveJob(const JobId& aJob);
   // Removes the withdrawals and cancellations that are no longer needed.
   void RemoveRowsWithoutJob(TimePoint aNow);
   // Estimates the store's clock.
--- a/src/jobs/takeover_test.cpp
+++ b/src/jobs/takeover_test.cpp
@@ -258,8 +258,8 @@
   for (const auto& [job, outcome] :
        Comparable(aGame.m_script, changed.Outcomes())) {
     if (!(outcome == expected.at(job))) {
-      text += job.Text() + ": " + Describe(expected.at(job)) + "changed: " +
-              Describe(outcome);
+      text += job.Text() + ": " + Describe(expected.at(job)) +
+              "changed: " + Describe(outcome);
     }
   }
   return text;
@@ -305,15 +305,18 @@
   const auto keepTask = [](proto::TaskProgressRow&) {};
   const auto keepGang = [](proto::GangProgressRow&) {};
   const auto keepJob = [](proto::JobProgressRow&) {};
-  const auto task = [=](const std::function<void(proto::TaskProgressRow&)>& aEdit) {
-    return Editing(aEdit, keepGang, keepJob);
-  };
-  const auto gang = [=](const std::function<void(proto::GangProgressRow&)>& aEdit) {
-    return Editing(keepTask, aEdit, keepJob);
-  };
-  const auto job = [=](const std::function<void(proto::JobProgressRow&)>& aEdit) {
-    return Editing(keepTask, keepGang, aEdit);
-  };
+  const auto task =
+    [=](const std::function<void(proto::TaskProgressRow&)>& aEdit) {
+      return Editing(aEdit, keepGang, keepJob);
+    };
+  const auto gang =
+    [=](const std::function<void(proto::GangProgressRow&)>& aEdit) {
+      return Editing(keepTask, aEdit, keepJob);
+    };
+  const auto job =
+    [=](const std::function<void(proto::JobProgressRow&)>& aEdit) {
+      return Editing(keepTask, keepGang, aEdit);
+    };
   return {
     { "task.run", task([](auto& aRow) { aRow.clear_run(); }) },
     { "task.state", task([](auto& aRow) { aRow.clear_state(); }) },
@@ -347,6 +350,38 @@
   return false;
 }
 
+// Plays a gang of two that fails once, on both targets, with a change of the
+// leader after aTime.
+JobOutcome PlayFailingGang(std::size_t aRowBytes, Duration aTime)
+{
+  TakeoverWorld world(2, aRowBytes);
+  world.SetFailures(1);
+  const JobId job("gang");
+  world.Submit(job, Gang(2));
+  world.Run(aTime);
+  world.ChangeLeader(true);
+  world.Run(seconds(20));
+  EXPECT_THAT(world.Broken(), testing::IsEmpty());
+  return world.Outcomes().at(job);
+}
+
+// Plays a job that fails once, with a change of the leader when the failure is
+// stored. Returns the targets on which its first task started.
+std::vector<TargetId> PlayRetry(std::size_t aRowBytes, const JobSpec& aSpec)
+{
+  TakeoverWorld world(4, aRowBytes);
+  world.SetFailures(1);
+  const JobId job("a");
+  world.Submit(job, aSpec);
+  while (world.Outcomes().at(job).m_failedRuns.empty()) {
+    world.Run(milliseconds(10));
+  }
+  world.Run(milliseconds(30));
+  world.ChangeLeader(true);
+  world.Run(seconds(10));
+  return world.TargetsOf(TaskName{ StepName{ job, 0, 0 }, 0 });
+}
+
 } // namespace
 
 // Guards against a failed run of a gang that counts twice: the leader ended
@@ -354,20 +389,13 @@
 // of the other member as another run.
 TEST(Takeover, FailedRunOfAGangCountsOnce)
 {
-  for (int at = 600; at < 900; at += 10) {
+  for (Duration at = milliseconds(600); at < milliseconds(900);
+       at += milliseconds(10)) {
     for (const std::size_t rowBytes : { kShortRows, kDefaultRowBytes }) {
-      TakeoverWorld world(2, rowBytes);
-      world.SetFailures(1);
-      const JobId job("gang");
-      world.Submit(job, Gang(2));
-      world.Run(milliseconds(at));
-      world.ChangeLeader(true);
-      world.Run(seconds(20));
-      const JobOutcome outcome = world.Outcomes().at(job);
-      EXPECT_EQ(outcome.m_state, JobState::kDone) << at;
+      const JobOutcome outcome = PlayFailingGang(rowBytes, at);
+      EXPECT_EQ(outcome.m_state, JobState::kDone) << ToMilliseconds(at);
       ASSERT_EQ(outcome.m_failedRuns.size(), 1U);
-      EXPECT_EQ(outcome.m_failedRuns.begin()->second, 1U) << at;
-      EXPECT_THAT(world.Broken(), testing::IsEmpty());
+      EXPECT_EQ(outcome.m_failedRuns.begin()->second, 1U) << ToMilliseconds(at);
     }
   }
 }
@@ -378,19 +406,7 @@
 {
   for (const std::size_t rowBytes : { kShortRows, kDefaultRowBytes }) {
     for (const JobSpec& spec : { OneStep(1), Gang(2), WideGang() }) {
-      TakeoverWorld world(4, rowBytes);
-      world.SetFailures(1);
-      const JobId job("a");
-      world.Submit(job, spec);
-      // The failure is stored, and no run was placed since.
-      while (world.Outcomes().at(job).m_failedRuns.empty()) {
-        world.Run(milliseconds(10));
-      }
-      world.Run(milliseconds(30));
-      world.ChangeLeader(true);
-      world.Run(seconds(10));
-      const std::vector<TargetId> targets =
-        world.TargetsOf(TaskName{ StepName{ job, 0, 0 }, 0 });
+      const std::vector<TargetId> targets = PlayRetry(rowBytes, spec);
       ASSERT_EQ(targets.size(), 2U);
       EXPECT_NE(targets[0], targets[1]);
     }
