Show a large job as running when its tasks are in segments

With the tasks in segments nothing wrote it between the first start and a failure or the end, so that callers were shown a running job as queued. The row is written now when the state differs from the stored one.

Evidence: LargeJobIsShownAsRunning failed before and passes now.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -99,6 +99,8 @@
   QueueConfig m_terms;
   JobSpec m_spec;
   JobState m_state = JobState::kQueued;
+  // The state in the job's progress row, which callers are shown.
+  JobState m_storedState = JobState::kQueued;
   // When the job was accepted, by the wall clock of the accepting host and by
   // this host's clock.
   WallTime m_acceptedWallTime{ 0 };
--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -65,6 +65,9 @@
   }
   m_changes.Add(
     JobRowName{ id, JobRowName::Kind::kSegment, SegmentName::Of(aName) });
+  if (job.m_state != job.m_storedState) {
+    MarkChanged(job);
+  }
 }
 
 void JobScheduler::MarkStepChanged(const StepName& aStep)
@@ -189,6 +192,7 @@
     case JobRowName::Kind::kJob:
       return EncodeJobTableRows(job);
     case JobRowName::Kind::kProgress:
+      job.m_storedState = job.m_state;
       return { RowWrite{ ProgressKey(job.m_id), EncodeProgress(job) } };
     case JobRowName::Kind::kSegment:
       return EncodeSegmentRows(job, aRow.m_segment);
--- a/src/jobs/job_commits_test.cpp
+++ b/src/jobs/job_commits_test.cpp
@@ -8,6 +8,8 @@
 #include <gmock/gmock.h>
 #include <rapidcheck.h>
 
+#include "takeover_world.h"
+
 namespace lycheestep {
 
 namespace {
@@ -197,6 +199,20 @@
   EXPECT_LT(tenThousand, thousand * 15);
 }
 
+// Guards against a large job that callers are shown as queued until it is over,
+// because its state and its tasks are in different rows.
+TEST(JobCommits, LargeJobIsShownAsRunning)
+{
+  TakeoverWorld world(1, 2048);
+  world.SetFailures(0);
+  const JobId job("a");
+  world.Submit(job, Wide(200, 200));
+  world.Run(seconds(3)); // the first tasks are done, the others run
+  EXPECT_EQ(world.Outcomes().at(job).m_state, JobState::kRunning);
+  world.Run(seconds(10));
+  EXPECT_EQ(world.Outcomes().at(job).m_state, JobState::kDone);
+}
+
 TEST(JobCommits, RowsOfADoneJobAreFewAtOnce)
 {
   JobCellModel cell(6, 24);
--- a/src/jobs/job_recovery.cpp
+++ b/src/jobs/job_recovery.cpp
@@ -18,6 +18,7 @@
   }
   Job& job = found->second;
   job.m_state = aProgress.m_state;
+  job.m_storedState = aProgress.m_state;
   // If the job ended longer ago than the longest lease, its runs were stopped
   // or their leases have expired. Its dispatched tasks therefore become
   // waiting, and no run is expected on a target. If a target lists such a run
--- a/src/standin/takeover_world.cpp
+++ b/src/standin/takeover_world.cpp
@@ -1,5 +1,6 @@
 #include "takeover_world.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -149,6 +150,14 @@
   return outcomes;
 }
 
+bool TakeoverWorld::AllOver() const
+{
+  const std::map<JobId, JobOutcome> outcomes = Outcomes();
+  return std::all_of(outcomes.begin(), outcomes.end(), [](const auto& aEntry) {
+    return aEntry.second.m_state >= JobState::kDone;
+  });
+}
+
 std::vector<TargetId> TakeoverWorld::TargetsOf(const TaskName& aTask) const
 {
   std::vector<TargetId> targets;
--- a/src/standin/takeover_world.h
+++ b/src/standin/takeover_world.h
@@ -72,6 +72,9 @@
 
   std::map<JobId, JobOutcome> Outcomes() const;
 
+  // Returns true if callers are shown all jobs as over.
+  bool AllOver() const;
+
   // Promises that were broken: what never may happen, whoever leads.
   const std::vector<std::string>& Broken() const { return m_broken; }
 
