Report how long starts wait in the connection to their target

run-sent says when the leader handed an order on. It does not say when the order left, how long it waited or which host sent it, so that the logs tell a start that waited too long from one of a leader that learned of the cancellation late as little as a start that was dropped from one that left.

Now the host with the connection logs start-left-late and start-dropped with the time waited, and has the waits in lycheestep_start_queue_seconds. job-added names the version of the row from which a leader added a job, so that a job that comes back can be told from one that was submitted again under its id. No decision is changed.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -119,6 +119,7 @@
   , m_carrier(
       aDependencies.m_orders,
       m_log,
+      m_metrics,
       [this](const std::string& aAddress, proto::JobPeerMessage aMessage) {
         m_peers.Send(aAddress, std::move(aMessage));
       })
--- a/src/jobhost/leader_orders.cpp
+++ b/src/jobhost/leader_orders.cpp
@@ -101,6 +101,8 @@
     CommitWriter& writer = m_dependencies.m_writer;
     connection = std::make_unique<TargetConnection>(
       m_dependencies.m_orders,
+      m_dependencies.m_log,
+      m_dependencies.m_metrics,
       [&writer] { return BootClockNow() < writer.OrdersValidUntil(); },
       MakeAnswerHandlers(m_dependencies.m_post));
   }
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -83,6 +83,11 @@
     const JobRowResult read = m_jobRowReader.Read(row);
     switch (read.m_status) {
       case JobRowResult::Status::kComplete:
+        if (m_scheduler.Find(read.m_job) == nullptr) {
+          Log("job-added",
+              "job=" + read.m_job.Text() +
+                " row_version=" + std::to_string(row.m_version));
+        }
         m_scheduler.OnJob(read.m_job, read.m_stored, read.m_parts, m_now);
         break;
       case JobRowResult::Status::kWithdrawn:
--- a/src/jobhost/order_carrier.cpp
+++ b/src/jobhost/order_carrier.cpp
@@ -70,9 +70,13 @@
   proto::CarriedAnswers m_answers;
 };
 
-OrderCarrier::OrderCarrier(TargetOrders& aOrders, EventLog& aLog, Send aSend)
+OrderCarrier::OrderCarrier(TargetOrders& aOrders,
+                           EventLog& aLog,
+                           MetricsSink& aMetrics,
+                           Send aSend)
   : m_orders(aOrders)
   , m_log(aLog)
+  , m_metrics(aMetrics)
   , m_send(std::move(aSend))
 {
   m_thread = std::thread([this] { Run(); });
@@ -160,6 +164,8 @@
       };
     connection->m_sender = std::make_unique<TargetConnection>(
       m_orders,
+      m_log,
+      m_metrics,
       [weak] {
         const auto session = weak.lock();
         return session && BootClockNow().time_since_epoch().count() <
--- a/src/jobhost/order_carrier.h
+++ b/src/jobhost/order_carrier.h
@@ -17,6 +17,7 @@
 namespace lycheestep {
 
 class EventLog;
+class MetricsSink;
 
 namespace proto {
 class CarriedAnswer;
@@ -37,7 +38,10 @@
   using Send = std::function<void(const std::string& aAddress,
                                   proto::JobPeerMessage aMessage)>;
 
-  OrderCarrier(TargetOrders& aOrders, EventLog& aLog, Send aSend);
+  OrderCarrier(TargetOrders& aOrders,
+               EventLog& aLog,
+               MetricsSink& aMetrics,
+               Send aSend);
   ~OrderCarrier();
   OrderCarrier(const OrderCarrier&) = delete;
   OrderCarrier& operator=(const OrderCarrier&) = delete;
@@ -73,6 +77,7 @@
 
   TargetOrders& m_orders;
   EventLog& m_log;
+  MetricsSink& m_metrics;
   const Send m_send;
 
   mutable std::mutex m_mutex;
--- a/src/jobhost/order_carrier_test.cpp
+++ b/src/jobhost/order_carrier_test.cpp
@@ -9,6 +9,7 @@
 #include "event_log.h"
 #include "jobs.pb.h"
 #include "metrics_registry.h"
+#include "mock_target_orders.h"
 #include "order_messages.h"
 
 namespace lycheestep {
@@ -19,15 +20,6 @@
 using testing::_;
 using testing::NiceMock;
 
-class MockTargetOrders : public TargetOrders
-{
-public:
-  MOCK_METHOD(OrderAnswer, Start, (const StartOrder&, Duration), (override));
-  MOCK_METHOD(OrderAnswer, Stop, (const StopOrder&, Duration), (override));
-  MOCK_METHOD(OrderAnswer, Pace, (const PaceOrder&, Duration), (override));
-  MOCK_METHOD(HoldAnswer, Hold, (const HoldOrder&, Duration), (override));
-};
-
 OrderAnswer DoneAt(TargetTime aClock)
 {
   return OrderAnswer{ OrderStatus::kDone, aClock };
@@ -41,6 +33,7 @@
     : m_log("test", m_metrics)
     , m_carrier(m_orders,
                 m_log,
+                m_metrics,
                 [this](const std::string& aAddress,
                        const proto::JobPeerMessage& aMessage) {
                   const std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/jobhost/target_connection.cpp
+++ b/src/jobhost/target_connection.cpp
@@ -3,8 +3,14 @@
 #include <pthread.h>
 
 #include <chrono>
+#include <string>
 #include <utility>
 
+#include "boot_clock.h"
+#include "event_log.h"
+#include "lycheestep/metrics_sink.h"
+#include "run_text.h"
+
 namespace lycheestep {
 
 namespace {
@@ -17,12 +23,19 @@
 // wakes the thread earlier.
 constexpr Duration kIdle = std::chrono::minutes(10);
 
+// Starts that waited for at least this long are logged.
+constexpr Duration kLoggedWait = std::chrono::milliseconds(100);
+
 } // namespace
 
 TargetConnection::TargetConnection(TargetOrders& aOrders,
+                                   EventLog& aLog,
+                                   MetricsSink& aMetrics,
                                    std::function<bool()> aMaySend,
                                    OrderAnswerHandlers aAnswers)
   : m_orders(aOrders)
+  , m_log(aLog)
+  , m_metrics(aMetrics)
   , m_maySend(std::move(aMaySend))
   , m_answers(std::move(aAnswers))
 {
@@ -41,14 +54,16 @@
 
 void TargetConnection::Start(const StartOrder& aOrder)
 {
-  m_orderQueue.Add([this, aOrder] {
+  m_orderQueue.Add([this, aOrder, queuedAt = BootClockNow()] {
     // A start that is skipped here never reaches the target. After a start
     // without a reply, the leader takes the target anew under a higher
     // fencing token. Starts under the former token are skipped, as they would
     // delay that.
     OrderAnswer answer;
     answer.m_status = OrderStatus::kNotSent;
-    if (m_maySend() && aOrder.m_to.m_fence > m_unansweredFence) {
+    const bool maySend = m_maySend() && aOrder.m_to.m_fence > m_unansweredFence;
+    ReportWait(aOrder, BootClockNow() - queuedAt, maySend);
+    if (maySend) {
       answer = m_orders.Start(aOrder, kOrderTimeout);
     }
     if (answer.m_status == OrderStatus::kUnknown) {
@@ -98,6 +113,21 @@
   m_orderQueue.Stop();
 }
 
+void TargetConnection::ReportWait(const StartOrder& aOrder,
+                                  Duration aWait,
+                                  bool aSent)
+{
+  m_metrics.Observe("lycheestep_start_queue_seconds", "", aWait);
+  if (aWait < kLoggedWait) {
+    return;
+  }
+  m_log.Write(aSent ? "start-left-late" : "start-dropped",
+              "task=" + TaskText(aOrder.m_run.m_task) +
+                " run=" + std::to_string(aOrder.m_run.m_run) +
+                " target=" + aOrder.m_to.m_target.Text() +
+                " waited_ms=" + std::to_string(ToMilliseconds(aWait)));
+}
+
 void TargetConnection::Run(TaskQueue& aQueue)
 {
   while (!aQueue.IsStopped()) {
--- a/src/jobhost/target_connection.h
+++ b/src/jobhost/target_connection.h
@@ -10,6 +10,9 @@
 
 namespace lycheestep {
 
+class EventLog;
+class MetricsSink;
+
 // Sends a leader's orders to one target over two connections, each with a
 // thread of its own: one for holds that wait until a run ends, the other for
 // all orders that must not wait behind such a hold. The orders of one
@@ -18,8 +21,11 @@
 {
 public:
   // Starts the threads. aMaySend returns true while orders may be sent, and is
-  // called right before each order. aAnswers are called on these threads.
+  // called right before each order. aAnswers are called on these threads. aLog
+  // and aMetrics are told how long starts wait in the queue.
   TargetConnection(TargetOrders& aOrders,
+                   EventLog& aLog,
+                   MetricsSink& aMetrics,
                    std::function<bool()> aMaySend,
                    OrderAnswerHandlers aAnswers);
   ~TargetConnection() override;
@@ -41,8 +47,13 @@
 
 private:
   void Run(TaskQueue& aQueue);
+  // Reports how long a start waited in the queue before it was sent, or before
+  // it was found that it must not be sent.
+  void ReportWait(const StartOrder& aOrder, Duration aWait, bool aSent);
 
   TargetOrders& m_orders;
+  EventLog& m_log;
+  MetricsSink& m_metrics;
   const std::function<bool()> m_maySend;
   const OrderAnswerHandlers m_answers;
   // Holds that wait until a run ends.
