Withdraw a start that waits when its run is stopped

What callers saw: work starts seconds after its cancellation was acknowledged.

Cause: a connection sends one order at a time, in the order of the calls. A start that waits behind a target's slow answers was checked against the leader's lease and an unanswered fence when it left, but not against whether it is still wanted. The stop of the same run waited behind it.

Change: OrderQueue replaces the queue of functions. It holds typed orders, lets stops and holds leave before starts, and withdraws a start as soon as an order is added that makes it pointless: a stop of its run, or a hold under a higher fencing token, after which the leader decides anew. The stop of a run that never left is withdrawn as well, and a repeated stop replaces the one that waits. A withdrawn order is reported with a status of its own, kWithdrawn, so that no target is quarantined for it. Orders that wait when a connection is closed are reported in the same way; a carrier keeps a connection whose queue is not empty. Carriers find an order's id by its run, since orders no longer leave in the order of the calls.

--- a/src/include/lycheestep/target_orders.h
+++ b/src/include/lycheestep/target_orders.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,15 @@
   RunName m_run;
 };
 
+// Withdraws starts that still wait on their way to a target. The target never
+// sees this order, and a start that has left is not affected.
+struct WithdrawOrder
+{
+  TargetId m_target;
+  // Empty: all starts for the target.
+  std::optional<RunName> m_run;
+};
+
 // Lets one run work at a share of its speed.
 struct PaceOrder
 {
@@ -83,6 +93,7 @@
   kOtherTarget,   // another incarnation listens at the address
   kNotSent,       // no connection: it had no effect
   kUnknown,       // no answer: it may have taken effect, or may yet
+  kWithdrawn,     // its reason was gone before it was sent: it had no effect
 };
 
 // The name of an order's status, for logs.
--- a/src/jobhost/order_carrier.cpp
+++ b/src/jobhost/order_carrier.cpp
@@ -27,30 +27,73 @@
 
 } // namespace
 
-// The ids of the orders to one target that are in flight, oldest first, for
-// each of the target's two connections. A connection reports the results
-// of its orders in sequence.
-struct PendingOrderIds
+// The ids of the orders to one target that are in flight. Starts and stops are
+// found by their run, since a connection does not report them in the order in
+// which they came. Orders of one kind for one run are reported in that order,
+// and so are the holds of one path.
+class PendingOrderIds
 {
-  std::mutex m_mutex;
-  std::deque<std::uint64_t> m_orders;
-  std::deque<std::uint64_t> m_watches;
+public:
+  void AddStart(const RunName& aRun, std::uint64_t aId)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_starts.emplace(aRun, aId);
+  }
+
+  void AddStop(const RunName& aRun, std::uint64_t aId)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_stops.emplace(aRun, aId);
+  }
 
-  void Add(std::uint64_t aId, HoldPath aPath)
+  void AddHold(HoldPath aPath, std::uint64_t aId)
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    (aPath == HoldPath::kWatch ? m_watches : m_orders).push_back(aId);
+    HoldsOf(aPath).push_back(aId);
   }
 
-  std::uint64_t TakeOldest(HoldPath aPath)
+  std::uint64_t TakeStart(const RunName& aRun)
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    std::deque<std::uint64_t>& ids =
-      aPath == HoldPath::kWatch ? m_watches : m_orders;
-    const std::uint64_t id = ids.front();
-    ids.pop_front();
+    return TakeOldest(m_starts, aRun);
+  }
+
+  std::uint64_t TakeStop(const RunName& aRun)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return TakeOldest(m_stops, aRun);
+  }
+
+  std::uint64_t TakeHold(HoldPath aPath)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::deque<std::uint64_t>& holds = HoldsOf(aPath);
+    const std::uint64_t id = holds.front();
+    holds.pop_front();
     return id;
   }
+
+private:
+  using IdsByRun = std::multimap<RunName, std::uint64_t>;
+
+  static std::uint64_t TakeOldest(IdsByRun& aIds, const RunName& aRun)
+  {
+    const auto oldest = aIds.lower_bound(aRun);
+    const std::uint64_t id = oldest->second;
+    aIds.erase(oldest);
+    return id;
+  }
+
+  std::deque<std::uint64_t>& HoldsOf(HoldPath aPath)
+  {
+    return aPath == HoldPath::kWatch ? m_watchHolds : m_orderHolds;
+  }
+
+  std::mutex m_mutex;
+  IdsByRun m_starts;
+  IdsByRun m_stops;
+  std::deque<std::uint64_t> m_watchHolds;
+  std::deque<std::uint64_t> m_orderHolds;
 };
 
 struct OrderCarrier::Connection
@@ -142,26 +185,28 @@
     connection = std::make_unique<Connection>();
     PendingOrderIds& ids = connection->m_ids;
     const std::weak_ptr<LeaderSession> weak = aSession;
-    const auto answer = [this, weak, &ids](HoldPath aPath,
-                                           const auto& aAnswer) {
+    const auto answer = [this, weak](std::uint64_t aId, const auto& aAnswer) {
       proto::CarriedAnswer message;
-      message.set_id(ids.TakeOldest(aPath));
+      message.set_id(aId);
       EncodeAnswer(aAnswer, message);
       if (const auto session = weak.lock()) {
         QueueAnswer(session, std::move(message));
       }
     };
     OrderAnswerHandlers answers;
-    answers.m_started = [answer](const StartOrder&, const OrderAnswer& aGiven) {
-      answer(HoldPath::kOrders, aGiven);
+    answers.m_started = [answer, &ids](const StartOrder& aOrder,
+                                       const OrderAnswer& aAnswer) {
+      answer(ids.TakeStart(aOrder.m_run), aAnswer);
     };
-    answers.m_stopped = [answer](const StopOrder&, const OrderAnswer& aGiven) {
-      answer(HoldPath::kOrders, aGiven);
+    answers.m_stopped = [answer, &ids](const StopOrder& aOrder,
+                                       const OrderAnswer& aAnswer) {
+      answer(ids.TakeStop(aOrder.m_run), aAnswer);
+    };
+    answers.m_held = [answer, &ids](const HoldOrder&,
+                                    HoldPath aPath,
+                                    const HoldAnswer& aAnswer) {
+      answer(ids.TakeHold(aPath), aAnswer);
     };
-    answers.m_held =
-      [answer](const HoldOrder&, HoldPath aPath, const HoldAnswer& aGiven) {
-        answer(aPath, aGiven);
-      };
     connection->m_sender = std::make_unique<TargetConnection>(
       m_orders,
       m_log,
@@ -181,21 +226,25 @@
                              const proto::CarriedOrder& aOrder)
 {
   switch (aOrder.order_case()) {
-    case proto::CarriedOrder::kStart:
-      aConnection.m_ids.Add(aOrder.id(), HoldPath::kOrders);
-      aConnection.m_sender->Start(DecodeStart(aOrder));
+    case proto::CarriedOrder::kStart: {
+      const StartOrder start = DecodeStart(aOrder);
+      aConnection.m_ids.AddStart(start.m_run, aOrder.id());
+      aConnection.m_sender->Start(start);
       return;
-    case proto::CarriedOrder::kStop:
-      aConnection.m_ids.Add(aOrder.id(), HoldPath::kOrders);
-      aConnection.m_sender->Stop(DecodeStop(aOrder));
+    }
+    case proto::CarriedOrder::kStop: {
+      const StopOrder stop = DecodeStop(aOrder);
+      aConnection.m_ids.AddStop(stop.m_run, aOrder.id());
+      aConnection.m_sender->Stop(stop);
       return;
+    }
     case proto::CarriedOrder::kPace:
       aConnection.m_sender->Pace(DecodePace(aOrder));
       return;
     case proto::CarriedOrder::kHold: {
       HoldPath path = HoldPath::kOrders;
       const HoldOrder hold = DecodeHold(aOrder, path);
-      aConnection.m_ids.Add(aOrder.id(), path);
+      aConnection.m_ids.AddHold(path, aOrder.id());
       aConnection.m_sender->Hold(hold, path);
       return;
     }
@@ -254,7 +303,9 @@
     auto& connections = session->second->m_connections;
     for (auto connection = connections.begin();
          connection != connections.end();) {
-      if (aNow - connection->second->m_lastUsed < kIdleTimeout) {
+      const bool inUse = aNow - connection->second->m_lastUsed < kIdleTimeout ||
+                         !connection->second->m_sender->IsIdle();
+      if (inUse) {
         ++connection;
         continue;
       }
--- a/src/jobhost/order_messages.cpp
+++ b/src/jobhost/order_messages.cpp
@@ -37,7 +37,7 @@
 
 OrderStatus DecodeStatus(std::uint32_t aStatus)
 {
-  return aStatus <= static_cast<std::uint32_t>(OrderStatus::kUnknown)
+  return aStatus <= static_cast<std::uint32_t>(OrderStatus::kWithdrawn)
            ? static_cast<OrderStatus>(aStatus)
            : OrderStatus::kUnknown;
 }
--- a/src/jobhost/order_sender.h
+++ b/src/jobhost/order_sender.h
@@ -20,8 +20,7 @@
 
 // Sends orders to targets. No function blocks. The result of each start, stop
 // and hold is reported to OrderAnswerHandlers: the target's reply, or the
-// status kUnknown or kNotSent if there is none. Orders that are still queued
-// when the sender is closed are not reported.
+// status kUnknown, kNotSent or kWithdrawn if there is none.
 class OrderSender
 {
 public:
--- a/src/jobhost/target_connection.cpp
+++ b/src/jobhost/target_connection.cpp
@@ -3,8 +3,10 @@
 #include <pthread.h>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 
 #include "boot_clock.h"
 #include "event_log.h"
@@ -19,7 +21,7 @@
 // the end of a run.
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
 
-// How long a thread waits for work before it checks again whether to end. Stop
+// How long a thread waits for work before it checks again whether to end. Close
 // wakes the thread earlier.
 constexpr Duration kIdle = std::chrono::minutes(10);
 
@@ -39,9 +41,9 @@
   , m_maySend(std::move(aMaySend))
   , m_answers(std::move(aAnswers))
 {
-  m_watchThread = std::thread([this] { Run(m_watchQueue); });
+  m_watchThread = std::thread([this] { Run(m_watchQueue, HoldPath::kWatch); });
   pthread_setname_np(m_watchThread.native_handle(), "target-watch");
-  m_orderThread = std::thread([this] { Run(m_orderQueue); });
+  m_orderThread = std::thread([this] { Run(m_orderQueue, HoldPath::kOrders); });
   pthread_setname_np(m_orderThread.native_handle(), "target-order");
 }
 
@@ -54,63 +56,117 @@
 
 void TargetConnection::Start(const StartOrder& aOrder)
 {
-  m_orderQueue.Add([this, aOrder, queuedAt = BootClockNow()] {
-    // A start that is skipped here never reaches the target. After a start
-    // without a reply, the leader takes the target anew under a higher
-    // fencing token. Starts under the former token are skipped, as they would
-    // delay that.
-    OrderAnswer answer;
-    answer.m_status = OrderStatus::kNotSent;
-    const bool maySend = m_maySend() && aOrder.m_to.m_fence > m_unansweredFence;
-    ReportWait(aOrder, BootClockNow() - queuedAt, maySend);
-    if (maySend) {
-      answer = m_orders.Start(aOrder, kOrderTimeout);
-    }
-    if (answer.m_status == OrderStatus::kUnknown) {
-      m_unansweredFence = aOrder.m_to.m_fence;
-    }
-    m_answers.m_started(aOrder, answer);
-  });
+  m_orderQueue.Add(aOrder, BootClockNow());
 }
 
 void TargetConnection::Stop(const StopOrder& aOrder)
 {
-  m_orderQueue.Add([this, aOrder] {
-    OrderAnswer answer;
-    answer.m_status = OrderStatus::kNotSent;
-    if (m_maySend()) {
-      answer = m_orders.Stop(aOrder, kOrderTimeout);
-    }
-    m_answers.m_stopped(aOrder, answer);
-  });
+  m_orderQueue.Add(aOrder, BootClockNow());
 }
 
 void TargetConnection::Pace(const PaceOrder& aOrder)
 {
-  m_orderQueue.Add([this, aOrder] {
-    if (m_maySend()) {
-      m_orders.Pace(aOrder, kOrderTimeout);
-    }
-  });
+  m_orderQueue.Add(aOrder, BootClockNow());
 }
 
 void TargetConnection::Hold(const HoldOrder& aOrder, HoldPath aPath)
 {
-  TaskQueue& queue = aPath == HoldPath::kWatch ? m_watchQueue : m_orderQueue;
-  queue.Add([this, aOrder, aPath] {
-    HoldAnswer answer;
-    answer.m_status = OrderStatus::kNotSent;
-    if (m_maySend()) {
-      answer = m_orders.Hold(aOrder, kOrderTimeout);
-    }
-    m_answers.m_held(aOrder, aPath, answer);
-  });
+  (aPath == HoldPath::kWatch ? m_watchQueue : m_orderQueue)
+    .Add(aOrder, BootClockNow());
+}
+
+void TargetConnection::Withdraw(const WithdrawOrder& aOrder)
+{
+  m_orderQueue.Withdraw(aOrder);
 }
 
 void TargetConnection::Close()
 {
-  m_watchQueue.Stop();
-  m_orderQueue.Stop();
+  m_watchQueue.Close();
+  m_orderQueue.Close();
+}
+
+bool TargetConnection::IsIdle() const
+{
+  return m_watchQueue.IsEmpty() && m_orderQueue.IsEmpty();
+}
+
+void TargetConnection::Run(OrderQueue& aQueue, HoldPath aPath)
+{
+  while (!aQueue.IsDrained()) {
+    const std::optional<QueuedOrder> queued = aQueue.Take(kIdle);
+    if (!queued) {
+      continue;
+    }
+    if (const auto* start = std::get_if<StartOrder>(&queued->m_order)) {
+      m_answers.m_started(*start, SendStart(*start, *queued));
+    } else if (const auto* stop = std::get_if<StopOrder>(&queued->m_order)) {
+      m_answers.m_stopped(*stop, SendStop(*stop, *queued));
+    } else if (const auto* hold = std::get_if<HoldOrder>(&queued->m_order)) {
+      m_answers.m_held(*hold, aPath, SendHold(*hold, *queued));
+    } else if (const auto* pace = std::get_if<PaceOrder>(&queued->m_order)) {
+      SendPace(*pace, *queued);
+    }
+  }
+  --m_running;
+}
+
+OrderStatus TargetConnection::CheckSendable(const QueuedOrder& aQueued) const
+{
+  if (aQueued.m_withdrawn) {
+    return OrderStatus::kWithdrawn;
+  }
+  return m_maySend() ? OrderStatus::kDone : OrderStatus::kNotSent;
+}
+
+OrderAnswer TargetConnection::SendStart(const StartOrder& aOrder,
+                                        const QueuedOrder& aQueued)
+{
+  OrderAnswer answer;
+  answer.m_status = CheckSendable(aQueued);
+  // After a start without a reply, the leader takes the target anew under a
+  // higher fencing token. Starts under the former token would delay that.
+  if (answer.m_status == OrderStatus::kDone &&
+      aOrder.m_to.m_fence <= m_unansweredFence) {
+    answer.m_status = OrderStatus::kNotSent;
+  }
+  const bool maySend = answer.m_status == OrderStatus::kDone;
+  ReportWait(aOrder, BootClockNow() - aQueued.m_queuedAt, maySend);
+  if (maySend) {
+    answer = m_orders.Start(aOrder, kOrderTimeout);
+  }
+  if (answer.m_status == OrderStatus::kUnknown) {
+    m_unansweredFence = aOrder.m_to.m_fence;
+  }
+  return answer;
+}
+
+OrderAnswer TargetConnection::SendStop(const StopOrder& aOrder,
+                                       const QueuedOrder& aQueued)
+{
+  OrderAnswer answer;
+  answer.m_status = CheckSendable(aQueued);
+  return answer.m_status == OrderStatus::kDone
+           ? m_orders.Stop(aOrder, kOrderTimeout)
+           : answer;
+}
+
+HoldAnswer TargetConnection::SendHold(const HoldOrder& aOrder,
+                                      const QueuedOrder& aQueued)
+{
+  HoldAnswer answer;
+  answer.m_status = CheckSendable(aQueued);
+  return answer.m_status == OrderStatus::kDone
+           ? m_orders.Hold(aOrder, kOrderTimeout)
+           : answer;
+}
+
+void TargetConnection::SendPace(const PaceOrder& aOrder,
+                                const QueuedOrder& aQueued)
+{
+  if (CheckSendable(aQueued) == OrderStatus::kDone) {
+    m_orders.Pace(aOrder, kOrderTimeout);
+  }
 }
 
 void TargetConnection::ReportWait(const StartOrder& aOrder,
@@ -128,16 +184,4 @@
                 " waited_ms=" + std::to_string(ToMilliseconds(aWait)));
 }
 
-void TargetConnection::Run(TaskQueue& aQueue)
-{
-  while (!aQueue.IsStopped()) {
-    for (const TaskQueue::Task& task : aQueue.Take(kIdle)) {
-      if (!aQueue.IsStopped()) {
-        task();
-      }
-    }
-  }
-  --m_running;
-}
-
 } // namespace lycheestep
--- a/src/jobhost/target_connection.h
+++ b/src/jobhost/target_connection.h
@@ -5,8 +5,8 @@
 #include <functional>
 #include <thread>
 
+#include "order_queue.h"
 #include "order_sender.h"
-#include "task_queue.h"
 
 namespace lycheestep {
 
@@ -15,8 +15,8 @@
 
 // Sends a leader's orders to one target over two connections, each with a
 // thread of its own: one for holds that wait until a run ends, the other for
-// all orders that must not wait behind such a hold. The orders of one
-// connection are sent in the order of the calls.
+// all orders that must not wait behind such a hold. OrderQueue decides in which
+// order the orders of one connection leave, and which of them are withdrawn.
 class TargetConnection : public OrderSender
 {
 public:
@@ -37,16 +37,30 @@
   void Pace(const PaceOrder& aOrder) override;
   void Hold(const HoldOrder& aOrder, HoldPath aPath) override;
 
-  // Drops queued orders without reporting them. Each thread ends when its
-  // current call to the target returns.
+  // Drops the queued starts that aOrder names and reports them as withdrawn.
+  void Withdraw(const WithdrawOrder& aOrder);
+
+  // Drops all queued orders and reports them as withdrawn. Each thread ends
+  // when its current call to the target returns.
   void Close();
 
+  // Returns true if no order waits.
+  bool IsIdle() const;
+
   // Returns true if both threads have ended, so that the destructor does not
   // wait.
   bool IsFinished() const { return m_running == 0; }
 
 private:
-  void Run(TaskQueue& aQueue);
+  // Sends and reports the orders of one queue until it is closed.
+  void Run(OrderQueue& aQueue, HoldPath aPath);
+  // Send an order if it may be sent, and return what is reported of it.
+  OrderAnswer SendStart(const StartOrder& aOrder, const QueuedOrder& aQueued);
+  OrderAnswer SendStop(const StopOrder& aOrder, const QueuedOrder& aQueued);
+  HoldAnswer SendHold(const HoldOrder& aOrder, const QueuedOrder& aQueued);
+  void SendPace(const PaceOrder& aOrder, const QueuedOrder& aQueued);
+  // Returns kDone if the order may be sent now, or the status to report of it.
+  OrderStatus CheckSendable(const QueuedOrder& aQueued) const;
   // Reports how long a start waited in the queue before it was sent, or before
   // it was found that it must not be sent.
   void ReportWait(const StartOrder& aOrder, Duration aWait, bool aSent);
@@ -57,9 +71,9 @@
   const std::function<bool()> m_maySend;
   const OrderAnswerHandlers m_answers;
   // Holds that wait until a run ends.
-  TaskQueue m_watchQueue;
+  OrderQueue m_watchQueue;
   // All other orders.
-  TaskQueue m_orderQueue;
+  OrderQueue m_orderQueue;
   // The fencing token of the last start without a reply. Used by the order
   // thread only.
   FencingToken m_unansweredFence = 0;
--- a/src/jobs/target_orders.cpp
+++ b/src/jobs/target_orders.cpp
@@ -27,6 +27,8 @@
       return "not-sent";
     case OrderStatus::kUnknown:
       return "no-answer";
+    case OrderStatus::kWithdrawn:
+      return "withdrawn";
   }
   return "";
 }
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -1,7 +1,6 @@
 #ifndef LYCHEESTEP_JOB_CELL_TERM_H
 #define LYCHEESTEP_JOB_CELL_TERM_H
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <utility>
@@ -9,6 +8,7 @@
 
 #include "ignored_metrics.h"
 #include "job_cell_model.h"
+#include "order_queue.h"
 #include "run_text.h"
 
 namespace lycheestep {
@@ -63,59 +63,19 @@
 
   void Start(const StartOrder& aOrder) override
   {
-    Queue(aOrder.m_to, HoldPath::kOrders, [this, aOrder](auto aDone) {
-      const auto unanswered = m_unanswered.find(aOrder.m_to.m_target);
-      if (unanswered != m_unanswered.end() &&
-          unanswered->second >= aOrder.m_to.m_fence) {
-        // Not sent after a start without answer, as a line does it.
-        OrderAnswer answer;
-        answer.m_status = OrderStatus::kNotSent;
-        m_scheduler.OnStartAnswer(aOrder, answer, m_cell.m_now);
-        aDone();
-        return;
-      }
-      Carry<OrderAnswer>(
-        aOrder.m_to,
-        [this, aOrder](JobTargetModel& aTarget) {
-          return aTarget.Start(aOrder, m_cell.m_now);
-        },
-        [this, aOrder, aDone](const OrderAnswer& aAnswer) {
-          if (aAnswer.m_status == OrderStatus::kUnknown) {
-            m_unanswered[aOrder.m_to.m_target] = aOrder.m_to.m_fence;
-          }
-          m_scheduler.OnStartAnswer(aOrder, aAnswer, m_cell.m_now);
-          aDone();
-        });
-    });
+    QueueOrder(aOrder, HoldPath::kOrders);
   }
 
   void Stop(const StopOrder& aOrder) override
   {
-    Queue(aOrder.m_to, HoldPath::kOrders, [this, aOrder](auto aDone) {
-      Carry<OrderAnswer>(
-        aOrder.m_to,
-        [this, aOrder](JobTargetModel& aTarget) {
-          return aTarget.Stop(aOrder, m_cell.m_now);
-        },
-        [this, aOrder, aDone](const OrderAnswer& aAnswer) {
-          m_scheduler.OnStopAnswer(aOrder, aAnswer, m_cell.m_now);
-          aDone();
-        });
-    });
+    QueueOrder(aOrder, HoldPath::kOrders);
   }
 
   void Pace(const PaceOrder& /*aOrder*/) override {}
 
   void Hold(const HoldOrder& aOrder, HoldPath aPath) override
   {
-    Queue(aOrder.m_to, aPath, [this, aOrder, aPath](auto aDone) {
-      std::size_t index = 0;
-      const JobTargetModel* target = TargetAt(aOrder.m_to, &index);
-      const WallTime incarnation =
-        target != nullptr ? target->Record().m_started : WallTime(0);
-      HoldUntil(
-        aOrder, aPath, m_cell.m_now + aOrder.m_wait, incarnation, aDone);
-    });
+    QueueOrder(aOrder, aPath);
   }
 
   void Forget(const TargetId& /*aTarget*/) override {}
@@ -167,7 +127,13 @@
 
 private:
   using Done = std::function<void()>;
-  using Work = std::function<void(Done)>;
+
+  // The orders to one target on one path. One of them is on its way at a time.
+  struct Connection
+  {
+    OrderQueue m_queue;
+    bool m_isSending = false;
+  };
 
   // A leader waits this long for an answer.
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
@@ -232,26 +198,92 @@
     });
   }
 
-  // Orders on one path wait for the answers to those before them.
-  void Queue(const OrderAddress& aTo, HoldPath aPath, Work aWork)
+  template<class Order>
+  void QueueOrder(const Order& aOrder, HoldPath aPath)
   {
-    std::deque<Work>& queue = m_queues[{ aTo.m_target, aPath }];
-    queue.push_back(std::move(aWork));
-    if (queue.size() == 1) {
-      Begin({ aTo.m_target, aPath });
-    }
+    Connection& connection = m_connections[{ aOrder.m_to.m_target, aPath }];
+    connection.m_queue.Add(aOrder, m_cell.m_now);
+    SendNext(connection, aPath);
   }
 
-  void Begin(const std::pair<TargetId, HoldPath>& aKey)
+  // Sends the next order unless another one waits for its answer. Reports the
+  // withdrawn ones.
+  void SendNext(Connection& aConnection, HoldPath aPath)
   {
-    const Work work = m_queues[aKey].front();
-    work([this, aKey] {
-      std::deque<Work>& queue = m_queues[aKey];
-      queue.pop_front();
-      if (!queue.empty()) {
-        Begin(aKey);
+    while (!aConnection.m_isSending) {
+      const auto queued = aConnection.m_queue.Take(Duration::zero());
+      if (!queued) {
+        return;
       }
-    });
+      aConnection.m_isSending = !queued->m_withdrawn;
+      const Done done = [this, &aConnection, aPath] {
+        aConnection.m_isSending = false;
+        SendNext(aConnection, aPath);
+      };
+      if (const auto* start = std::get_if<StartOrder>(&queued->m_order)) {
+        SendStart(*start, queued->m_withdrawn, done);
+      } else if (const auto* stop = std::get_if<StopOrder>(&queued->m_order)) {
+        SendStop(*stop, queued->m_withdrawn, done);
+      } else if (const auto* hold = std::get_if<HoldOrder>(&queued->m_order)) {
+        SendHold(*hold, aPath, done);
+      }
+    }
+  }
+
+  void SendStart(const StartOrder& aOrder, bool aWithdrawn, const Done& aDone)
+  {
+    const auto unanswered = m_unanswered.find(aOrder.m_to.m_target);
+    const bool skipped = unanswered != m_unanswered.end() &&
+                         unanswered->second >= aOrder.m_to.m_fence;
+    if (aWithdrawn || skipped) {
+      OrderAnswer answer;
+      answer.m_status =
+        aWithdrawn ? OrderStatus::kWithdrawn : OrderStatus::kNotSent;
+      Tell(Duration::zero(), [this, aOrder, answer, aWithdrawn, aDone] {
+        m_scheduler.OnStartAnswer(aOrder, answer, m_cell.m_now);
+        if (!aWithdrawn) {
+          aDone();
+        }
+      });
+      return;
+    }
+    Carry<OrderAnswer>(
+      aOrder.m_to,
+      [this, aOrder](JobTargetModel& aTarget) {
+        return aTarget.Start(aOrder, m_cell.m_now);
+      },
+      [this, aOrder, aDone](const OrderAnswer& aAnswer) {
+        if (aAnswer.m_status == OrderStatus::kUnknown) {
+          m_unanswered[aOrder.m_to.m_target] = aOrder.m_to.m_fence;
+        }
+        m_scheduler.OnStartAnswer(aOrder, aAnswer, m_cell.m_now);
+        aDone();
+      });
+  }
+
+  void SendStop(const StopOrder& aOrder, bool aWithdrawn, const Done& aDone)
+  {
+    if (aWithdrawn) {
+      return; // nothing follows from the report of a withdrawn stop
+    }
+    Carry<OrderAnswer>(
+      aOrder.m_to,
+      [this, aOrder](JobTargetModel& aTarget) {
+        return aTarget.Stop(aOrder, m_cell.m_now);
+      },
+      [this, aOrder, aDone](const OrderAnswer& aAnswer) {
+        m_scheduler.OnStopAnswer(aOrder, aAnswer, m_cell.m_now);
+        aDone();
+      });
+  }
+
+  void SendHold(const HoldOrder& aOrder, HoldPath aPath, const Done& aDone)
+  {
+    std::size_t index = 0;
+    const JobTargetModel* target = TargetAt(aOrder.m_to, &index);
+    const WallTime incarnation =
+      target != nullptr ? target->Record().m_started : WallTime(0);
+    HoldUntil(aOrder, aPath, m_cell.m_now + aOrder.m_wait, incarnation, aDone);
   }
 
   JobTargetModel* TargetAt(const OrderAddress& aTo, std::size_t* aIndex)
@@ -362,7 +394,7 @@
   IgnoredMetrics m_metrics;
   // Fence of the last start without answer, by target.
   std::map<TargetId, FencingToken> m_unanswered;
-  std::map<std::pair<TargetId, HoldPath>, std::deque<Work>> m_queues;
+  std::map<std::pair<TargetId, HoldPath>, Connection> m_connections;
 };
 
 } // namespace lycheestep
