Withdraw starts that wait when their target, route or job has changed

What callers saw: work starts seconds after its cancellation was acknowledged, or on a target more than 2 s after the store took its report that it drains.

Cause: the leader decides that a run is to be stopped, or that a target is to get no more work, and the start that it handed on before still waits: at the host itself, at the carrier that the target is assigned to, or at a former carrier of the target. A stop takes only the present way, and none is sent at all while the target has to be taken anew. Nothing told the places where starts wait that a target drains, has left the list, runs another life or is uncertain.

Change: JobEffects::Withdraw names one start of a target or all of them. The leader hands it to its direct connection and, in a message of its own, to each carrier at which such a start is pending, also when the target has been assigned to another carrier since. TargetManager asks for it when it stops a run that no target has confirmed, whatever the state of the target, and for all starts of a target that begins to drain, leaves the list, starts anew or becomes uncertain.

--- a/src/include/lycheestep/task_run.h
+++ b/src/include/lycheestep/task_run.h
@@ -54,6 +54,11 @@
     return std::tie(aLeft.m_task, aLeft.m_run) <
            std::tie(aRight.m_task, aRight.m_run);
   }
+
+  friend bool operator==(const RunName& aLeft, const RunName& aRight)
+  {
+    return !(aLeft < aRight) && !(aRight < aLeft);
+  }
 };
 
 } // namespace lycheestep
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -111,6 +111,7 @@
   void Stop(const StopOrder& aOrder) override;
   void Pace(const PaceOrder& aOrder) override;
   void Hold(const HoldOrder& aOrder, HoldPath aPath) override;
+  void Withdraw(const WithdrawOrder& aOrder) override;
   void Forget(const TargetId& aTarget) override;
   bool CanAsk() const override;
   void Ask(const AdviceRequest& aRequest, Duration aServiceTime) override;
--- a/src/jobhost/leader_orders.cpp
+++ b/src/jobhost/leader_orders.cpp
@@ -63,6 +63,15 @@
   RouteTo(aOrder.m_to.m_target).Hold(aOrder, aPath);
 }
 
+void Leader::Withdraw(const WithdrawOrder& aOrder)
+{
+  const auto connection = m_directConnections.find(aOrder.m_target);
+  if (connection != m_directConnections.end()) {
+    connection->second->Withdraw(aOrder);
+  }
+  m_orderDispatcher.Withdraw(aOrder);
+}
+
 void Leader::Forget(const TargetId& aTarget)
 {
   m_orderDispatcher.Forget(aTarget);
--- a/src/jobhost/order_carrier.cpp
+++ b/src/jobhost/order_carrier.cpp
@@ -166,7 +166,11 @@
   session->m_notAfter =
     std::max<Duration::rep>(session->m_notAfter, notAfter.count());
   for (const proto::CarriedOrder& order : orders.order()) {
-    SendOrder(ConnectionTo(session, TargetId(order.target())), order);
+    if (order.has_withdrawal()) {
+      Withdraw(*session, DecodeWithdrawal(order));
+    } else {
+      SendOrder(ConnectionTo(session, TargetId(order.target())), order);
+    }
   }
 }
 
@@ -222,6 +226,15 @@
   return *connection;
 }
 
+void OrderCarrier::Withdraw(const LeaderSession& aSession,
+                            const WithdrawOrder& aOrder)
+{
+  const auto connection = aSession.m_connections.find(aOrder.m_target);
+  if (connection != aSession.m_connections.end()) {
+    connection->second->m_sender->Withdraw(aOrder);
+  }
+}
+
 void OrderCarrier::SendOrder(Connection& aConnection,
                              const proto::CarriedOrder& aOrder)
 {
@@ -248,6 +261,7 @@
       aConnection.m_sender->Hold(hold, path);
       return;
     }
+    case proto::CarriedOrder::kWithdrawal: // handled by Carry
     case proto::CarriedOrder::ORDER_NOT_SET:
       return; // an order of a newer version; the leader's order times out
   }
--- a/src/jobhost/order_carrier.h
+++ b/src/jobhost/order_carrier.h
@@ -65,6 +65,9 @@
   // Returns the session's connection to a target; opens one if there is none.
   Connection& ConnectionTo(const std::shared_ptr<LeaderSession>& aSession,
                            const TargetId& aTarget);
+  // Withdraws starts that wait in the session's connection to their target.
+  static void Withdraw(const LeaderSession& aSession,
+                       const WithdrawOrder& aOrder);
   static void SendOrder(Connection& aConnection,
                         const proto::CarriedOrder& aOrder);
   void QueueAnswer(const std::shared_ptr<LeaderSession>& aSession,
--- a/src/jobhost/order_carrier_test.cpp
+++ b/src/jobhost/order_carrier_test.cpp
@@ -143,6 +143,34 @@
   AwaitAnswers(2);
 }
 
+TEST_F(OrderCarrierTest, WithdrawnStartIsNotSent)
+{
+  std::promise<void> release;
+  const std::shared_future<void> released = release.get_future().share();
+  EXPECT_CALL(m_orders, Start(_, _))
+    .WillOnce([released](const StartOrder&, Duration) {
+      released.wait();
+      return DoneAt(TargetTime(0));
+    });
+  proto::JobPeerMessage message = Message(7, "leader:1", seconds(100));
+  AddStart(message, 1);
+  AddStart(message, 2);
+  m_carrier.Carry(message);
+  proto::JobPeerMessage withdrawal = Message(7, "leader:1", seconds(100));
+  RunName run;
+  run.m_run = 2;
+  EncodeWithdrawal(WithdrawOrder{ TargetId("t1"), run },
+                   *withdrawal.mutable_carried_orders()->add_order());
+  m_carrier.Carry(withdrawal);
+  release.set_value();
+  AwaitAnswers(2);
+  for (const auto& [address, answer] : m_answers) {
+    const OrderStatus expected =
+      answer.id() == 2 ? OrderStatus::kWithdrawn : OrderStatus::kDone;
+    EXPECT_EQ(DecodeOrderAnswer(answer).m_status, expected);
+  }
+}
+
 TEST_F(OrderCarrierTest, StoppedCarrierDropsOrders)
 {
   EXPECT_CALL(m_orders, Start(_, _)).Times(0);
--- a/src/jobhost/order_dispatcher.cpp
+++ b/src/jobhost/order_dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
+#include <set>
 #include <utility>
 
 #include "order_messages.h"
@@ -134,8 +136,29 @@
   }
 }
 
+void OrderDispatcher::Withdraw(const WithdrawOrder& aOrder)
+{
+  std::set<std::string> carriers;
+  for (const auto& [id, pending] : m_pending) {
+    const auto* start = std::get_if<StartOrder>(&pending.m_order);
+    const bool isNamed = start != nullptr &&
+                         start->m_to.m_target == aOrder.m_target &&
+                         (!aOrder.m_run || start->m_run == *aOrder.m_run);
+    if (isNamed) {
+      carriers.insert(pending.m_carrier);
+    }
+  }
+  for (const std::string& name : carriers) {
+    const auto carrier = m_carriers.find(name);
+    if (carrier != m_carriers.end()) {
+      EncodeWithdrawal(aOrder, *carrier->second.m_batch.add_order());
+    }
+  }
+}
+
 void OrderDispatcher::Forget(const TargetId& aTarget)
 {
+  Withdraw(WithdrawOrder{ aTarget, std::nullopt });
   const auto found = m_assigned.find(aTarget);
   if (found != m_assigned.end()) {
     Reassign(found->second, "");
--- a/src/jobhost/order_dispatcher.h
+++ b/src/jobhost/order_dispatcher.h
@@ -74,7 +74,11 @@
   void Pace(const PaceOrder& aOrder) override;
   void Hold(const HoldOrder& aOrder, HoldPath aPath) override;
 
-  // Removes the target's assignment.
+  // Withdraws starts from each carrier at which they may wait, also if the
+  // target has been assigned to another one since.
+  void Withdraw(const WithdrawOrder& aOrder);
+
+  // Removes the target's assignment, and withdraws all starts for the target.
   void Forget(const TargetId& aTarget);
 
   // Handles targets' replies that a carrier sent. A reply whose id belongs to
--- a/src/jobhost/order_dispatcher_test.cpp
+++ b/src/jobhost/order_dispatcher_test.cpp
@@ -238,4 +238,28 @@
   EXPECT_LE(m_sent.size(), 1250U * 8U);
 }
 
+TEST_F(OrderDispatcherTest, StartAtAFormerCarrierIsWithdrawnThere)
+{
+  ASSERT_TRUE(m_dispatcher.Assign(Target(1), DataCentreName("north"), m_now));
+  SendStart(1);
+  Flush();
+  ASSERT_EQ(OrdersSentTo("a"), 1U);
+  m_dispatcher.Forget(Target(1)); // withdraws all starts of the target
+  ASSERT_TRUE(m_dispatcher.Assign(Target(1), DataCentreName("south"), m_now));
+  m_sent.clear();
+  StopOrder stop;
+  stop.m_to.m_target = Target(1);
+  m_dispatcher.Stop(stop);
+  m_dispatcher.Withdraw(WithdrawOrder{ Target(1), stop.m_run });
+  Flush();
+  EXPECT_EQ(OrdersSentTo("b"), 1U);
+  std::size_t withdrawals = 0;
+  for (const auto& [host, orders] : m_sent) {
+    for (const proto::CarriedOrder& order : orders.order()) {
+      withdrawals += host == "a" && order.has_withdrawal() ? 1 : 0;
+    }
+  }
+  EXPECT_EQ(withdrawals, 2U);
+}
+
 } // namespace lycheestep
--- a/src/jobhost/order_messages.cpp
+++ b/src/jobhost/order_messages.cpp
@@ -95,6 +95,16 @@
   hold->set_watch(aPath == HoldPath::kWatch);
 }
 
+void EncodeWithdrawal(const WithdrawOrder& aOrder,
+                      proto::CarriedOrder& aMessage)
+{
+  aMessage.set_target(aOrder.m_target.Text());
+  proto::CarriedWithdrawal* withdrawal = aMessage.mutable_withdrawal();
+  if (aOrder.m_run) {
+    EncodeRun(*aOrder.m_run, *withdrawal->mutable_run());
+  }
+}
+
 StartOrder DecodeStart(const proto::CarriedOrder& aMessage)
 {
   const proto::CarriedStart& start = aMessage.start();
@@ -132,6 +142,16 @@
   return order;
 }
 
+WithdrawOrder DecodeWithdrawal(const proto::CarriedOrder& aMessage)
+{
+  WithdrawOrder order;
+  order.m_target = TargetId(aMessage.target());
+  if (aMessage.withdrawal().has_run()) {
+    order.m_run = DecodeRun(aMessage.withdrawal().run());
+  }
+  return order;
+}
+
 void EncodeAnswer(const OrderAnswer& aAnswer, proto::CarriedAnswer& aMessage)
 {
   aMessage.set_status(static_cast<std::uint32_t>(aAnswer.m_status));
--- a/src/jobhost/order_messages.h
+++ b/src/jobhost/order_messages.h
@@ -23,12 +23,15 @@
 void EncodeHold(const HoldOrder& aOrder,
                 HoldPath aPath,
                 proto::CarriedOrder& aMessage);
+void EncodeWithdrawal(const WithdrawOrder& aOrder,
+                      proto::CarriedOrder& aMessage);
 
 // Each function requires a message that holds an order of its kind.
 StartOrder DecodeStart(const proto::CarriedOrder& aMessage);
 StopOrder DecodeStop(const proto::CarriedOrder& aMessage);
 PaceOrder DecodePace(const proto::CarriedOrder& aMessage);
 HoldOrder DecodeHold(const proto::CarriedOrder& aMessage, HoldPath& aPath);
+WithdrawOrder DecodeWithdrawal(const proto::CarriedOrder& aMessage);
 
 void EncodeAnswer(const OrderAnswer& aAnswer, proto::CarriedAnswer& aMessage);
 void EncodeAnswer(const HoldAnswer& aAnswer, proto::CarriedAnswer& aMessage);
--- a/src/jobs/job_effects.h
+++ b/src/jobs/job_effects.h
@@ -43,6 +43,10 @@
   virtual void Pace(const PaceOrder& aOrder) = 0;
   virtual void Hold(const HoldOrder& aOrder, HoldPath aPath) = 0;
 
+  // Withdraws starts that were sent here and have not left yet, wherever they
+  // wait. Each one that is withdrawn is reported with OrderStatus::kWithdrawn.
+  virtual void Withdraw(const WithdrawOrder& aOrder) = 0;
+
   // Closes the connections to a target that is no longer needed.
   virtual void Forget(const TargetId& aTarget) = 0;
 
--- a/src/jobs/mock_job_effects.h
+++ b/src/jobs/mock_job_effects.h
@@ -21,6 +21,7 @@
   MOCK_METHOD(void, Stop, (const StopOrder&), (override));
   MOCK_METHOD(void, Pace, (const PaceOrder&), (override));
   MOCK_METHOD(void, Hold, (const HoldOrder&, HoldPath), (override));
+  MOCK_METHOD(void, Withdraw, (const WithdrawOrder&), (override));
   MOCK_METHOD(void, Forget, (const TargetId&), (override));
   MOCK_METHOD(bool, CanAsk, (), (const, override));
   MOCK_METHOD(void, Ask, (const AdviceRequest&, Duration), (override));
--- a/src/jobs/order_queue.cpp
+++ b/src/jobs/order_queue.cpp
@@ -18,17 +18,12 @@
   return queued;
 }
 
-bool IsSameRun(const RunName& aLeft, const RunName& aRight)
-{
-  return !(aLeft < aRight) && !(aRight < aLeft);
-}
-
 // Returns true if aQueued is an order of the type Order for the run.
 template<typename Order>
 bool IsFor(const QueuedOrder& aQueued, const RunName& aRun)
 {
   const auto* order = std::get_if<Order>(&aQueued.m_order);
-  return order != nullptr && IsSameRun(order->m_run, aRun);
+  return order != nullptr && order->m_run == aRun;
 }
 
 } // namespace
@@ -73,8 +68,7 @@
   const std::lock_guard<std::mutex> lock(m_mutex);
   WithdrawFrom(m_others, [&](const QueuedOrder& aQueued) {
     const auto* start = std::get_if<StartOrder>(&aQueued.m_order);
-    return start != nullptr &&
-           (!aOrder.m_run || IsSameRun(start->m_run, *aOrder.m_run));
+    return start != nullptr && (!aOrder.m_run || start->m_run == *aOrder.m_run);
   });
 }
 
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -138,6 +138,7 @@
   aTarget.m_holdFailures = 0;
   aTarget.m_retryAt = aNow;
   m_committing.erase(aTarget.m_record.m_target);
+  WithdrawStarts(aTarget);
 }
 
 void TargetManager::ProcessEndedRuns(TargetState& aTarget,
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -38,8 +38,12 @@
   if (restarted && aRecord.m_started < knownStart) {
     return; // a record of an older incarnation, delivered late
   }
+  const bool beginsToDrain = aRecord.m_draining && !target.m_record.m_draining;
   target.m_record = aRecord;
   target.m_listed = true;
+  if (beginsToDrain) {
+    WithdrawStarts(target);
+  }
   if (restarted) {
     ResetForNewIncarnation(target, aRecord.m_started, aNow);
   }
@@ -71,6 +75,7 @@
   const auto found = m_targets.find(aTarget);
   if (found != m_targets.end()) {
     found->second.m_listed = false;
+    WithdrawStarts(found->second);
   }
 }
 
@@ -171,6 +176,19 @@
   m_effects.Log("target-uncertain",
                 "target=" + aTarget.m_record.m_target.Text() + " reason=\"" +
                   aReason + "\"");
+  WithdrawStarts(aTarget);
+}
+
+void TargetManager::WithdrawStarts(const TargetState& aTarget)
+{
+  const bool anyMayWait = std::any_of(
+    aTarget.m_runs.begin(), aTarget.m_runs.end(), [](const auto& aRun) {
+      return aRun.second.m_sent && !aRun.second.m_confirmed;
+    });
+  if (anyMayWait) {
+    m_effects.Withdraw(
+      WithdrawOrder{ aTarget.m_record.m_target, std::nullopt });
+  }
 }
 
 void TargetManager::SendHold(TargetState& aTarget, TimePoint aNow)
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -127,6 +127,8 @@
   // Marks the target as untaken, so that it gets no starts until it has been
   // taken again. aReason goes into the log.
   void MarkUncertain(TargetState& aTarget, const char* aReason);
+  // Withdraws all starts that have not left for the target.
+  void WithdrawStarts(const TargetState& aTarget);
   void SendHold(TargetState& aTarget, TimePoint aNow);
   void NoteClock(TargetState& aTarget, TargetTime aClock, TimePoint aNow);
   void ResetForNewIncarnation(TargetState& aTarget,
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -125,7 +125,12 @@
     return;
   }
   run->second.m_stopRequested = true;
+  const bool mayWait = !run->second.m_confirmed;
   ResendStops(target, aNow);
+  if (mayWait) {
+    // The stop may go another way than the start, or may not be sent yet.
+    m_effects.Withdraw(WithdrawOrder{ aTarget, aRun });
+  }
 }
 
 void TargetManager::OnStartAnswer(const StartOrder& aOrder,
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -78,6 +78,14 @@
     QueueOrder(aOrder, aPath);
   }
 
+  void Withdraw(const WithdrawOrder& aOrder) override
+  {
+    Connection& connection =
+      m_connections[{ aOrder.m_target, HoldPath::kOrders }];
+    connection.m_queue.Withdraw(aOrder);
+    SendNext(connection, HoldPath::kOrders);
+  }
+
   void Forget(const TargetId& /*aTarget*/) override {}
 
   bool CanAsk() const override { return m_asking < m_cell.m_advisor.m_hosts; }
--- a/src/standin/takeover_world.h
+++ b/src/standin/takeover_world.h
@@ -98,6 +98,8 @@
   void Stop(const StopOrder& aOrder) override;
   void Pace(const PaceOrder& /*aOrder*/) override {}
   void Hold(const HoldOrder& aOrder, HoldPath aPath) override;
+  // Starts reach their target at once.
+  void Withdraw(const WithdrawOrder& /*aOrder*/) override {}
   void Forget(const TargetId& /*aTarget*/) override {}
   bool CanAsk() const override { return false; }
   void Ask(const AdviceRequest& /*aRequest*/, Duration /*aTime*/) override {}
