Make the retention of jobs that are over a setting of the host

The rows of a job are removed 180 s after its end. That time was a constant of the program, so a fault that shows only after the removal could not be reached by a test with real hosts in less than three minutes, and a small deployment could not choose a shorter one.

--- a/src/include/lycheestep/job_host_settings.h
+++ b/src/include/lycheestep/job_host_settings.h
@@ -38,6 +38,10 @@
   // The longest value of a row of the store, in bytes.
   std::size_t m_storeRowBytes = kDefaultRowBytes;
 
+  // The rows of a job are kept this long after its end, so that callers can
+  // read its state.
+  Duration m_jobRetention = std::chrono::seconds(180);
+
   // Longest lease that a target grants.
   Duration m_longestLease = std::chrono::seconds(10);
   // From SIGTERM to SIGKILL.
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -60,6 +60,7 @@
   settings.m_targets.m_lease = std::min(kLease, aSettings.m_longestLease);
   settings.m_targets.m_longestLease = WithClockMargin(aSettings.m_longestLease);
   settings.m_valueBytes = MaxValueBytes(aSettings.m_storeRowBytes);
+  settings.m_retention = aSettings.m_jobRetention;
   return settings;
 }
 
