Report each version of a row once when a table is read again

Cause: after a lost history a watch read its table anew and reported every row, and the feed went on from the lowest version of the pages that were read, so that rows of later pages were reported again, older versions after newer ones. The leader took the row of a job that it had just removed as a new job, without progress and cancellation.

Change: RowVersions keeps the version of each row that exists and, until the feed has passed them, the version of each page. What is known up to a version is told from news by that version alone, so removals need no timer and no retention. A row that a later read lacks is reported as removed. Every watch uses it, so Leader, TargetList and the list of hosts handle changes only. The rows of a report are moved to the control thread instead of copied; no call to the store is added.

The two tests of it give it what RowVersions makes of a second read, with the same expectations.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -187,9 +187,7 @@
     Duration::zero(),
     m_store,
     m_log,
-    [this](const std::vector<Row>& aRows, bool /*aIsSnapshot*/) {
-      OnConfigRows(aRows);
-    });
+    [this](const std::vector<Row>& aRows) { OnConfigRows(aRows); });
   std::minstd_rand random(static_cast<std::uint32_t>(m_incarnation));
   std::uniform_int_distribution<Duration::rep> delay(0,
                                                      kMaxElectionDelay.count());
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -204,7 +204,7 @@
   const std::string& aTable,
   const std::vector<std::string>& aPartitions,
   Duration aBatchDelay,
-  void (Leader::*aOnRows)(const std::vector<Row>&, bool))
+  void (Leader::*aOnRows)(const std::vector<Row>&))
 {
   const auto post = m_dependencies.m_post;
   return std::make_unique<TableWatch>(
@@ -213,10 +213,9 @@
     aBatchDelay,
     m_dependencies.m_store,
     m_dependencies.m_log,
-    [this, post, aOnRows](const std::vector<Row>& aRows, bool aIsSnapshot) {
-      post([this, aOnRows, aRows, aIsSnapshot] {
-        (this->*aOnRows)(aRows, aIsSnapshot);
-      });
+    [this, post, aOnRows](std::vector<Row> aRows) {
+      post(
+        [this, aOnRows, rows = std::move(aRows)] { (this->*aOnRows)(rows); });
     });
 }
 
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -129,12 +129,14 @@
     const std::string& aTable,
     const std::vector<std::string>& aPartitions,
     Duration aBatchDelay,
-    void (Leader::*aOnRows)(const std::vector<Row>&, bool));
-  void OnJobRows(const std::vector<Row>& aRows, bool aIsSnapshot);
-  void OnCancelRows(const std::vector<Row>& aRows, bool aIsSnapshot);
-  void OnProgressRows(const std::vector<Row>& aRows, bool aIsSnapshot);
-  void OnTargetRows(const std::vector<Row>& aRows, bool aIsSnapshot);
-  void OnHostRows(const std::vector<Row>& aRows, bool aIsSnapshot);
+    void (Leader::*aOnRows)(const std::vector<Row>&));
+  // Handle the first report of a watch, which holds the whole table, and those
+  // of changes.
+  void OnJobRows(const std::vector<Row>& aRows);
+  void OnCancelRows(const std::vector<Row>& aRows);
+  void OnProgressRows(const std::vector<Row>& aRows);
+  void OnTargetRows(const std::vector<Row>& aRows);
+  void OnHostRows(const std::vector<Row>& aRows);
   // Hands the stored rows to the scheduler once all three tables were read.
   void LoadIfComplete();
   void AddJobs(const std::vector<Row>& aRows);
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -1,6 +1,8 @@
 // The part of Leader that reads the store's tables: all rows once, then
 // changes.
+#include <algorithm>
 #include <chrono>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -14,37 +16,53 @@
 
 namespace lycheestep {
 
-void Leader::OnJobRows(const std::vector<Row>& aRows, bool aIsSnapshot)
+namespace {
+
+// Applies changes to the rows of a table that were read so far.
+void ApplyChanges(const std::vector<Row>& aChanges,
+                  std::optional<std::vector<Row>>& aRows)
+{
+  if (!aRows) {
+    aRows.emplace();
+  }
+  std::set<RowKey> changed;
+  for (const Row& row : aChanges) {
+    changed.insert(row.m_key);
+  }
+  aRows->erase(std::remove_if(aRows->begin(),
+                              aRows->end(),
+                              [&changed](const Row& aRow) {
+                                return changed.count(aRow.m_key) > 0;
+                              }),
+               aRows->end());
+  aRows->insert(aRows->end(), aChanges.begin(), aChanges.end());
+}
+
+} // namespace
+
+void Leader::OnJobRows(const std::vector<Row>& aRows)
 {
   if (m_loaded) {
     AddJobs(aRows);
     return;
   }
-  if (aIsSnapshot || !m_jobRows) {
-    m_jobRows = aRows;
-  } else {
-    m_jobRows->insert(m_jobRows->end(), aRows.begin(), aRows.end());
-  }
+  ApplyChanges(aRows, m_jobRows);
   LoadIfComplete();
 }
 
-void Leader::OnCancelRows(const std::vector<Row>& aRows, bool aIsSnapshot)
+void Leader::OnCancelRows(const std::vector<Row>& aRows)
 {
   if (m_loaded) {
     AddCancels(aRows);
     return;
   }
-  if (aIsSnapshot || !m_cancelRows) {
-    m_cancelRows = aRows;
-  } else {
-    m_cancelRows->insert(m_cancelRows->end(), aRows.begin(), aRows.end());
-  }
+  ApplyChanges(aRows, m_cancelRows);
   LoadIfComplete();
 }
 
-void Leader::OnProgressRows(const std::vector<Row>& aRows, bool aIsSnapshot)
+void Leader::OnProgressRows(const std::vector<Row>& aRows)
 {
-  if (!m_loaded && aIsSnapshot) {
+  if (!m_loaded && !m_progressRows) {
     m_progressRows = aRows;
     m_watches.front()->Stop(); // only the leader changes progress
     LoadIfComplete();
@@ -135,10 +153,10 @@
   }
 }
 
-void Leader::OnTargetRows(const std::vector<Row>& aRows, bool aIsSnapshot)
+void Leader::OnTargetRows(const std::vector<Row>& aRows)
 {
   const TargetChanges changes =
-    m_targets.OnRows(aRows, aIsSnapshot, m_dependencies.m_documents);
+    m_targets.OnRows(aRows, m_dependencies.m_documents);
   for (const TargetId& target : changes.m_malformed) {
     Log("target-row-malformed", "target=" + target.Text());
   }
@@ -159,12 +177,8 @@
   }
 }
 
-void Leader::OnHostRows(const std::vector<Row>& aRows, bool aIsSnapshot)
+void Leader::OnHostRows(const std::vector<Row>& aRows)
 {
-  const std::map<std::string, PeerHost> known = m_hosts;
-  if (aIsSnapshot) {
-    m_hosts.clear();
-  }
   for (const Row& row : aRows) {
     const std::string& name = row.m_key.m_key;
     proto::HostRow host;
@@ -178,9 +192,10 @@
     updated.m_dataCentre = DataCentreName(host.data_centre());
     updated.m_processorShare = host.processor_share();
     updated.m_lastSeen = m_now;
-    const auto found = known.find(name);
-    m_hosts[name] =
-      found != known.end() ? UpdatedPeerHost(updated, found->second) : updated;
+    const auto found = m_hosts.find(name);
+    m_hosts[name] = found != m_hosts.end()
+                      ? UpdatedPeerHost(updated, found->second)
+                      : updated;
   }
 }
 
--- a/src/jobhost/table_watch.cpp
+++ b/src/jobhost/table_watch.cpp
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "boot_clock.h"
 #include "event_log.h"
 #include "page_size.h"
+#include "row_versions.h"
 #include "worker_pool.h"
 
 namespace lycheestep {
@@ -55,9 +57,12 @@
 
 void TableWatch::Run()
 {
+  RowVersions versions(m_table);
+  bool isFirst = true;
   while (!m_stopping) {
-    if (ReadAll()) {
-      Follow();
+    if (ReadAll(isFirst, versions)) {
+      isFirst = false;
+      Follow(versions);
     } else {
       std::this_thread::sleep_for(kRetryDelay);
     }
@@ -65,11 +70,11 @@
   m_finished = true;
 }
 
-bool TableWatch::ReadAll()
+bool TableWatch::ReadAll(bool aIsFirst, RowVersions& aVersions)
 {
   // The partitions are read in parallel, as the store may be slow to answer
   // each read.
-  std::vector<PartitionRows> read(m_partitions.size());
+  std::vector<PartitionPages> read(m_partitions.size());
   {
     WorkerPool pool("watch-read", std::max<std::size_t>(1, read.size() - 1));
     for (std::size_t i = 1; i < read.size(); ++i) {
@@ -78,27 +83,27 @@
     read[0] = ReadPartition(m_partitions[0]);
     pool.Finish();
   }
-  std::vector<Row> rows;
-  m_version = read[0].m_version;
-  for (const PartitionRows& partition : read) {
+  std::vector<RowPage> pages;
+  for (PartitionPages& partition : read) {
     RecordStoreStatus(partition.m_status);
     if (partition.m_status != RowStatus::kOk) {
       return false;
     }
-    // The feed continues from the lowest version of the reads.
-    m_version = std::min(m_version, partition.m_version);
-    rows.insert(rows.end(), partition.m_rows.begin(), partition.m_rows.end());
+    std::move(partition.m_pages.begin(),
+              partition.m_pages.end(),
+              std::back_inserter(pages));
   }
-  if (!m_stopping) {
-    m_onRows(rows, true);
+  std::vector<Row> changes = aVersions.OnRead(std::move(pages));
+  if (!m_stopping && (aIsFirst || !changes.empty())) {
+    m_onRows(std::move(changes));
   }
   return true;
 }
 
-TableWatch::PartitionRows TableWatch::ReadPartition(
+TableWatch::PartitionPages TableWatch::ReadPartition(
   const std::string& aPartition) const
 {
-  PartitionRows read;
+  PartitionPages read;
   RowRange range;
   range.m_table = m_table;
   range.m_partition = aPartition;
@@ -120,23 +125,27 @@
       return read;
     }
     size.OnAnswer(BootClockNow() - sent);
-    if (read.m_rows.empty()) {
-      read.m_version = answer.m_version;
-    }
+    RowPage page;
+    page.m_partition = aPartition;
+    page.m_first = range.m_first;
+    page.m_version = answer.m_version;
     if (!answer.m_rows.empty()) {
       range.m_first = answer.m_rows.back().m_key.m_key + '\x01';
     }
-    read.m_rows.insert(
-      read.m_rows.end(), answer.m_rows.begin(), answer.m_rows.end());
+    if (answer.m_more) {
+      page.m_end = range.m_first;
+    }
+    page.m_rows = std::move(answer.m_rows);
+    read.m_pages.push_back(std::move(page));
   } while (answer.m_more);
   return read;
 }
 
-void TableWatch::Follow()
+void TableWatch::Follow(RowVersions& aVersions)
 {
   while (!m_stopping) {
-    const RowAnswer answer =
-      m_store.Feed(m_table, m_version, kFeedWait, kCallTimeout);
+    RowAnswer answer =
+      m_store.Feed(m_table, aVersions.Position(), kFeedWait, kCallTimeout);
     RecordStoreStatus(answer.m_status);
     if (answer.m_status == RowStatus::kHistoryLost) {
       m_log.Write("feed-history-lost", "table=" + m_table);
@@ -146,9 +155,10 @@
       std::this_thread::sleep_for(kRetryDelay);
       continue;
     }
-    m_version = std::max(m_version, answer.m_version);
-    if (!answer.m_rows.empty() && !m_stopping) {
-      m_onRows(answer.m_rows, false);
+    std::vector<Row> changes =
+      aVersions.OnFeed(std::move(answer.m_rows), answer.m_version);
+    if (!changes.empty() && !m_stopping) {
+      m_onRows(std::move(changes));
       std::this_thread::sleep_for(m_batchDelay);
     }
   }
--- a/src/jobhost/table_watch.h
+++ b/src/jobhost/table_watch.h
@@ -12,17 +12,19 @@
 namespace lycheestep {
 
 class EventLog;
+class RowVersions;
+struct RowPage;
 
-// Watches one table of the store: reports a snapshot of all rows first, then
-// each change. If the store has dropped the history since the last change, the
-// watch reports a new snapshot. Runs on a thread of its own.
+// Watches one table of the store: reports all rows first, then each change, as
+// RowVersions says. If the store has dropped the history since the last change,
+// the watch reads the table again and reports what differs. Runs on a thread of
+// its own.
 class TableWatch
 {
 public:
-  // Receives rows on the watch's thread. If aIsSnapshot, aRows is the whole
-  // table, else the rows that changed.
-  using OnRows =
-    std::function<void(const std::vector<Row>& aRows, bool aIsSnapshot)>;
+  // Receives rows on the watch's thread: the whole table at the first call,
+  // then the rows that changed.
+  using OnRows = std::function<void(std::vector<Row> aRows)>;
 
   // Starts the thread. After each report of changes the watch waits for
   // aBatchDelay, so that the changes of that time are reported together.
@@ -47,19 +49,19 @@
   bool IsFinished() const { return m_finished; }
 
 private:
-  // The rows of one partition, collected by a series of reads.
-  struct PartitionRows
+  // The pages of one partition, collected by a series of reads.
+  struct PartitionPages
   {
     RowStatus m_status = RowStatus::kUnknown;
-    // The store's version when it answered the first read.
-    std::uint64_t m_version = 0;
-    std::vector<Row> m_rows;
+    std::vector<RowPage> m_pages;
   };
 
   void Run();
-  bool ReadAll();
-  PartitionRows ReadPartition(const std::string& aPartition) const;
-  void Follow();
+  // Reads the whole table and reports what differs; everything if aIsFirst.
+  // Returns false if the store did not answer all reads.
+  bool ReadAll(bool aIsFirst, RowVersions& aVersions);
+  PartitionPages ReadPartition(const std::string& aPartition) const;
+  void Follow(RowVersions& aVersions);
   // Updates LastAnswer, and logs when the store becomes unreachable or
   // reachable again.
   void RecordStoreStatus(RowStatus aStatus);
@@ -70,7 +72,6 @@
   RowStore& m_store;
   EventLog& m_log;
   const OnRows m_onRows;
-  std::uint64_t m_version = 0;
   bool m_reachable = true;
   std::atomic<Duration::rep> m_lastAnswer{ 0 };
   std::atomic<bool> m_stopping{ false };
--- a/src/jobhost/target_list.cpp
+++ b/src/jobhost/target_list.cpp
@@ -7,16 +7,10 @@
 namespace lycheestep {
 
 TargetChanges TargetList::OnRows(const std::vector<Row>& aRows,
-                                 bool aIsSnapshot,
                                  const PlatformDocuments& aDocuments)
 {
   TargetChanges changes;
   std::set<TargetId> missing;
-  if (aIsSnapshot) {
-    for (const auto& [id, record] : m_records) {
-      missing.insert(id);
-    }
-  }
   for (const Row& row : aRows) {
     const TargetId target(row.m_key.m_key);
     const auto record =
--- a/src/jobhost/target_list.h
+++ b/src/jobhost/target_list.h
@@ -31,11 +31,8 @@
 class TargetList
 {
 public:
-  // Applies rows of the platform's table of targets. If aIsSnapshot, aRows is
-  // the whole table and targets without a row are removed; else aRows holds the
-  // rows that changed.
+  // Applies rows of the platform's table of targets that were read or changed.
   TargetChanges OnRows(const std::vector<Row>& aRows,
-                       bool aIsSnapshot,
                        const PlatformDocuments& aDocuments);
 
   // Sets the services of the configuration in force.
--- a/src/jobhost/target_list_test.cpp
+++ b/src/jobhost/target_list_test.cpp
@@ -4,6 +4,7 @@
 
 #include "lycheestep/platform_documents.h"
 #include "lycheestep/queue_config.h"
+#include "row_versions.h"
 
 namespace lycheestep {
 
@@ -48,13 +49,27 @@
 protected:
   TargetListTest() { m_list.SetServices({ ServiceName("desk") }); }
 
-  TargetChanges Rows(const std::vector<Row>& aRows, bool aIsSnapshot = false)
+  TargetChanges Rows(const std::vector<Row>& aRows)
   {
-    return m_list.OnRows(aRows, aIsSnapshot, m_documents);
+    return m_list.OnRows(aRows, m_documents);
+  }
+
+  // Handles a read of the whole table.
+  TargetChanges Read(const std::vector<Row>& aRows)
+  {
+    RowPage page;
+    page.m_version = ++m_version;
+    page.m_rows = aRows;
+    for (Row& row : page.m_rows) {
+      row.m_version = m_version;
+    }
+    return Rows(m_rowVersions.OnRead({ page }));
   }
 
   const PlainDocuments m_documents;
   TargetList m_list;
+  RowVersions m_rowVersions{ "targets" };
+  std::uint64_t m_version = 0;
 };
 
 } // namespace
@@ -66,7 +81,7 @@
 {
   EXPECT_EQ(Rows({ MakeRow("t1", "desk a:1") }).m_changed.size(), 1U);
   EXPECT_TRUE(Rows({ MakeRow("t1", "desk a:1") }).m_changed.empty());
-  EXPECT_TRUE(Rows({ MakeRow("t1", "desk a:1") }, true).m_changed.empty());
+  EXPECT_TRUE(Read({ MakeRow("t1", "desk a:1") }).m_changed.empty());
   EXPECT_EQ(Rows({ MakeRow("t1", "desk b:1") }).m_changed.size(), 1U);
 }
 
@@ -79,10 +94,10 @@
   EXPECT_EQ(Rows({ MakeRow("t1", "desk a:1") }).m_changed.size(), 1U);
 }
 
-TEST_F(TargetListTest, TargetMissingFromASnapshotIsGone)
+TEST_F(TargetListTest, TargetMissingFromALaterReadIsGone)
 {
-  Rows({ MakeRow("t1", "desk a:1"), MakeRow("t2", "desk b:1") });
-  const TargetChanges changes = Rows({ MakeRow("t2", "desk b:1") }, true);
+  Read({ MakeRow("t1", "desk a:1"), MakeRow("t2", "desk b:1") });
+  const TargetChanges changes = Read({ MakeRow("t2", "desk b:1") });
   EXPECT_THAT(changes.m_gone, testing::ElementsAre(TargetId("t1")));
   EXPECT_EQ(m_list.UsableTargetCount(), 1U);
 }
