Let a target rest whose starts outlive their lease in the queue

What callers saw: jobs stay queued or running for ever although most of the fleet is idle.

Cause: a start names the end of its lease when it is queued, 8 s ahead. On a target that takes 0.5 s for a start, the start behind 16 others waits longer than that, and the target refuses it as past its lease. The refusal had no consequence for the target: the task was placed there again at once, at the end of the same queue, which never became shorter, so that no start on this target succeeded again.

The test failed before: Value of: target->TakesWork(m_now) Actual: true Expected: false

Change: such a refusal makes the target rest as one for its health does, 0.3 s and twice as long with each further refusal in a row, up to 4.8 s.

--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -172,6 +172,7 @@
     case OrderStatus::kNoRoom:
       MarkUncertain(target, "target reports less free capacity than accounted");
       break;
+    case OrderStatus::kLeaseOver: // starts wait there for too long
     case OrderStatus::kUnhealthy:
     case OrderStatus::kNotSent:
       target.m_quarantinedUntil =
--- a/src/jobs/withdrawn_start_test.cpp
+++ b/src/jobs/withdrawn_start_test.cpp
@@ -163,4 +163,16 @@
   EXPECT_TRUE(target->m_runs.empty());
 }
 
+// Guards against starts that wait behind others for longer than their lease,
+// and are placed again at the end of the same queue without end.
+TEST_F(WithdrawnStartTest, TargetWhoseStartsOutliveTheirLeaseRests)
+{
+  AnswerStart(OrderStatus::kLeaseOver);
+  const TargetState* target = m_manager.Find(m_record.m_target);
+  ASSERT_NE(target, nullptr);
+  EXPECT_TRUE(target->m_runs.empty());
+  EXPECT_FALSE(target->TakesWork(m_now));
+  EXPECT_TRUE(target->TakesWork(m_now + seconds(1)));
+}
+
 } // namespace lycheestep
