Withdraw starts whose queue was moved to another service

What callers saw: after the configuration moved a queue to another service, a task of the queue still starts on a target of the former service, seconds later if that target answers starts slowly.

Cause: a task is placed by the configuration of that moment. Its dispatch then waits for its commit, and its start for the orders before it. JobScheduler:: SetConfig changed the terms of the job only: the check before a start is sent looked at the target's state and at the permission, not at the service, and nothing withdrew a start that waited.

Change: when the service of a job's queue changes, dispatches that are not stored are taken back, and starts that no target has confirmed are withdrawn wherever they wait; their tasks are placed by the new configuration. A start that has left is not stopped.

--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -350,4 +350,33 @@
   }
 }
 
+void JobScheduler::RetractFromOtherServices(Job& aJob)
+{
+  for (auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      StepProgress& progress = occurrence.m_steps[s];
+      for (std::uint32_t i = 0; i < progress.m_tasks.size(); ++i) {
+        JobTask& task = progress.m_tasks[i];
+        const TaskName name{ StepName{ aJob.m_id, number, s }, i };
+        const bool misplaced = task.m_state == TaskState::kDispatched &&
+                               IsOfOtherService(aJob, task.m_target);
+        if (misplaced && task.m_stored) {
+          m_keeper.WithdrawStart(task.m_target, RunName{ name, task.m_run });
+        } else if (misplaced) {
+          StopTask(name, task, progress, m_now);
+        }
+      }
+    }
+  }
+  RefreshReady(aJob);
+}
+
+bool JobScheduler::IsOfOtherService(const Job& aJob,
+                                    const TargetId& aTarget) const
+{
+  const TargetState* target = m_keeper.Find(aTarget);
+  return target != nullptr &&
+         !(target->m_record.m_service == aJob.m_terms.m_service);
+}
+
 } // namespace lycheestep
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -78,7 +78,11 @@
   m_config = aConfig;
   for (auto& [id, job] : m_jobs) {
     const QueueName queue = job.m_terms.m_name;
+    const ServiceName service = job.m_terms.m_service;
     const bool isConfigured = UpdateQueueConfig(job);
+    if (!(job.m_terms.m_service == service) && !job.IsOver()) {
+      RetractFromOtherServices(job);
+    }
     if (!isConfigured && FindQueueByName(former, queue) != nullptr &&
         !job.IsOver()) {
       // The next leader no longer finds the terms in the configuration.
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -225,6 +225,11 @@
   void CheckJobDone(Job& aJob);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
   void StopAllRuns(Job& aJob, TimePoint aNow);
+  // Takes back the dispatches to targets that are not of the service of the
+  // job's queue, and withdraws their starts as far as they have not left.
+  void RetractFromOtherServices(Job& aJob);
+  // Returns true if the target is known and not of the job's service.
+  bool IsOfOtherService(const Job& aJob, const TargetId& aTarget) const;
   // Returns the capacity that a task of the step takes on its target.
   static Resources DemandOf(const JobStep& aStep);
   // Returns the estimated run time of a task of the step.
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -77,6 +77,10 @@
   // is neither reserved nor sent.
   void Stop(const TargetId& aTarget, const RunName& aRun, TimePoint aNow);
 
+  // Withdraws the start of a run that no target has confirmed. A start that has
+  // left is not stopped. If it is withdrawn, the run is reported as lost.
+  void WithdrawStart(const TargetId& aTarget, const RunName& aRun);
+
   // Handle the replies to orders that were sent through JobEffects.
   void OnStartAnswer(const StartOrder& aOrder,
                      const OrderAnswer& aAnswer,
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -133,6 +133,20 @@
   }
 }
 
+void TargetManager::WithdrawStart(const TargetId& aTarget, const RunName& aRun)
+{
+  const TargetState* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  const auto run = target->m_runs.find(aRun);
+  const bool mayWait = run != target->m_runs.end() && run->second.m_sent &&
+                       !run->second.m_confirmed;
+  if (mayWait) {
+    m_effects.Withdraw(WithdrawOrder{ aTarget, aRun });
+  }
+}
+
 void TargetManager::OnStartAnswer(const StartOrder& aOrder,
                                   const OrderAnswer& aAnswer,
                                   TimePoint aNow)
