Take no row of a removed job as a new job

What callers saw: work of jobs that were cancelled, or done, 180 s before is placed and started again.

Cause: JobScheduler forgot a job as soon as the removal of its rows was queued, up to some commits before the removal is stored. A row of that job that was read before the removal, and handled at any time after it, was taken as a new job.

Evidence: removed_job_test with the job not recorded at its removal, which is the code before: RowThatIsReadDuringTheRemovalIsNoNewJob: IsKnown() Actual: true Expected: false RowThatIsReadAfterTheRemovalIsNoNewJob: the same, also for a row written since JobThatIsSubmittedBeforeTheRemovalIsAnsweredIsNew: the same All pass now.

Change: RemovedJobs holds each job from the queueing of its removal until the removal was read from the store. A row of it counts as a new job only if its version is higher than that of the commit which removed the rows; one that is read before the commit is answered waits for the answer. After the removal was read no older row is reported, so nothing is kept for a time, and a job that was submitted again under the id is a new job at once. The line job-added is written where the job is added.

--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -96,16 +96,12 @@
   for (const Row& row : aRows) {
     if (row.m_removed) {
       m_jobRowReader.Remove(row.m_key);
+      m_scheduler.OnJobRemoved(JobId(row.m_key.m_key));
       continue;
     }
     const JobRowResult read = m_jobRowReader.Read(row);
     switch (read.m_status) {
       case JobRowResult::Status::kComplete:
-        if (m_scheduler.Find(read.m_job) == nullptr) {
-          Log("job-added",
-              "job=" + read.m_job.Text() +
-                " row_version=" + std::to_string(row.m_version));
-        }
         m_scheduler.OnJob(read.m_job, read.m_stored, read.m_parts, m_now);
         break;
       case JobRowResult::Status::kWithdrawn:
--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -327,6 +327,7 @@
   }
   m_removals.push_back(std::move(group));
   m_jobs.erase(found);
+  m_removedJobs.Add(aJob);
 }
 
 void JobScheduler::RemoveRowsWithoutJob(TimePoint aNow)
@@ -377,6 +378,11 @@
       RemoveOldSegments(job->second);
     }
   }
+  for (const RowGroup& removed : m_commit.m_removals) {
+    for (const ReadJob& job : m_removedJobs.OnStored(removed, aFence)) {
+      AddJob(job, aNow);
+    }
+  }
   m_commit = PendingCommit();
   SendStarts(aNow);
 }
--- a/src/jobs/job_row_reader.cpp
+++ b/src/jobs/job_row_reader.cpp
@@ -32,7 +32,7 @@
   const std::string& key = aRow.m_key.m_key;
   const JobId job = JobOfKey(key);
   if (job.Text().size() < key.size()) {
-    return ReadPart(job, key.substr(job.Text().size() + 1), aRow.m_value);
+    return ReadPart(job, key.substr(job.Text().size() + 1), aRow);
   }
   JobRowResult result;
   result.m_job = job;
@@ -42,7 +42,7 @@
   }
   if (row.part_count() > 0) {
     m_partial[job].m_partCount = row.part_count();
-    return Assemble(job);
+    return Assemble(job, aRow.m_version);
   }
   if (row.withdrawn_ms() > 0) {
     result.m_status = JobRowResult::Status::kWithdrawn;
@@ -53,6 +53,7 @@
   if (stored) {
     result.m_status = JobRowResult::Status::kComplete;
     result.m_stored = std::move(*stored);
+    result.m_stored.m_version = aRow.m_version;
   }
   return result;
 }
@@ -64,20 +65,20 @@
 
 JobRowResult JobRowReader::ReadPart(const JobId& aJob,
                                     const std::string& aNumber,
-                                    const std::string& aValue)
+                                    const Row& aRow)
 {
   JobRowResult result;
   result.m_job = aJob;
   const auto number = ParsePartNumber(aNumber);
   proto::JobRowPart part;
-  if (!number || !part.ParseFromString(aValue)) {
+  if (!number || !part.ParseFromString(aRow.m_value)) {
     return result;
   }
   m_partial[aJob].m_parts[*number] = part.data();
-  return Assemble(aJob);
+  return Assemble(aJob, aRow.m_version);
 }
 
-JobRowResult JobRowReader::Assemble(const JobId& aJob)
+JobRowResult JobRowReader::Assemble(const JobId& aJob, std::uint64_t aVersion)
 {
   JobRowResult result;
   result.m_job = aJob;
@@ -98,6 +99,7 @@
     stored ? JobRowResult::Status::kComplete : JobRowResult::Status::kMalformed;
   if (stored) {
     result.m_stored = std::move(*stored);
+    result.m_stored.m_version = aVersion;
   }
   return result;
 }
--- a/src/jobs/job_row_reader.h
+++ b/src/jobs/job_row_reader.h
@@ -52,8 +52,8 @@
 
   JobRowResult ReadPart(const JobId& aJob,
                         const std::string& aNumber,
-                        const std::string& aValue);
-  JobRowResult Assemble(const JobId& aJob);
+                        const Row& aRow);
+  JobRowResult Assemble(const JobId& aJob, std::uint64_t aVersion);
 
   std::map<JobId, PartialJob> m_partial;
 };
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -43,6 +43,8 @@
   JobSpec m_spec;
   // When the job was accepted, by the wall clock of the accepting host.
   WallTime m_acceptedAt{ 0 };
+  // The version of the row that was read; zero if none was.
+  std::uint64_t m_version = 0;
 };
 
 // How the progress of a job is stored.
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -106,18 +106,27 @@
                          std::uint32_t aRowParts,
                          TimePoint aNow)
 {
-  const auto [found, isNew] = m_jobs.try_emplace(aJob);
-  if (!isNew) {
-    return;
+  const ReadJob read{ aJob, aStored, aRowParts };
+  if (m_jobs.count(aJob) == 0 && m_removedJobs.IsNewJob(read)) {
+    AddJob(read, aNow);
   }
-  Job& job = found->second;
-  job.m_id = aJob;
-  job.m_terms = aStored.m_terms;
-  job.m_spec = aStored.m_spec;
-  job.m_jobRowParts = aRowParts;
-  job.m_acceptedWallTime = aStored.m_acceptedAt;
+}
+
+void JobScheduler::AddJob(const ReadJob& aRead, TimePoint aNow)
+{
+  const JobId& id = aRead.m_id;
+  const StoredJob& stored = aRead.m_stored;
+  m_effects.Log("job-added",
+                "job=" + id.Text() +
+                  " row_version=" + std::to_string(stored.m_version));
+  Job& job = m_jobs[id];
+  job.m_id = id;
+  job.m_terms = stored.m_terms;
+  job.m_spec = stored.m_spec;
+  job.m_jobRowParts = aRead.m_parts;
+  job.m_acceptedWallTime = stored.m_acceptedAt;
   const WallTime age =
-    std::clamp(m_wallNow - aStored.m_acceptedAt, WallTime(0), kMaxJobAge);
+    std::clamp(m_wallNow - stored.m_acceptedAt, WallTime(0), kMaxJobAge);
   job.m_acceptedAt = aNow - age;
   UpdateQueueConfig(job);
   if (job.m_spec.m_occurrences == 0) {
@@ -129,11 +138,11 @@
     job.m_criticalPath =
       RemainingCriticalPath(job.m_spec, MakeOccurrence(job.m_spec)) +
       AdviceTime(job.m_terms);
-    m_recurringJobs.insert(aJob);
+    m_recurringJobs.insert(id);
   }
   RefreshReady(job);
-  if (m_earlyCancels.erase(aJob) > 0) {
-    OnCancel(aJob, aNow);
+  if (m_earlyCancels.erase(id) > 0) {
+    OnCancel(id, aNow);
   }
 }
 
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -20,6 +20,7 @@
 #include "placement.h"
 #include "placement_monitor.h"
 #include "progress_rows.h"
+#include "removed_jobs.h"
 #include "run_listener.h"
 #include "target_manager.h"
 
@@ -69,13 +70,17 @@
   // current one is ignored.
   void SetConfig(const ClusterConfig& aConfig);
 
-  // Adds an accepted job. A job that was added before is ignored. aRowParts is
-  // the number of rows that the job takes besides the one with its id.
+  // Adds an accepted job. A job that was added before is ignored, and so is a
+  // row of a job whose rows were removed. aRowParts is the number of rows that
+  // the job takes besides the one with its id.
   void OnJob(const JobId& aJob,
              const StoredJob& aStored,
              std::uint32_t aRowParts,
              TimePoint aNow);
 
+  // Handles the removal of a job's row, as read from the store.
+  void OnJobRemoved(const JobId& aJob) { m_removedJobs.OnRead(aJob); }
+
   // Handles a row that stands in place of a job which does not exist. The row
   // is removed once no submission can be on its way any more. aSince is the
   // time of the row by the store's clock.
@@ -183,6 +188,7 @@
     StepRank m_rank;
   };
 
+  void AddJob(const ReadJob& aRead, TimePoint aNow);
   TaskRef FindTask(const TaskName& aName);
   void MarkRunning(const JobId& aJob);
   // Records that a target has the run; ignored if the run is not the newest.
@@ -338,6 +344,7 @@
   std::set<JobId> m_recurringJobs;
   // Jobs that are over, by the time at which their rows may be removed.
   std::set<std::pair<TimePoint, JobId>> m_finishedJobs;
+  RemovedJobs m_removedJobs;
   // Jobs that were cancelled before OnJob added them, and when the cancellation
   // is removed if none has added them by then.
   std::map<JobId, TimePoint> m_earlyCancels;
