Withdraw a start at its carrier when the leader gives it up

What callers saw: nothing yet; found by reading. A start that the leader has given up, because its carrier was silent for 0.9 s or has not answered it for 5 s, may still wait there, in the queue of a slow target. The leader places the task elsewhere, or its job is cancelled meanwhile, and the start can leave until the target has seen a higher fencing token.

Cause: OrderDispatcher::FailPending removes the order from the pending ones before it reports it. The withdrawal that the report brings about looks for carriers among the pending orders, so that none is sent to the one where the start waits.

Evidence: StartThatIsGivenUpIsWithdrawnAtItsCarrier fails on the code before: OrdersSentTo("a") Which is: 0 expected 1U No run of real processes has shown a late start by this cause.

Change: a start that is given up is withdrawn at its carrier by name, in the next batch to this host. A host that is gone gets none.

--- a/src/jobhost/order_dispatcher.cpp
+++ b/src/jobhost/order_dispatcher.cpp
@@ -149,10 +149,16 @@
     }
   }
   for (const std::string& name : carriers) {
-    const auto carrier = m_carriers.find(name);
-    if (carrier != m_carriers.end()) {
-      EncodeWithdrawal(aOrder, *carrier->second.m_batch.add_order());
-    }
+    AddWithdrawal(name, aOrder);
+  }
+}
+
+void OrderDispatcher::AddWithdrawal(const std::string& aCarrier,
+                                    const WithdrawOrder& aOrder)
+{
+  const auto carrier = m_carriers.find(aCarrier);
+  if (carrier != m_carriers.end()) {
+    EncodeWithdrawal(aOrder, *carrier->second.m_batch.add_order());
   }
 }
 
@@ -336,6 +342,11 @@
   proto::CarriedAnswer unknown;
   unknown.set_status(static_cast<std::uint32_t>(OrderStatus::kUnknown));
   for (const Pending& pending : lost) {
+    if (const auto* start = std::get_if<StartOrder>(&pending.m_order)) {
+      // The carrier may be alive and still send the start.
+      AddWithdrawal(pending.m_carrier,
+                    WithdrawOrder{ start->m_to.m_target, start->m_run });
+    }
     DeliverAnswer(pending, unknown);
   }
 }
--- a/src/jobhost/order_dispatcher.h
+++ b/src/jobhost/order_dispatcher.h
@@ -153,9 +153,12 @@
   void AddPending(const proto::CarriedOrder& aMessage,
                   const TargetId& aTarget,
                   std::variant<StartOrder, StopOrder, PendingHold> aOrder);
+  // Adds a withdrawal to the carrier's batch, if the carrier is still a host.
+  void AddWithdrawal(const std::string& aCarrier, const WithdrawOrder& aOrder);
   void DeliverAnswer(const Pending& aPending,
                      const proto::CarriedAnswer& aAnswer);
-  // Reports each pending order for which aIsLost is true as unknown.
+  // Reports each pending order for which aIsLost is true as unknown, and
+  // withdraws the starts among them.
   void FailPending(const std::function<bool(const Pending&)>& aIsLost);
   // Moves targets to carriers that are clearly less loaded.
   void Rebalance(TimePoint aNow);
--- a/src/jobhost/order_dispatcher_test.cpp
+++ b/src/jobhost/order_dispatcher_test.cpp
@@ -3,6 +3,7 @@
 #include <gmock/gmock.h>
 
 #include <chrono>
+#include <optional>
 #include <set>
 
 #include "order_messages.h"
@@ -262,4 +263,27 @@
   EXPECT_EQ(withdrawals, 2U);
 }
 
+// Guards against a start that was given up and placed elsewhere, and is sent
+// all the same by a carrier that had been silent.
+TEST_F(OrderDispatcherTest, StartThatIsGivenUpIsWithdrawnAtItsCarrier)
+{
+  ASSERT_TRUE(m_dispatcher.Assign(Target(1), DataCentreName("north"), m_now));
+  SendStart(1);
+  Flush();
+  m_sent.clear();
+  for (int i = 0; i < 5; ++i) {
+    m_now += milliseconds(250);
+    ReportAlive("b");
+    m_dispatcher.Tick(m_now);
+  }
+  ASSERT_THAT(m_started, testing::ElementsAre(OrderStatus::kUnknown));
+  Flush();
+  ASSERT_EQ(OrdersSentTo("a"), 1U);
+  const proto::CarriedOrder& order = m_sent.front().second.order(0);
+  ASSERT_TRUE(order.has_withdrawal());
+  const WithdrawOrder withdrawal = DecodeWithdrawal(order);
+  EXPECT_EQ(withdrawal.m_target, Target(1));
+  EXPECT_EQ(withdrawal.m_run, std::optional<RunName>(RunName()));
+}
+
 } // namespace lycheestep
