Take the partition of a row from the page that was read

RowVersions keeps the versions of rows by partition. It recorded the rows of a page under the page's partition but looked them up under the one that each row names, so that rows from a store which leaves the name out of the answer to a read would have been reported again at each read, and jobs taken as new, as before.

Evidence: RowsOfAPageBelongToItsPartition failed without the change (the second read reported the row again) and passes with it.

--- a/src/jobhost/row_versions.cpp
+++ b/src/jobhost/row_versions.cpp
@@ -15,6 +15,7 @@
   for (RowPage& page : aPages) {
     AddMissing(page, changes);
     for (Row& row : page.m_rows) {
+      row.m_key.m_partition = page.m_partition;
       if (IsNews(row)) {
         m_rows[page.m_partition][row.m_key.m_key] = row.m_version;
         changes.push_back(std::move(row));
--- a/src/jobhost/row_versions_test.cpp
+++ b/src/jobhost/row_versions_test.cpp
@@ -243,6 +243,19 @@
               IsEmpty());
 }
 
+// Guards against changes that are reported again at each read, because a read's
+// rows do not name the partition that was asked for.
+TEST(RowVersions, RowsOfAPageBelongToItsPartition)
+{
+  RowVersions versions(kTable);
+  Row unnamed = MakeRow("a", 7);
+  unnamed.m_key.m_partition.clear();
+  versions.OnRead({ MakePage(10, { unnamed }) });
+  EXPECT_THAT(Texts(versions.OnRead({ MakePage(12, { unnamed }) })), IsEmpty());
+  EXPECT_THAT(Texts(versions.OnFeed({ MakeRow("a", 14, true) }, 14)),
+              testing::ElementsAre("-a@14"));
+}
+
 // Whatever is read and fed in which order, no version of a row is reported
 // twice or after a newer one, and in the end the reader knows all rows.
 TEST(RowVersions, ReportsFollowTheStoreInAnyOrder)
