Start no tasks while the newest cancellations are not known

What callers saw: work starts more than 3 s after its cancellation was acknowledged.

Cause: the leader may start tasks as long as its commits are stored, whatever it knows of cancellations. If the store's feed of cancellations does not answer while other calls do, each feed call takes its 1.9 s, and every commit that succeeds resets the count of failures after which a relay is tried. The leader places cancelled jobs for as long as that lasts.

Change: TableWatch knows up to when it has reported all changes: the sending of the last feed call that was answered with rows, or the end of its wait if it had none. The leader lets the scheduler place and send tasks only while that is less than 2.7 s ago for cancellations. An idle feed is at most two waits old. Holds, stops and commits go on. The timeouts of the feed are as before, and there is no further call to the store. Two log lines, starts-suspended and starts-resumed, say when it holds.

--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -50,6 +50,12 @@
 constexpr Duration kListBatchDelay = std::chrono::milliseconds(150);
 constexpr Duration kCancelBatchDelay = std::chrono::milliseconds(50);
 
+// Tasks are started only if all cancellations up to this long ago are known. A
+// task must not start more than 3 s after its cancellation was acknowledged,
+// which leaves the rest for the way to the target. An idle feed is up to two
+// waits old.
+constexpr Duration kMaxCancelAge = std::chrono::milliseconds(2700);
+
 // Number of hosts that each heartbeat lists as relays for calls to the store.
 constexpr int kMaxRelaysInHeartbeat = 5;
 
@@ -118,6 +124,7 @@
 
 void Leader::OnCommitted(std::uint64_t aVersion, Duration aStoreClock)
 {
+  CheckCancellations();
   m_scheduler.OnCommitted(aVersion, aStoreClock, m_now);
 }
 
@@ -166,6 +173,7 @@
     m_dependencies.m_writer.SetPending(m_scheduler.Pending());
   }
   if (valid && CanSendOrders()) {
+    CheckCancellations();
     m_scheduler.Tick(m_now);
   }
   m_orderDispatcher.Flush(m_dependencies.m_writer.OrdersValidUntil());
@@ -177,6 +185,18 @@
                             m_closedConnections.end());
 }
 
+void Leader::CheckCancellations()
+{
+  const Duration age = m_now - m_cancelWatch->CurrentAsOf();
+  const bool current = m_loaded && age < kMaxCancelAge;
+  m_scheduler.SetMayStart(current);
+  if (m_loaded && current == m_startsSuspended) {
+    m_startsSuspended = !current;
+    Log(current ? "starts-resumed" : "starts-suspended",
+        "reason=cancellations");
+  }
+}
+
 Duration Leader::MaxWait() const
 {
   return m_scheduler.IsBusy() ? kBusyWait : kIdleWait;
@@ -192,6 +212,7 @@
     Watch(kJobTable, jobPartitions, Duration::zero(), &Leader::OnJobRows));
   m_watches.push_back(Watch(
     kCancelTable, jobPartitions, kCancelBatchDelay, &Leader::OnCancelRows));
+  m_cancelWatch = m_watches.back().get();
   m_watches.push_back(Watch(m_dependencies.m_documents.TargetTable(),
                             unpartitioned,
                             kListBatchDelay,
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -144,6 +144,9 @@
                    const std::vector<Row>& aJobRows);
   void AddCancels(const std::vector<Row>& aRows);
   void ApplyTargets(const TargetChanges& aChanges);
+  // Lets the scheduler start tasks only while this host knows of the newest
+  // cancellations.
+  void CheckCancellations();
   void SendHeartbeats();
   // Removes the rows of hosts that have not replied to heartbeats for a long
   // time.
@@ -186,6 +189,9 @@
   // True while the right to lead has expired and was not renewed.
   bool m_suspended = false;
 
+  // True while the cancellations that were read are too old to start tasks.
+  bool m_startsSuspended = false;
+
   // True once the tables of jobs, cancellations and progress were read.
   bool m_loaded = false;
   TimePoint m_loadedAt;
@@ -209,6 +215,8 @@
   // Closed connections whose threads may still run.
   std::vector<std::unique_ptr<TargetConnection>> m_closedConnections;
   std::vector<std::unique_ptr<TableWatch>> m_watches;
+  // The one of m_watches that reads cancellations.
+  const TableWatch* m_cancelWatch = nullptr;
 };
 
 } // namespace lycheestep
--- a/src/jobhost/table_watch.cpp
+++ b/src/jobhost/table_watch.cpp
@@ -72,6 +72,7 @@
 
 bool TableWatch::ReadAll(bool aIsFirst, RowVersions& aVersions)
 {
+  const TimePoint begun = BootClockNow();
   // The partitions are read in parallel, as the store may be slow to answer
   // each read.
   std::vector<PartitionPages> read(m_partitions.size());
@@ -97,6 +98,7 @@
   if (!m_stopping && (aIsFirst || !changes.empty())) {
     m_onRows(std::move(changes));
   }
+  SetCurrentAsOf(begun);
   return true;
 }
 
@@ -144,6 +146,7 @@
 void TableWatch::Follow(RowVersions& aVersions)
 {
   while (!m_stopping) {
+    const TimePoint sent = BootClockNow();
     RowAnswer answer =
       m_store.Feed(m_table, aVersions.Position(), kFeedWait, kCallTimeout);
     RecordStoreStatus(answer.m_status);
@@ -155,15 +158,27 @@
       std::this_thread::sleep_for(kRetryDelay);
       continue;
     }
+    // An answer may be late. One without rows was made after the whole wait.
+    const bool waited =
+      answer.m_rows.empty() && BootClockNow() - sent >= kFeedWait;
     std::vector<Row> changes =
       aVersions.OnFeed(std::move(answer.m_rows), answer.m_version);
-    if (!changes.empty() && !m_stopping) {
+    const bool report = !changes.empty() && !m_stopping;
+    if (report) {
       m_onRows(std::move(changes));
+    }
+    SetCurrentAsOf(waited ? sent + kFeedWait : sent);
+    if (report) {
       std::this_thread::sleep_for(m_batchDelay);
     }
   }
 }
 
+void TableWatch::SetCurrentAsOf(TimePoint aTime)
+{
+  m_currentAsOf = aTime.time_since_epoch().count();
+}
+
 void TableWatch::RecordStoreStatus(RowStatus aStatus)
 {
   const bool reachable =
--- a/src/jobhost/table_watch.h
+++ b/src/jobhost/table_watch.h
@@ -45,6 +45,10 @@
   // Returns when the store last answered a read or a feed.
   TimePoint LastAnswer() const { return TimePoint(Duration(m_lastAnswer)); }
 
+  // Returns a time such that all changes which the store had made by then were
+  // reported.
+  TimePoint CurrentAsOf() const { return TimePoint(Duration(m_currentAsOf)); }
+
   // Returns true if the thread has ended, so that the destructor does not wait.
   bool IsFinished() const { return m_finished; }
 
@@ -62,6 +66,8 @@
   bool ReadAll(bool aIsFirst, RowVersions& aVersions);
   PartitionPages ReadPartition(const std::string& aPartition) const;
   void Follow(RowVersions& aVersions);
+  // Updates CurrentAsOf.
+  void SetCurrentAsOf(TimePoint aTime);
   // Updates LastAnswer, and logs when the store becomes unreachable or
   // reachable again.
   void RecordStoreStatus(RowStatus aStatus);
@@ -74,6 +80,7 @@
   const OnRows m_onRows;
   bool m_reachable = true;
   std::atomic<Duration::rep> m_lastAnswer{ 0 };
+  std::atomic<Duration::rep> m_currentAsOf{ 0 };
   std::atomic<bool> m_stopping{ false };
   std::atomic<bool> m_finished{ false };
   std::thread m_thread;
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -414,6 +414,9 @@
 
 bool JobScheduler::CanSend(const RunName& aRun, TimePoint aNow)
 {
+  if (!m_mayStart) {
+    return false;
+  }
   const TaskRef ref = FindTask(aRun.m_task);
   const TargetState* target = m_keeper.Find(ref.m_task->m_target);
   const bool usable = target != nullptr && target->TakesWork(aNow) &&
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -240,7 +240,9 @@
   const Duration sincePlacement = aNow - m_lastPlacement;
   if ((m_placementDue && sincePlacement >= kMinPlacementInterval) ||
       sincePlacement >= kMaxPlacementInterval) {
-    PlaceAll(aNow);
+    if (m_mayStart) {
+      PlaceAll(aNow);
+    }
     if (m_monitor.FleetReportIsDue(aNow)) {
       ReportFleet(aNow);
     }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -98,7 +98,14 @@
 
   // Returns true if the next Tick has placements or commits to make even if no
   // further event arrives.
-  bool IsBusy() const { return m_placementDue || !m_changes.Empty(); }
+  bool IsBusy() const
+  {
+    return (m_mayStart && m_placementDue) || !m_changes.Empty();
+  }
+
+  // Sets whether tasks may be placed and started. They may not while the
+  // cancellations that callers have made are not known.
+  void SetMayStart(bool aMayStart) { m_mayStart = aMayStart; }
 
   // Cancels a job at its caller's request. If the job was not added yet, it is
   // cancelled when OnJob adds it.
@@ -376,6 +383,7 @@
   // commit is stored, those of a gang when all of its members are.
   std::vector<RunName> m_dispatchesInCommit;
   bool m_placementDue = false;
+  bool m_mayStart = true;
   TimePoint m_lastPlacement;
   WallTime m_wallNow{ 0 };
   TimePoint m_now;
