Make the test of a page's partition fail without its change

The fault needs a row that is newer than the oldest page.

The test now reads an older page of another partition beside it. Without the change it fails: Value of: Texts(versions.OnRead({ older, MakePage(21, { unnamed }) })) Expected: is empty Actual: { "a@15" }, whose size is 1 With the change it passes. Its other expectations are kept, with new versions.

--- a/src/jobhost/row_versions_test.cpp
+++ b/src/jobhost/row_versions_test.cpp
@@ -248,12 +248,16 @@
 TEST(RowVersions, RowsOfAPageBelongToItsPartition)
 {
   RowVersions versions(kTable);
-  Row unnamed = MakeRow("a", 7);
+  RowPage older = MakePage(10, {});
+  older.m_partition = "p1";
+  Row unnamed = MakeRow("a", 15);
   unnamed.m_key.m_partition.clear();
-  versions.OnRead({ MakePage(10, { unnamed }) });
-  EXPECT_THAT(Texts(versions.OnRead({ MakePage(12, { unnamed }) })), IsEmpty());
-  EXPECT_THAT(Texts(versions.OnFeed({ MakeRow("a", 14, true) }, 14)),
-              testing::ElementsAre("-a@14"));
+  EXPECT_THAT(Texts(versions.OnRead({ older, MakePage(20, { unnamed }) })),
+              testing::ElementsAre("a@15"));
+  EXPECT_THAT(Texts(versions.OnRead({ older, MakePage(21, { unnamed }) })),
+              IsEmpty());
+  EXPECT_THAT(Texts(versions.OnFeed({ MakeRow("a", 24, true) }, 24)),
+              testing::ElementsAre("-a@24"));
 }
 
 // Whatever is read and fed in which order, no version of a row is reported
