Write no commit again that took effect without an answer

What callers would see: a job that was submitted again under an id, or its cancellation, vanishes. The job was accepted and is never done, or it is cancelled and runs on.

Cause: when the store's answer to a commit is lost, the leader repeats the commit and is told that its own row has changed. It took the new version as its condition and wrote the same batch once more. A removal in the batch then took effect twice, up to a second apart, and the second time it removed whatever was stored under the id since.

Evidence: CommitThatTookEffectIsNotWrittenAgain failed without the change (RemovalsOf("job") is 2 in place of 1) and passes with it. The other tests of commit_writer_test, late_write_test and leader_election_test pass.

Change: a conflict with the leader's own row after a write without an answer means that the write took effect, as each write has the version before it as its condition. The batch counts as stored at the version of that row, and the right to send orders is counted from the first attempt. Only when a former batch was given up while one of its writes had no answer is the batch written again, since either may have taken effect. This saves one call to the store in each such case.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -189,11 +189,13 @@
                                     const Batch& aBatch)
 {
   const std::uint64_t term = m_term;
+  // When the first write without an answer was sent.
+  std::optional<TimePoint> unanswered;
   while (m_leading && !m_stopping) {
     const TimePoint sent = BootClockNow();
     const RowTransaction transaction = MakeTransaction(aBatch, sent);
     aLock.unlock();
-    const RowAnswer answer = m_store.Transact(transaction, kCallTimeout);
+    RowAnswer answer = m_store.Transact(transaction, kCallTimeout);
     const TimePoint now = BootClockNow();
     m_metrics.Observe("lycheestep_commit_seconds", "", now - sent);
     aLock.lock();
@@ -201,15 +203,7 @@
       return;
     }
     if (answer.m_status == RowStatus::kOk) {
-      m_version = answer.m_version;
-      m_storeClock = answer.m_storeClock;
-      m_storeClockAt = now;
-      m_renewedAt = sent.time_since_epoch().count();
-      if (aBatch.m_isCommit) {
-        aLock.unlock();
-        m_onCommitted(answer.m_version, answer.m_storeClock);
-        aLock.lock();
-      }
+      OnWritten(aLock, aBatch, answer, sent);
       return;
     }
     if (answer.m_status == RowStatus::kConflict) {
@@ -225,21 +219,49 @@
         aLock.lock();
         return;
       }
-      m_version = row->m_version; // an earlier attempt took effect
+      if (unanswered && !m_formerMayBeDone) {
+        // An earlier attempt took effect. Others may have written rows that it
+        // removed since.
+        answer.m_version = row->m_version;
+        OnWritten(aLock, aBatch, answer, *unanswered);
+        return;
+      }
+      m_version = row->m_version;
       continue;
     }
     if (answer.m_status == RowStatus::kInvalid) {
+      m_formerMayBeDone = m_formerMayBeDone || unanswered.has_value();
       if (OnInvalid(aLock, aBatch)) {
         continue;
       }
       return;
     }
+    if (answer.m_status == RowStatus::kUnknown && !unanswered) {
+      unanswered = sent;
+    }
     aLock.unlock();
     std::this_thread::sleep_for(kRetryDelay);
     aLock.lock();
   }
 }
 
+void CommitWriter::OnWritten(std::unique_lock<std::mutex>& aLock,
+                             const Batch& aBatch,
+                             const RowAnswer& aAnswer,
+                             TimePoint aSent)
+{
+  m_version = aAnswer.m_version;
+  m_formerMayBeDone = false;
+  m_storeClock = aAnswer.m_storeClock;
+  m_storeClockAt = BootClockNow();
+  m_renewedAt = aSent.time_since_epoch().count();
+  if (aBatch.m_isCommit) {
+    aLock.unlock();
+    m_onCommitted(aAnswer.m_version, aAnswer.m_storeClock);
+    aLock.lock();
+  }
+}
+
 bool CommitWriter::OnInvalid(std::unique_lock<std::mutex>& aLock,
                              const Batch& aBatch)
 {
--- a/src/jobhost/commit_writer.h
+++ b/src/jobhost/commit_writer.h
@@ -112,6 +112,11 @@
   // store.
   void WriteWithRetries(std::unique_lock<std::mutex>& aLock,
                         const Batch& aBatch);
+  // Handles a write that took effect. aLock is released for the report.
+  void OnWritten(std::unique_lock<std::mutex>& aLock,
+                 const Batch& aBatch,
+                 const RowAnswer& aAnswer,
+                 TimePoint aSent);
   // Handles a write that the store never takes. Returns true if it is worth
   // another try without the counts of pending jobs.
   bool OnInvalid(std::unique_lock<std::mutex>& aLock, const Batch& aBatch);
@@ -144,6 +149,9 @@
   // True if the store refused a write that contained counts.
   bool m_omitsPending = false;
   std::uint64_t m_version = 0;
+  // True if a write of a batch that was given up may still be done, instead of
+  // one of the batch under way.
+  bool m_formerMayBeDone = false;
   // The last known time of the store's clock, and this host's time when it was
   // received.
   Duration m_storeClock = Duration::zero();
--- a/src/jobhost/commit_writer_test.cpp
+++ b/src/jobhost/commit_writer_test.cpp
@@ -108,6 +108,12 @@
     return m_writes[aKey];
   }
 
+  std::size_t RemovalsOf(const std::string& aKey)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_removals[aKey];
+  }
+
 private:
   static bool Contains(const RowTransaction& aTransaction,
                        const std::string& aKey)
@@ -127,6 +133,9 @@
         m_row = write.m_value;
       }
     }
+    for (const RowKey& key : aTransaction.m_removals) {
+      ++m_removals[key.m_key];
+    }
   }
 
   std::mutex m_mutex;
@@ -135,6 +144,7 @@
   bool m_losesNext = false;
   std::optional<std::string> m_invalidKey;
   std::map<std::string, std::size_t> m_writes;
+  std::map<std::string, std::size_t> m_removals;
 };
 
 class CommitWriterTest : public testing::Test
@@ -187,6 +197,18 @@
   EXPECT_GE(m_store.WritesOf("job"), 1U);
 }
 
+// Guards against a removal that removes a job, or the cancellation of one, that
+// was stored under the id since the removal took effect.
+TEST_F(CommitWriterTest, CommitThatTookEffectIsNotWrittenAgain)
+{
+  ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
+  std::future<void> committed = m_committed.get_future();
+  m_store.LoseNextAnswer();
+  m_writer.Commit(OneWrite(), { JobKey(JobId("job")) });
+  ASSERT_EQ(committed.wait_for(seconds(5)), std::future_status::ready);
+  EXPECT_EQ(m_store.RemovalsOf("job"), 1U);
+}
+
 TEST_F(CommitWriterTest, WriteOfAFormerLeaderHasNoEffect)
 {
   ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
