Put no rows of different jobs together

What callers would see: a job with the steps of another one, or a job that was accepted and is never read.

Cause: JobRowReader collected the rows of a job without regard to their versions, so that the first rows of a removed job were completed with those of its successor. The removal of any row of a job dropped all rows that were collected, also those of the successor.

Evidence: RowsOfDifferentJobsAreNotMixed and RemovalOfAnOlderRowKeepsTheNewerRows failed without the change (a mixed set of rows was complete; the last row of the new job completed nothing) and pass with it.

Change: all rows of a job are written in one transaction, so only rows of the same version belong together; older ones are dropped. The removal of a row drops that row only.

--- a/src/jobs/job_row_reader.cpp
+++ b/src/jobs/job_row_reader.cpp
@@ -41,7 +41,12 @@
     return result;
   }
   if (row.part_count() > 0) {
-    m_partial[job].m_partCount = row.part_count();
+    PartialJob* partial = FindPartial(job, aRow.m_version);
+    if (partial == nullptr) {
+      result.m_status = JobRowResult::Status::kIncomplete;
+      return result;
+    }
+    partial->m_partCount = row.part_count();
     return Assemble(job, aRow.m_version);
   }
   if (row.withdrawn_ms() > 0) {
@@ -60,7 +65,33 @@
 
 void JobRowReader::Remove(const RowKey& aKey)
 {
-  m_partial.erase(JobOfKey(aKey.m_key));
+  const JobId job = JobOfKey(aKey.m_key);
+  const auto found = m_partial.find(job);
+  if (found == m_partial.end()) {
+    return;
+  }
+  PartialJob& partial = found->second;
+  if (job.Text().size() == aKey.m_key.size()) {
+    partial.m_partCount = 0;
+  } else {
+    const auto number =
+      ParsePartNumber(aKey.m_key.substr(job.Text().size() + 1));
+    partial.m_parts.erase(number.value_or(0));
+  }
+  if (partial.m_partCount == 0 && partial.m_parts.empty()) {
+    m_partial.erase(found);
+  }
+}
+
+JobRowReader::PartialJob* JobRowReader::FindPartial(const JobId& aJob,
+                                                    std::uint64_t aVersion)
+{
+  PartialJob& partial = m_partial[aJob];
+  if (aVersion > partial.m_version) {
+    partial = PartialJob();
+    partial.m_version = aVersion;
+  }
+  return aVersion == partial.m_version ? &partial : nullptr;
 }
 
 JobRowResult JobRowReader::ReadPart(const JobId& aJob,
@@ -74,7 +105,12 @@
   if (!number || !part.ParseFromString(aRow.m_value)) {
     return result;
   }
-  m_partial[aJob].m_parts[*number] = part.data();
+  PartialJob* partial = FindPartial(aJob, aRow.m_version);
+  if (partial == nullptr) {
+    result.m_status = JobRowResult::Status::kIncomplete;
+    return result;
+  }
+  partial->m_parts[*number] = part.data();
   return Assemble(aJob, aRow.m_version);
 }
 
--- a/src/jobs/job_row_reader.h
+++ b/src/jobs/job_row_reader.h
@@ -45,11 +45,16 @@
   // A job of which some rows were read.
   struct PartialJob
   {
+    // The version of the rows, which are written in one transaction.
+    std::uint64_t m_version = 0;
     // Zero until the row with the job's id was read.
     std::uint32_t m_partCount = 0;
     std::map<std::uint32_t, std::string> m_parts;
   };
 
+  // Returns the rows read of the job, without those that are older than
+  // aVersion; null if newer ones were read.
+  PartialJob* FindPartial(const JobId& aJob, std::uint64_t aVersion);
   JobRowResult ReadPart(const JobId& aJob,
                         const std::string& aNumber,
                         const Row& aRow);
--- a/src/jobs/job_row_reader_test.cpp
+++ b/src/jobs/job_row_reader_test.cpp
@@ -24,9 +24,9 @@
   return job;
 }
 
-Row RowOf(const RowWrite& aWrite)
+Row RowOf(const RowWrite& aWrite, std::uint64_t aVersion = 1)
 {
-  return Row{ aWrite.m_key, aWrite.m_value, 1, false };
+  return Row{ aWrite.m_key, aWrite.m_value, aVersion, false };
 }
 
 // Reads all rows but the last one.
@@ -84,6 +84,42 @@
   EXPECT_EQ(StepsKnownToEarlierReleases(EncodeJob(job)), 1);
 }
 
+// Guards against a job with the steps of two jobs, if one is submitted again
+// under the id of a removed one between two pages of a read.
+TEST(JobRowReader, RowsOfDifferentJobsAreNotMixed)
+{
+  StoredJob later = LongJob();
+  later.m_spec.m_payload.assign(4000, 'y');
+  const std::vector<RowWrite> former =
+    EncodeJobRows(JobId("a"), LongJob(), MaxValueBytes(4096));
+  const std::vector<RowWrite> writes =
+    EncodeJobRows(JobId("a"), later, MaxValueBytes(4096));
+  ASSERT_EQ(former.size(), writes.size());
+  JobRowReader reader;
+  EXPECT_EQ(reader.Read(RowOf(former[0], 5)).m_status, Status::kIncomplete);
+  EXPECT_EQ(reader.Read(RowOf(former[1], 5)).m_status, Status::kIncomplete);
+  for (std::size_t i = 2; i < writes.size(); ++i) {
+    EXPECT_EQ(reader.Read(RowOf(writes[i], 9)).m_status, Status::kIncomplete);
+  }
+  EXPECT_EQ(reader.Read(RowOf(writes[0], 9)).m_status, Status::kIncomplete);
+  const JobRowResult read = reader.Read(RowOf(writes[1], 9));
+  ASSERT_EQ(read.m_status, Status::kComplete);
+  EXPECT_EQ(read.m_stored.m_spec.m_payload, later.m_spec.m_payload);
+  EXPECT_EQ(read.m_stored.m_version, 9U);
+}
+
+// Guards against a new job that is never read, because a row of the removed one
+// is missing from a later page.
+TEST(JobRowReader, RemovalOfAnOlderRowKeepsTheNewerRows)
+{
+  const std::vector<RowWrite> writes =
+    EncodeJobRows(JobId("a"), LongJob(), MaxValueBytes(4096));
+  JobRowReader reader;
+  ReadAllButLast(writes, reader);
+  reader.Remove(JobPartKey(JobId("a"), 77));
+  EXPECT_EQ(reader.Read(RowOf(writes.back())).m_status, Status::kComplete);
+}
+
 TEST(JobRowReader, RemovedRowsAreForgotten)
 {
   const std::vector<RowWrite> writes =
