Check in the models that each start is what a caller submitted

A target may be told to start only what a caller sent: the payload of the job, a task and an occurrence that the job has and that is due, and a checkpoint that a run of the same task or gang reported. The models on virtual time looked at the time and number of starts, but were given only the target and the run, so that another payload or checkpoint would not have shown. StartLedger now records submissions and the checkpoints that targets list, and both models check the whole start order against it. Checkpoints in the models name their run. A report counts only if the run started on that target since the job was submitted, so that a former job under the same id lends nothing. JobCellModel can submit a job again under its id.

All other checks are as before.

--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -14,6 +14,7 @@
 #include "job_scheduler.h"
 #include "job_target_model.h"
 #include "row_table_model.h"
+#include "start_ledger.h"
 
 namespace lycheestep {
 
@@ -72,6 +73,8 @@
 
   // Stores a job, and tells the leader after a moment.
   JobId Submit(const JobSpec& aSpec);
+  // Stores a job under the id of one whose rows are removed.
+  void SubmitAgain(const JobId& aJob, const JobSpec& aSpec);
   void Cancel(const JobId& aJob);
 
   // The leader dies and another one takes over at once: the former one's
@@ -98,6 +101,10 @@
   const std::vector<std::string>& Broken() const { return m_broken; }
   bool AnyGangAlone() const { return !m_alone.empty(); }
   std::size_t Starts() const { return m_starts; }
+  // The target that carried out the newest start.
+  std::size_t TargetOfNewestStart() const { return m_newestStartAt; }
+  // Starts that resumed from a checkpoint of their task.
+  std::size_t Resumed() const { return m_ledger.Resumed(); }
   std::size_t Commits() const { return m_commits; }
   Duration Now() const { return m_now - TimePoint(); }
   // From a job's submission to its end; zero while it goes on.
@@ -111,12 +118,17 @@
   // The time of day when virtual time is zero.
   static constexpr WallTime kWallStart{ 1700000000000 };
 
+  void Store(const JobId& aJob, const JobSpec& aSpec);
+  // Forgets what the account says of the job.
+  void ForgetJob(const JobId& aJob);
   void At(Duration aDelay, std::function<void()> aTask);
   Duration Way();
   bool Chance(double aShare);
   void CheckStart(const JobTargetModel& aTarget,
-                  const RunName& aRun,
+                  const StartOrder& aOrder,
                   TimePoint aNow);
+  // Returns false if the start follows from no submission or report.
+  bool CheckIdentity(const StartOrder& aOrder);
   void CheckEnds();
   // Checks that a start is not later than a cancellation or a report of
   // draining allows.
@@ -182,7 +194,9 @@
   std::map<TaskName, std::uint32_t> m_failures;
   std::map<std::size_t, std::uint64_t> m_read;
   std::vector<std::string> m_broken;
+  StartLedger m_ledger;
   std::size_t m_starts = 0;
+  std::size_t m_newestStartAt = 0;
   std::size_t m_commits = 0;
   std::uint64_t m_lastJob = 0;
 };
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -400,7 +400,9 @@
     Carry<HoldAnswer>(
       aOrder.m_to,
       [this, aOrder](JobTargetModel& aTarget) {
-        return aTarget.Hold(aOrder, m_cell.m_now);
+        HoldAnswer answer = aTarget.Hold(aOrder, m_cell.m_now);
+        m_cell.m_ledger.OnReported(aOrder.m_to.m_target, answer);
+        return answer;
       },
       Duration::zero(),
       [this, aOrder, aPath, aDone](const HoldAnswer& aAnswer) {
--- a/src/standin/job_target_model.h
+++ b/src/standin/job_target_model.h
@@ -20,7 +20,7 @@
   Resources m_demand;
   // Members of the gang that have to run at the same time; one for none.
   std::size_t m_gangSize = 1;
-  // The length of a checkpoint; zero if the run saves none.
+  // The least length of a checkpoint; zero if the run saves none.
   std::size_t m_checkpointBytes = 0;
 };
 
@@ -32,6 +32,8 @@
   TimePoint m_endsAt;
   TimePoint m_startedAt;
   bool m_stopping = false;
+  // The beginning of its checkpoints, unlike that of all other runs.
+  std::string m_checkpointName;
 
   // Returns the newest checkpoint at aNow; empty if there is none.
   std::string CheckpointAt(TimePoint aNow) const;
@@ -46,9 +48,10 @@
 public:
   // Decides what a run that starts is to do.
   using Planner = std::function<RunPlan(const RunName&)>;
-  // Told of each run that starts here, before it counts as running.
+  // Told of each start that is carried out here, before its run counts as
+  // running.
   using OnStart =
-    std::function<void(const JobTargetModel&, const RunName&, TimePoint)>;
+    std::function<void(const JobTargetModel&, const StartOrder&, TimePoint)>;
 
   JobTargetModel(TargetRecord aRecord, Planner aPlanner, OnStart aOnStart);
 
--- a/src/standin/takeover_world.h
+++ b/src/standin/takeover_world.h
@@ -16,6 +16,7 @@
 #include "job_scheduler.h"
 #include "job_target_model.h"
 #include "row_table_model.h"
+#include "start_ledger.h"
 
 namespace lycheestep {
 
@@ -149,6 +150,7 @@
   std::set<TaskName> m_noted;
   std::set<TaskName> m_withCheckpoint;
   std::map<RunName, TargetId> m_starts;
+  StartLedger m_ledger;
   std::vector<std::string> m_broken;
 };
 
