Show that removed jobs do not come back from late reads

RemovedJobsDoNotComeBackFromLateReads runs one host with a target and a store that drops its history every 0.1 s and answers reads 0.3 s late with what it read; jobs are kept for 1 s after their end. It covers the fault as callers saw it: the watches and the scheduler together.

The file is renamed, since it now holds more than the test of the feed.

--- a/src/jobhost/feed_cut_test.cpp
+++ b/src/jobhost/leader_reads_test.cpp
@@ -1,5 +1,5 @@
-// Tests what a leader does while the store answers its writes, but not its feed
-// of cancellations.
+// Tests what a leader does while the store answers its writes, but its reads
+// and feeds late or not at all.
 #include <algorithm>
 #include <chrono>
 #include <condition_variable>
@@ -32,7 +32,8 @@
 const JobId kFirst("5c0e7a21d94b36f8");
 const JobId kSecond("6c0e7a21d94b36f8");
 
-// A store in memory with a feed, which can be cut for one table.
+// A store in memory with a feed, which can be cut for one table. It may drop
+// its history, and answer reads late with what it read before.
 class FeedingStore : public RowStore
 {
 public:
@@ -42,6 +43,19 @@
     m_cut = aTable;
   }
 
+  void DropHistory()
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_forgotten = m_version;
+    m_history.clear();
+  }
+
+  void SetReadDelay(Duration aDelay)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_readDelay = aDelay;
+  }
+
   RowAnswer Transact(const RowTransaction& aTransaction,
                      Duration /*aTimeout*/) override
   {
@@ -76,7 +90,7 @@
 
   RowAnswer Read(const RowRange& aRange, Duration /*aTimeout*/) override
   {
-    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::unique_lock<std::mutex> lock(m_mutex);
     RowAnswer answer = MakeAnswer();
     for (const auto& [key, row] : m_rows) {
       const bool inRange = key.m_table == aRange.m_table &&
@@ -86,6 +100,9 @@
         answer.m_rows.push_back(row);
       }
     }
+    const Duration delay = m_readDelay;
+    lock.unlock();
+    std::this_thread::sleep_for(delay);
     return answer;
   }
 
@@ -99,7 +116,7 @@
     std::vector<Row> rows;
     m_changed.wait_for(lock, aWait, [&] {
       rows = ChangesAfter(aTable, aVersion);
-      return m_cut != aTable && !rows.empty();
+      return m_cut != aTable && (!rows.empty() || aVersion < m_forgotten);
     });
     if (m_cut == aTable) {
       lock.unlock();
@@ -107,6 +124,10 @@
       return RowAnswer();
     }
     RowAnswer answer = MakeAnswer();
+    if (aVersion < m_forgotten) {
+      answer.m_status = RowStatus::kHistoryLost;
+      return answer;
+    }
     answer.m_rows = std::move(rows);
     return answer;
   }
@@ -138,6 +159,8 @@
   std::map<RowKey, Row> m_rows;
   std::vector<Row> m_history;
   std::uint64_t m_version = 0;
+  std::uint64_t m_forgotten = 0;
+  Duration m_readDelay = Duration::zero();
   std::string m_cut;
 };
 
@@ -145,10 +168,13 @@
 class OneTaskTarget : public TargetOrders
 {
 public:
-  bool HasStarted(const JobId& aJob) const
+  bool HasStarted(const JobId& aJob) const { return StartsOf(aJob) > 0; }
+
+  std::size_t StartsOf(const JobId& aJob) const
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    return std::count(m_started.begin(), m_started.end(), aJob) > 0;
+    return static_cast<std::size_t>(
+      std::count(m_started.begin(), m_started.end(), aJob));
   }
 
   void EndAll()
@@ -263,15 +289,16 @@
   JobHostSettings settings;
   settings.m_host = "edge-1";
   settings.m_dataCentre = "hcm-a";
+  settings.m_jobRetention = seconds(1);
   settings.m_peers = HostAddress{ "127.0.0.1", 0 };
   return settings;
 }
 
 // A leader with one target, a job that runs there and a job that waits.
-class FeedCutTest : public testing::Test
+class LeaderReadsTest : public testing::Test
 {
 protected:
-  FeedCutTest()
+  LeaderReadsTest()
     : m_host(MakeSettings(),
              HostDependencies{ m_store, m_orders, nullptr, m_documents })
   {
@@ -306,6 +333,17 @@
     return m_orders.HasStarted(aJob);
   }
 
+  bool WaitForState(const JobId& aJob, JobState aState)
+  {
+    for (int i = 0; i < 2000; ++i) {
+      if (m_host.RequestHandler().State(aJob).m_state == aState) {
+        return true;
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+  }
+
   FeedingStore m_store;
   OneTaskTarget m_orders;
   OneQueueDocuments m_documents;
@@ -316,7 +354,7 @@
 
 // Guards against a job that is started long after its cancellation, because the
 // leader's feed is cut while its commits are stored.
-TEST_F(FeedCutTest, NoJobStartsWhileCancellationsAreUnknown)
+TEST_F(LeaderReadsTest, NoJobStartsWhileCancellationsAreUnknown)
 {
   m_store.SetCut(kCancelTable);
   EXPECT_EQ(m_host.RequestHandler().Cancel(kSecond), JobRequestStatus::kOk);
@@ -330,4 +368,20 @@
   EXPECT_FALSE(m_orders.HasStarted(kSecond));
 }
 
+// Guards against jobs that are started again after their rows were removed,
+// because a read of the whole table shows them when they are forgotten.
+TEST_F(LeaderReadsTest, RemovedJobsDoNotComeBackFromLateReads)
+{
+  EXPECT_EQ(m_host.RequestHandler().Cancel(kSecond), JobRequestStatus::kOk);
+  EXPECT_TRUE(WaitForState(kSecond, JobState::kCancelled));
+  m_store.SetReadDelay(milliseconds(300));
+  m_orders.EndAll();
+  for (int i = 0; i < 50; ++i) {
+    m_store.DropHistory();
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  EXPECT_EQ(m_orders.StartsOf(kFirst), 1U);
+  EXPECT_EQ(m_orders.StartsOf(kSecond), 0U);
+}
+
 } // namespace lycheestep
