Forget a cancellation without its job when its row is removed

What callers would see: a job is cancelled that nobody cancelled, or the cancellation of a job is removed.

Cause: a cancellation that is read without its job waits for it, and after 180 s its row is removed. The leader ignored that the row had gone with the rows of the removed job, so the cancellation applied to a later job with the id, and the removal to the cancellation of that job.

Evidence: RemovedCancellationIsForgotten failed without the change (the job is over at once, and cancels/a is removed) and passes with it.

Change: the removal of a cancellation's row ends the wait.

--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -143,8 +143,11 @@
 void Leader::AddCancels(const std::vector<Row>& aRows)
 {
   for (const Row& row : aRows) {
-    if (!row.m_removed) {
-      m_scheduler.OnCancel(JobId(row.m_key.m_key), m_now);
+    const JobId job(row.m_key.m_key);
+    if (row.m_removed) {
+      m_scheduler.OnCancelRemoved(job);
+    } else {
+      m_scheduler.OnCancel(job, m_now);
     }
   }
 }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -111,6 +111,9 @@
   // cancelled when OnJob adds it.
   void OnCancel(const JobId& aJob, TimePoint aNow);
 
+  // Handles the removal of a cancellation's row, as read from the store.
+  void OnCancelRemoved(const JobId& aJob) { m_earlyCancels.erase(aJob); }
+
   // Apply a record of the platform's target list, and the removal of a target
   // from that list.
   void OnTargetRecord(const TargetRecord& aRecord, TimePoint aNow);
--- a/src/jobs/rows_without_job_test.cpp
+++ b/src/jobs/rows_without_job_test.cpp
@@ -83,6 +83,22 @@
   EXPECT_TRUE(IsRemoved("jobs/a"));
 }
 
+// Guards against a new job that is cancelled without cause, or whose
+// cancellation is removed, because that of a removed job with its id was read
+// late.
+TEST_F(RowsWithoutJobTest, RemovedCancellationIsForgotten)
+{
+  m_scheduler.OnCancel(JobId("a"), m_now);
+  m_scheduler.OnCancelRemoved(JobId("a"));
+  StoredJob stored;
+  stored.m_spec.m_steps.resize(1);
+  stored.m_spec.m_steps[0].m_count = 1;
+  m_scheduler.OnJob(JobId("a"), stored, 0, m_now);
+  EXPECT_FALSE(m_scheduler.Find(JobId("a"))->IsOver());
+  Pass(seconds(200));
+  EXPECT_FALSE(IsRemoved("cancels/a"));
+}
+
 TEST_F(RowsWithoutJobTest, CancellationWithoutItsJobIsRemoved)
 {
   m_scheduler.OnCancel(JobId("a"), m_now);
