Ignore the end of a run that its job never dispatched

What callers would see: a job that is submitted under the id of one whose rows are removed resumes from a checkpoint of the former job, and its task runs twice. Run numbers begin at one again. A target that could not be reached since before the removal still lists the end of run 1 of the former job, and the scheduler took it for the end of run 1 of the new one, which was at work on another target: it kept the checkpoint, made the task wait and started run 2. An end as "done" would have finished a task that never ran.

An end now counts only if the job may have dispatched that run to that target: not if its number is above the newest run, which is stored before its start is sent, nor if the newest run was placed on another target. A new leader does not know the target of a task that waits; then the number alone decides, as before. An end of an older run number still counts wherever it comes from, as nothing stored says where older runs were.

Evidence: EndsOfAFormerJobDoNotCountForItsNamesake, with the fault: Value of: cell.Broken() Actual: { "ANOTHER CHECKPOINT job1.0.0.0 job1.0.0.0/1/15. at 1204750" } With this change it passes, and so do start_identity_test (100 games), takeover_test, job_commits_test and job_cell_test.

--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -31,6 +31,17 @@
   ++aProgress.m_done;
 }
 
+// Returns true if the task's job never dispatched the run to the target. It is
+// of a former job with the same id then.
+bool IsOfFormerJob(const JobTask& aTask,
+                   const TargetId& aTarget,
+                   std::uint32_t aRun)
+{
+  // The target of a waiting task may be unknown to a new leader.
+  const bool elsewhere = !aTask.m_target.Empty() && aTask.m_target != aTarget;
+  return aRun > aTask.m_run || (aRun == aTask.m_run && elsewhere);
+}
+
 } // namespace
 
 void JobScheduler::OnRunProgress(const TargetId& aTarget,
@@ -111,6 +122,9 @@
       ref.m_task->m_state == TaskState::kDone) {
     return; // the job or the task is over already
   }
+  if (IsOfFormerJob(*ref.m_task, aTarget, aTask.m_run.m_run)) {
+    return;
+  }
   MarkRunning(ref.m_job->m_id);
   const bool newest = ref.m_task->m_run == aTask.m_run.m_run;
   if (newest) {
--- a/src/jobs/start_identity_test.cpp
+++ b/src/jobs/start_identity_test.cpp
@@ -188,4 +188,33 @@
   }
 }
 
+// Guards against ends of runs that another job with the same id had.
+TEST(StartIdentity, EndsOfAFormerJobDoNotCountForItsNamesake)
+{
+  JobSpec spec;
+  spec.m_payload = "first";
+  spec.m_steps.resize(1);
+  spec.m_steps[0].m_count = 1;
+  spec.m_steps[0].m_demand = Resources(1000, 256, 0, 0, 0);
+  spec.m_steps[0].m_estimate = seconds(30);
+  spec.m_steps[0].m_checkpointing = true;
+  JobCellModel cell(1, 2);
+  cell.Run(milliseconds(200));
+  const JobId job = cell.Submit(spec);
+  cell.Run(seconds(2));
+  ASSERT_EQ(cell.Starts(), 1U);
+  const std::size_t used = cell.TargetOfNewestStart();
+  cell.CutTarget(used, true);
+  cell.Cancel(job);
+  cell.Run(seconds(200));
+  spec.m_payload = "second";
+  cell.SubmitAgain(job, spec);
+  cell.Run(seconds(2));
+  ASSERT_EQ(cell.Starts(), 2U);
+  cell.CutTarget(used, false);
+  cell.Run(seconds(60));
+  EXPECT_THAT(cell.Broken(), testing::IsEmpty());
+  EXPECT_EQ(cell.StateOf(job), JobState::kDone);
+}
+
 } // namespace lycheestep
