Ignore stored tasks of occurrences that the job does not have

What targets would see: starts of tasks that nobody submitted. A row of progress that names an occurrence beyond those of its job was restored as if the occurrence were due, with all steps of the job, and its tasks were placed and started. The steps and indexes of stored tasks were checked against the job, the occurrences were not.

The occurrence is now checked as well, and the task is left out with the event progress-malformed, as for an unknown step or index. Jobs that do not recur have occurrence 0 only.

--- a/src/jobs/job_recovery.cpp
+++ b/src/jobs/job_recovery.cpp
@@ -37,6 +37,7 @@
   for (const StoredTask& stored : aProgress.m_tasks) {
     const StepName& step = stored.m_name.m_step;
     const bool inSpec =
+      step.m_occurrence < std::max(1U, job.m_spec.m_occurrences) &&
       step.m_step < job.m_spec.m_steps.size() &&
       stored.m_name.m_index < job.m_spec.m_steps[step.m_step].m_count;
     if (!inSpec) {
--- a/src/jobs/start_identity_test.cpp
+++ b/src/jobs/start_identity_test.cpp
@@ -165,6 +165,27 @@
   RecordProperty("resumed", std::to_string(resumed));
 }
 
+// Guards against starts of tasks that only a stored row names.
+TEST(StartIdentity, RowsOfTasksThatTheJobDoesNotHaveStartNothing)
+{
+  TakeoverWorld world(2, kDefaultRowBytes);
+  const JobId job("job");
+  world.Submit(job, TwoSteps());
+  world.Run(seconds(1));
+  world.SetRowFilter([](Row& aRow) {
+    proto::JobProgressRow row;
+    ASSERT_TRUE(row.ParseFromString(aRow.m_value));
+    row.add_task()->set_index(9);
+    row.add_task()->set_step(4);
+    row.add_task()->set_occurrence(3);
+    aRow.m_value = row.SerializeAsString();
+  });
+  world.ChangeLeader(true);
+  world.Run(seconds(30));
+  EXPECT_THAT(world.Broken(), testing::IsEmpty());
+  EXPECT_TRUE(world.AllOver());
+}
+
 // Guards against starts of tasks that wait in a job whose row says it is over.
 TEST(StartIdentity, WaitingTasksOfAJobThatIsOverDoNotStart)
 {
