Check every part of UNASKED and DRAIN in the soak

What callers saw: a target got work that nobody had sent. The soak could not have shown it. It played neither targets that answer a start slowly nor waves of cancellations, its targets reported no checkpoints, and any fault lay near.

Change: the soak begins with a calm series of slow targets, targets that drain and waves of jobs of which 70 % are cancelled within 2.5 s, before the faults of before and a store that drops its history and answers reads late. The ledger judges work that was never sent (job, occurrence, step, index), another spec, a checkpoint that no run of the task or its gang reported, members of a gang that resume from different checkpoints, a start more than 3 s after the acknowledged cancellation, a run at work 3.9 s after it, a start more than 2 s after the store took the report that the target drains, and a start of a job that a caller saw over. Timed checks are excused by a disturbance of any host or the store in the last 3 s, since a start does not name its host, and by one of the target's way in the last 12 s. Late reads do not excuse a job that comes back. job_retention_ms is 3000 in the hosts' settings. ledger_test.py shows for each check that it finds a broken promise.

Two older parts were wrong. A job shown as cancelled counted as cancelled by nobody if the acknowledgement was lost, and never if its submission had been in doubt; now it does if no cancellation was sent. Members of a gang worked and ended one by one, so that one could end as done before another had been started, which real targets do not do; now they work once all are there, and end alone or broken otherwise.

testsuite/soak is split into hosts, callers, faults, ledger, targets and store.

--- /dev/null
+++ b/testsuite/soak/faults.py
@@ -0,0 +1,165 @@
+"""Faults from outside, in series that overlap."""
+import random
+import signal
+import threading
+import time
+
+from hosts import GRACE_S
+
+# The time that slow workers take to answer a start, in seconds.
+SLOW_S = (0.1, 0.6)
+
+
+class Faults:
+    def __init__(self, hosts, workers, worker_ways, store, ledger, seed):
+        self.hosts, self.workers, self.worker_ways = hosts, workers, worker_ways
+        self.store, self.ledger = store, ledger
+        self.random = random.Random(seed)
+
+    def play(self, seconds, faults):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            fault = self.random.choice(faults)
+            print("fault: " + fault.__name__, flush=True)
+            fault()
+            time.sleep(self.random.uniform(0.2, 2.0))
+
+    def of_calm_times(self):
+        """Those that excuse nothing."""
+        return [self.slow_worker, self.slow_worker, self.drain_worker]
+
+    def all(self):
+        return self.of_calm_times() + [
+            self.kill, self.kill, self.pause, self.stop, self.stop,
+            self.reload, self.cut_store_way, self.cut_store_way,
+            self.cut_worker_way, self.store_down, self.store_loses,
+            self.store_slow, self.store_forgets, self.store_reads_late,
+            self.crash_worker, self.hang_worker]
+
+    def later(self, seconds, action, *arguments):
+        timer = threading.Timer(seconds, action, arguments)
+        timer.daemon = True
+        timer.start()
+
+    def any_running(self):
+        return self.random.choice(
+            [host for host in self.hosts if host.process.poll() is None] or
+            self.hosts)
+
+    def restart(self, host):
+        host.process.wait()
+        host.start()
+
+    def kill(self):
+        host = self.any_running()
+        host.send(signal.SIGKILL)
+        seconds = self.random.uniform(0.2, 2)
+        self.ledger.calm.disturb(seconds)
+        self.later(seconds, self.restart, host)
+
+    def pause(self):
+        host = self.any_running()
+        host.send(signal.SIGSTOP)
+        seconds = self.random.uniform(0.5, 6)
+        self.ledger.calm.disturb(seconds)
+        self.later(seconds, host.send, signal.SIGCONT)
+
+    def stop(self):
+        host = self.any_running()
+        if host.stopping_at is not None:
+            return
+        host.stopping_at = time.monotonic()
+        host.send(signal.SIGTERM)
+        self.ledger.calm.disturb(GRACE_S)
+        self.later(GRACE_S, self.end_and_restart, host, host.process)
+
+    def end_and_restart(self, host, process):
+        if process is not host.process:
+            return  # another fault has replaced it
+        quiet = time.monotonic() - host.disturbed_at > GRACE_S + 3
+        if process.poll() is None and quiet:
+            self.ledger.breach(host.name + " outlived its grace time")
+        host.send(signal.SIGKILL)
+        self.restart(host)
+
+    def reload(self):
+        self.any_running().send(signal.SIGHUP)
+
+    def disturb_way(self, way):
+        """Returns for how long."""
+        how = self.random.choice(["delay", "reset", "stall", "there", "back",
+                                  "both"])
+        if how == "stall":
+            way.stall()
+        elif how == "delay":
+            way.delay = self.random.uniform(0.02, 0.3)
+        elif how == "reset":
+            way.reset()
+        else:
+            way.silent = {"there", "back"} if how == "both" else {how}
+        seconds = self.random.uniform(0.5, 6)
+        self.later(seconds, way.heal)
+        return seconds
+
+    def cut_store_way(self):
+        host = self.random.choice(self.hosts)
+        self.ledger.calm.disturb(self.disturb_way(host.store_way))
+
+    def cut_worker_way(self):
+        number = self.random.randrange(len(self.workers))
+        self.workers[number].disturbed_at = time.monotonic()
+        self.disturb_way(self.worker_ways[number])
+
+    def disturb_store(self, field, value, seconds):
+        setattr(self.store, field, value)
+        self.ledger.calm.disturb(seconds)
+        self.later(seconds, setattr, self.store, field, type(value)(0))
+
+    def store_down(self):
+        self.disturb_store("down", True, self.random.uniform(0.5, 5))
+
+    def store_loses(self):
+        self.disturb_store("lost", 0.3, self.random.uniform(1, 4))
+
+    def store_slow(self):
+        self.disturb_store("delay", self.random.uniform(0.05, 0.25),
+                           self.random.uniform(1, 4))
+
+    def store_forgets(self):
+        self.store.forget()
+
+    def store_reads_late(self):
+        """Drops the history again and again, and answers reads late."""
+        self.forget_often(self.random.uniform(4, 8),
+                          self.random.uniform(0.05, 0.6))
+
+    def forget_often(self, seconds, read_delay):
+        self.store.read_delay = read_delay
+        self.ledger.reads.disturb(seconds + read_delay)
+        for i in range(int(seconds / 0.7) + 1):
+            self.later(i * 0.7, self.store.forget)
+        self.later(seconds, setattr, self.store, "read_delay", 0.0)
+
+    def crash_worker(self):
+        self.random.choice(self.workers).restart()
+
+    def hang_worker(self):
+        worker = self.random.choice(self.workers)
+        worker.hangs = True
+        self.later(self.random.uniform(1, 6), setattr, worker, "hangs", False)
+
+    def nothing(self):
+        pass
+
+    def slow_worker(self):
+        """For a while, or for good."""
+        worker = self.random.choice(self.workers)
+        worker.answer_s = self.random.uniform(*SLOW_S)
+        if self.random.random() < 0.7:
+            self.later(self.random.uniform(2, 6), setattr, worker, "answer_s",
+                       0.0)
+
+    def drain_worker(self):
+        worker = self.random.choice(self.workers)
+        worker.drain(True)
+        self.later(self.random.uniform(3, 6), worker.drain, False)
--- /dev/null
+++ b/testsuite/soak/ledger_test.py
@@ -0,0 +1,150 @@
+#!/usr/bin/env python3
+"""Each promise that the soak's ledger judges is found broken, and kept ones
+aren't."""
+import contextlib
+import io
+import types
+import unittest
+from unittest import mock
+
+import ledger
+from ledger import CANCEL_S, CONTACT_S, DRAIN_S, LATE_S, STOP_S, Job, Ledger
+
+ID = "00000000000000aa"
+TASK = ID + ".0.0.0"
+
+
+class LedgerTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 1000.0
+        clock = mock.patch.object(ledger.time, "monotonic", lambda: self.now)
+        clock.start()
+        self.addCleanup(clock.stop)
+        quiet = contextlib.redirect_stdout(io.StringIO())
+        quiet.__enter__()
+        self.addCleanup(quiet.__exit__, None, None, None)
+        self.ledger = Ledger(max_attempts=3)
+        self.job = Job("spec", [{"count": 2, "cpu": 1}])
+        self.ledger.jobs[ID] = self.job
+        self.worker = types.SimpleNamespace(
+            name="w0", born=1, disturbed_at=0.0, drained_at=None)
+        self.now += 100
+
+    def start(self, task=TASK, run=1, spec="spec", checkpoint=""):
+        self.ledger.on_start(self.worker, task, run, spec, checkpoint)
+
+    def expect(self, **counts):
+        wanted = {kind.replace("_", " "): count
+                  for kind, count in counts.items()}
+        self.assertEqual(self.ledger.counts, wanted)
+
+    def test_asked_for(self):
+        self.start()
+        self.start(ID + ".0.0.1")
+        self.expect()
+
+    def test_never_sent(self):
+        self.start("00000000000000bb.0.0.0")  # job
+        self.start(ID + ".1.0.0")  # occurrence
+        self.start(ID + ".0.1.0")  # step
+        self.start(ID + ".0.0.2")  # index
+        self.expect(never_sent=4)
+
+    def test_refused_and_ran(self):
+        self.start()
+        self.ledger.judge()
+        self.expect(never_sent=1)
+
+    def test_other_spec(self):
+        self.start(spec="another")
+        self.expect(other_spec=1)
+
+    def test_checkpoint_of_another_task(self):
+        self.ledger.on_saved(ID + ".0.0.1", "c1")
+        self.start(checkpoint="c1")
+        self.expect(other_checkpoint=1)
+
+    def test_checkpoint_of_the_task(self):
+        self.ledger.on_saved(TASK, "c1")
+        self.start(checkpoint="c1")
+        self.expect()
+
+    def test_checkpoint_of_the_gang(self):
+        self.job.steps[0]["gang"] = True
+        self.ledger.on_saved(ID + ".0.0.1", "c1")
+        self.start(checkpoint="c1")
+        self.expect()
+        self.start(ID + ".0.0.1")
+        self.expect(other_checkpoint=1)
+
+    def cancelled(self):
+        self.job.cancel_sent = True
+        self.job.cancel_acked = self.now
+
+    def test_start_after_a_cancelling(self):
+        self.cancelled()
+        self.now += CANCEL_S - 0.1
+        self.start()
+        self.expect()
+        self.now += 0.2
+        self.start(ID + ".0.0.1")
+        self.expect(start_after_a_cancelling=1)
+
+    def test_a_disturbance_excuses_only_for_a_while(self):
+        self.cancelled()
+        self.now += CANCEL_S + 1
+        for calm in (self.ledger.calm, self.ledger.reads):
+            calm.disturb()
+            self.now += CONTACT_S - 0.1
+            self.start()
+            self.ledger.on_end(self.worker, TASK, 1, "stopped")
+            self.now += 1
+        self.worker.disturbed_at = self.now
+        self.now += LATE_S - 0.1
+        self.start()
+        self.expect()
+        self.now += 0.2
+        self.start(ID + ".0.0.1")
+        self.expect(start_after_a_cancelling=1)
+
+    def test_run_that_goes_on(self):
+        self.start()
+        self.cancelled()
+        self.now += CANCEL_S + STOP_S - 0.1
+        self.assertFalse(self.ledger.check_gone(self.worker, TASK, 1))
+        self.now += 0.2
+        self.assertTrue(self.ledger.check_gone(self.worker, TASK, 1))
+        self.expect(run_that_goes_on_after_a_cancelling=1)
+
+    def test_start_while_draining(self):
+        self.worker.drained_at = self.now
+        self.now += DRAIN_S - 0.1
+        self.start()
+        self.expect()
+        self.now += 0.2
+        self.start(ID + ".0.0.1")
+        self.expect(start_while_draining=1)
+
+    def test_late_reads_bring_no_job_back(self):
+        self.cancelled()
+        self.ledger.on_shown(ID, "cancelled")
+        self.ledger.reads.disturb(100)
+        self.now += CANCEL_S + 0.1
+        self.start()
+        self.expect(start_of_a_job_that_is_over=1)
+
+    def test_start_after_its_end_was_noted(self):
+        self.start()
+        self.ledger.on_end(self.worker, TASK, 1, "done")
+        self.ledger.on_noted(TASK, "done")
+        self.start(run=2)
+        self.expect(start_after_its_end=1)
+
+    def test_lost_job_is_not_over(self):
+        self.job.accepted = True
+        self.ledger.on_shown(ID, 410)
+        self.assertIsNone(self.job.ended)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/testsuite/soak/store.py
+++ b/testsuite/soak/store.py
@@ -22,10 +22,12 @@
         self.version = 0
         self.forgotten = 0  # feeds from before this version start anew
         self.random = random.Random(seed)
-        # Faults: calls refused, answers lost, calls slowed, in seconds.
+        # Faults: calls refused, answers lost, calls slowed, in seconds; reads
+        # whose answer is as old as it is late.
         self.down = False
         self.lost = 0.0
         self.delay = 0.0
+        self.read_delay = 0.0
         self.server = WebServer(port, self.serve)
 
     def serve(self, method, path, query, body, headers):
@@ -39,7 +41,9 @@
                 return None  # done, and the answer is lost
             return answer
         if path.endswith("/rows-get"):
-            return self.read(query)
+            answer = self.read(query)
+            time.sleep(self.read_delay)
+            return answer
         if path.endswith("/rows-feed"):
             return self.feed(query)
         if path.endswith("/advise"):
--- a/testsuite/soak/targets.py
+++ b/testsuite/soak/targets.py
@@ -1,102 +1,34 @@
-"""Stand-ins of workers over HTTP, and the ledger of what they did.
+"""Stand-ins of workers over HTTP.
 
 A worker obeys no fencing token below the highest it has seen, kills all that
 runs when its lease is over by its own clock, which may be slow, and lists ends
-until they may be forgotten. It does not guard its room: the ledger does, and
-names each promise that was broken.
+until they may be forgotten. It may take long to answer a start. It does not
+guard its room: the ledger does, and names each promise that was broken.
 """
 import random
 import threading
 import time
 
+from ledger import LATE_S
 from web import WebServer
 
 MAX_HOLD_MS = 10000
 STOP_S = 0.2
-CANCEL_S = 3.0
-# An order to a worker whose way was disturbed may be carried out so late.
-LATE_S = 12.0
-
-
-class Job:
-    def __init__(self, spec, steps):
-        self.spec = spec
-        self.steps = steps
-        self.accepted = False  # some call was answered 2xx
-        self.doubtful = False  # some call got neither 2xx nor a refusal
-        self.cancel_acked = None
-        self.ended = None
-
-
-class Ledger:
-    """What callers and workers saw, and the promises checked against it."""
-
-    def __init__(self, max_attempts):
-        self.lock = threading.RLock()
-        self.max_attempts = max_attempts
-        self.jobs = {}
-        self.running = {}  # task -> set of (worker, life, run)
-        self.done = set()  # tasks that ended well anywhere
-        self.noted = set()  # ... and whose end may be forgotten
-        self.failures = {}  # task -> runs whose failure may be forgotten
-        self.starts = 0
-        self.broken = []
-
-    def breach(self, text):
-        with self.lock:
-            self.broken.append(text)
-            print("BROKEN: " + text, flush=True)
+CHECKPOINT_S = 0.15
 
-    def on_start(self, worker, task, run, spec):
-        job_id, _, step, index = task.split(".")
-        with self.lock:
-            self.starts += 1
-            job = self.jobs.get(job_id)
-            name = "%s run %d on %s" % (task, run, worker.name)
-            if job is None or job.spec != spec or \
-                    int(index) >= job.steps[int(step)]["count"]:
-                self.breach("nobody asked for " + name)
-                return 0
-            if self.running.get(task):
-                self.breach("%s runs already on %s" % (name,
-                                                       self.running[task]))
-            if task in self.noted:
-                self.breach(name + " started after its end was noted")
-            if self.failures.get(task, 0) >= self.max_attempts:
-                self.breach(name + " started beyond its attempts")
-            for earlier in job.steps[int(step)].get("after", []):
-                tasks = {"%s.0.%d.%d" % (job_id, earlier, i)
-                         for i in range(job.steps[earlier]["count"])}
-                if not tasks <= self.done:
-                    self.breach(name + " started before its earlier steps")
-            late = time.monotonic() - worker.disturbed_at < LATE_S
-            if job.cancel_acked and not late and \
-                    time.monotonic() > job.cancel_acked + CANCEL_S:
-                self.breach(name + " started after its cancellation")
-            self.running.setdefault(task, set()).add((worker.name,
-                                                      worker.born, run))
-            return job.steps[int(step)].get("cpu", 0)
-
-    def on_end(self, worker, task, run, how):
-        with self.lock:
-            self.running.get(task, set()).discard((worker.name, worker.born,
-                                                   run))
-            if how != "done":
-                return
-            job_id, occurrence, step, _ = task.split(".")
-            entry = self.jobs[job_id].steps[int(step)]
-            # The end of one member of a gang stands for all of them.
-            members = range(entry["count"]) if entry.get("gang") else \
-                [int(task.rsplit(".", 1)[1])]
-            self.done |= {"%s.%s.%s.%d" % (job_id, occurrence, step, i)
-                          for i in members}
-
-    def on_noted(self, task, how):
-        with self.lock:
-            if how == "done":
-                self.noted.add(task)
-            elif how == "failed":
-                self.failures[task] = self.failures.get(task, 0) + 1
+
+class Run:
+    def __init__(self, work_s, fails, entry, checkpoint):
+        self.began = time.monotonic()
+        self.ends_at = self.began + work_s
+        self.how = "failed" if fails else "done"
+        self.work_s = work_s
+        self.cpu = entry.get("cpu", 0)
+        self.gang = entry.get("gang", False)
+        self.checkpointing = entry.get("checkpointing", False)
+        self.checkpoint = checkpoint
+        self.saves_at = self.began + CHECKPOINT_S
+        self.too_long = False
 
 
 class Worker:
@@ -109,6 +41,8 @@
         self.lock = threading.Condition()
         self.capacity = 16000
         self.draining = False
+        self.drained_at = None  # when the store took the report
+        self.answer_s = 0.0  # time to answer a start
         self.hangs = False
         self.gone = False
         self.disturbed_at = time.monotonic() - LATE_S  # its way, last
@@ -123,7 +57,7 @@
         self.rate = self.random.choice([0.98, 0.99, 1.0])
         self.fence = 0
         self.lease = 0
-        self.runs = {}  # (task, run) -> [ends at or None, cpu, how]
+        self.runs = {}  # (task, run) -> Run
         self.finished = []  # [number, task, run, how, checkpoint]
         self.ends = 0
         self.highest = {}  # task -> highest run that ended or was stopped
@@ -141,6 +75,12 @@
             "labels": ["k1", "r1"], "machine": "m-" + self.name,
             "born": self.born})
 
+    def drain(self, draining):
+        self.draining = draining
+        self.drained_at = None
+        self.register()
+        self.drained_at = time.monotonic() if draining else None
+
     def restart(self):
         """A crash: nothing is left of what was before."""
         with self.lock:
@@ -159,17 +99,29 @@
                     self.lapsed_unread |= {end[0] for end in self.finished}
                     for key in list(self.runs):
                         self.end(key, "lapsed")
-                for key, (ends_at, _, how) in list(self.runs.items()):
-                    if ends_at <= now and (how == "stopped" or
-                                           not self.hangs):
-                        self.end(key, how)
+                for key, run in list(self.runs.items()):
+                    if run.checkpointing and run.saves_at <= now:
+                        self.save(key)
+                    if not run.too_long:
+                        run.too_long = self.ledger.check_gone(self, *key)
+                    if run.gang and run.how not in ("stopped", "failed"):
+                        run.ends_at, run.how = self.ledger.gang_end(
+                            *key, run.began, run.work_s)
+                    if run.ends_at <= now and (run.how == "stopped" or
+                                               not self.hangs):
+                        self.end(key, run.how)
+
+    def save(self, key):
+        self.runs[key].saves_at = time.monotonic() + CHECKPOINT_S
+        self.runs[key].checkpoint = "%016x" % self.random.getrandbits(64)
+        self.ledger.on_saved(key[0], self.runs[key].checkpoint)
 
     def end(self, key, how):
         task, run = key
-        del self.runs[key]
+        checkpoint = self.runs.pop(key).checkpoint
         self.ends += 1
         self.highest[task] = max(run, self.highest.get(task, 0))
-        self.finished.append([self.ends, task, run, how, ""])
+        self.finished.append([self.ends, task, run, how, checkpoint])
         self.ledger.on_end(self, task, run, how)
         self.lock.notify_all()
 
@@ -177,6 +129,12 @@
         if headers.get("Expect-Instance", self.name) != self.name or \
                 self.gone:
             return 421, {}
+        answer = self.obey(path, body)
+        if path.endswith("/run-start"):
+            time.sleep(self.answer_s)
+        return answer
+
+    def obey(self, path, body):
         with self.lock:
             if body.get("fencing_token", 0) < self.fence:
                 return 409, {"clock_ms": self.clock(), "reason": "fence"}
@@ -201,22 +159,24 @@
         if body["deadline_ms"] <= self.clock():
             return 409, {"clock_ms": self.clock(), "reason": "late"}
         self.extend(body["deadline_ms"])
-        cpu = self.ledger.on_start(self, body["task"], body["run"],
-                                   body["spec"])
-        used = sum(run[1] for run in self.runs.values())
-        if used + cpu > self.capacity:
-            self.ledger.breach("%s was given more than it has" % self.name)
+        checkpoint = body.get("checkpoint", "")
+        entry = self.ledger.on_start(self, body["task"], body["run"],
+                                     body["spec"], checkpoint) or {}
         fails = self.random.random() < 0.03
-        self.runs[key] = [time.monotonic() + self.random.uniform(0.1, 0.9),
-                          cpu, "failed" if fails else "done"]
+        self.runs[key] = Run(self.random.uniform(0.1, 0.9), fails, entry,
+                             checkpoint)
+        if sum(run.cpu for run in self.runs.values()) > self.capacity:
+            self.ledger.breach("%s was given more than it has" % self.name)
         return 200, {"clock_ms": self.clock()}
 
     def run_stop(self, body):
         key = (body["task"], body["run"])
         if key in self.runs:
-            if self.runs[key][2] != "stopped":
-                self.runs[key][0] = time.monotonic() + STOP_S
-                self.runs[key][2] = "stopped"
+            if self.runs[key].how != "stopped":
+                self.runs[key].ends_at = time.monotonic() + STOP_S
+                self.runs[key].how = "stopped"
+                if self.runs[key].checkpointing:
+                    self.save(key)
         else:
             self.highest[body["task"]] = max(
                 body["run"], self.highest.get(body["task"], 0))
@@ -239,6 +199,6 @@
         if born != self.born:
             return None  # the process that was asked is no more
         return 200, {"clock_ms": self.clock(), "born": self.born,
-                     "running": [[task, run, "", 50, 0]
-                                 for task, run in self.runs],
+                     "running": [[*key, run.checkpoint, 50, 0]
+                                 for key, run in self.runs.items()],
                      "finished": self.finished[:500]}
