End a carrier that stops while orders are in flight

What callers saw: nothing that is known; a host that stops could end by a signal.

Cause: the threads of a carrier's connections took a reference to the session of their leader for a moment before each order and each report. If the carrier dropped its own reference in that moment, the thread was the last to hold the session, destroyed it and with it the connection whose thread it was, and waited for itself.

Change: the carrier alone owns sessions and their connections. The threads share only the state that they need, the deadline for orders and the replies to send, which owns no connection. Stop ends the right to send orders before it waits for the threads.

--- a/src/jobhost/order_carrier.cpp
+++ b/src/jobhost/order_carrier.cpp
@@ -103,16 +103,23 @@
   std::unique_ptr<TargetConnection> m_sender;
 };
 
-struct OrderCarrier::LeaderSession
+// What the threads of a session's connections need. They may outlive the
+// session for a moment.
+struct OrderCarrier::SessionState
 {
-  std::string m_address;
   // Orders may be sent until this time, counted from the epoch of this host's
   // clock.
   std::atomic<Duration::rep> m_notAfter{ 0 };
-  std::map<TargetId, std::unique_ptr<Connection>> m_connections;
   proto::CarriedAnswers m_answers;
 };
 
+struct OrderCarrier::LeaderSession
+{
+  std::string m_address;
+  std::shared_ptr<SessionState> m_state = std::make_shared<SessionState>();
+  std::map<TargetId, std::unique_ptr<Connection>> m_connections;
+};
+
 OrderCarrier::OrderCarrier(TargetOrders& aOrders,
                            EventLog& aLog,
                            MetricsSink& aMetrics,
@@ -133,12 +140,15 @@
 
 void OrderCarrier::Stop()
 {
-  std::map<std::uint64_t, std::shared_ptr<LeaderSession>> sessions;
+  std::map<std::uint64_t, std::unique_ptr<LeaderSession>> sessions;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_stopping = true;
     sessions.swap(m_sessions);
   }
+  for (const auto& [incarnation, session] : sessions) {
+    session->m_state->m_notAfter = 0;
+  }
   m_answered.notify_all();
   if (m_thread.joinable()) {
     m_thread.join();
@@ -157,19 +167,20 @@
   if (m_stopping) {
     return;
   }
-  std::shared_ptr<LeaderSession>& session = m_sessions[aMessage.incarnation()];
+  std::unique_ptr<LeaderSession>& session = m_sessions[aMessage.incarnation()];
   if (!session) {
-    session = std::make_shared<LeaderSession>();
+    session = std::make_unique<LeaderSession>();
     m_log.Write("carrying", "for=" + aMessage.from());
   }
   session->m_address = aMessage.address();
-  session->m_notAfter =
-    std::max<Duration::rep>(session->m_notAfter, notAfter.count());
+  SessionState& state = *session->m_state;
+  state.m_notAfter =
+    std::max<Duration::rep>(state.m_notAfter, notAfter.count());
   for (const proto::CarriedOrder& order : orders.order()) {
     if (order.has_withdrawal()) {
       Withdraw(*session, DecodeWithdrawal(order));
     } else {
-      SendOrder(ConnectionTo(session, TargetId(order.target())), order);
+      SendOrder(ConnectionTo(*session, TargetId(order.target())), order);
     }
   }
 }
@@ -180,22 +191,19 @@
   return !m_sessions.empty();
 }
 
-OrderCarrier::Connection& OrderCarrier::ConnectionTo(
-  const std::shared_ptr<LeaderSession>& aSession,
-  const TargetId& aTarget)
+OrderCarrier::Connection& OrderCarrier::ConnectionTo(LeaderSession& aSession,
+                                                     const TargetId& aTarget)
 {
-  std::unique_ptr<Connection>& connection = aSession->m_connections[aTarget];
+  std::unique_ptr<Connection>& connection = aSession.m_connections[aTarget];
   if (!connection) {
     connection = std::make_unique<Connection>();
     PendingOrderIds& ids = connection->m_ids;
-    const std::weak_ptr<LeaderSession> weak = aSession;
-    const auto answer = [this, weak](std::uint64_t aId, const auto& aAnswer) {
+    const std::shared_ptr<SessionState> state = aSession.m_state;
+    const auto answer = [this, state](std::uint64_t aId, const auto& aAnswer) {
       proto::CarriedAnswer message;
       message.set_id(aId);
       EncodeAnswer(aAnswer, message);
-      if (const auto session = weak.lock()) {
-        QueueAnswer(session, std::move(message));
-      }
+      QueueAnswer(*state, std::move(message));
     };
     OrderAnswerHandlers answers;
     answers.m_started = [answer, &ids](const StartOrder& aOrder,
@@ -215,10 +223,9 @@
       m_orders,
       m_log,
       m_metrics,
-      [weak] {
-        const auto session = weak.lock();
-        return session && BootClockNow().time_since_epoch().count() <
-                            session->m_notAfter.load();
+      [state] {
+        return BootClockNow().time_since_epoch().count() <
+               state->m_notAfter.load();
       },
       std::move(answers));
   }
@@ -267,12 +274,12 @@
   }
 }
 
-void OrderCarrier::QueueAnswer(const std::shared_ptr<LeaderSession>& aSession,
+void OrderCarrier::QueueAnswer(SessionState& aState,
                                proto::CarriedAnswer aAnswer)
 {
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    *aSession->m_answers.add_answer() = std::move(aAnswer);
+    *aState.m_answers.add_answer() = std::move(aAnswer);
     if (std::exchange(m_hasAnswers, true)) {
       return; // the thread has been notified already
     }
@@ -303,9 +310,9 @@
 {
   m_hasAnswers = false;
   for (const auto& [incarnation, session] : m_sessions) {
-    if (session->m_answers.answer_size() > 0) {
+    if (session->m_state->m_answers.answer_size() > 0) {
       proto::JobPeerMessage message;
-      message.mutable_carried_answers()->Swap(&session->m_answers);
+      message.mutable_carried_answers()->Swap(&session->m_state->m_answers);
       m_send(session->m_address, std::move(message));
     }
   }
--- a/src/jobhost/order_carrier.h
+++ b/src/jobhost/order_carrier.h
@@ -59,19 +59,18 @@
 private:
   // The connections and replies of one leading process.
   struct LeaderSession;
+  struct SessionState;
   // The pair of connections to one target.
   struct Connection;
 
   // Returns the session's connection to a target; opens one if there is none.
-  Connection& ConnectionTo(const std::shared_ptr<LeaderSession>& aSession,
-                           const TargetId& aTarget);
+  Connection& ConnectionTo(LeaderSession& aSession, const TargetId& aTarget);
   // Withdraws starts that wait in the session's connection to their target.
   static void Withdraw(const LeaderSession& aSession,
                        const WithdrawOrder& aOrder);
   static void SendOrder(Connection& aConnection,
                         const proto::CarriedOrder& aOrder);
-  void QueueAnswer(const std::shared_ptr<LeaderSession>& aSession,
-                   proto::CarriedAnswer aAnswer);
+  void QueueAnswer(SessionState& aState, proto::CarriedAnswer aAnswer);
   void Run();
   // Sends the queued replies of each session in one message.
   void SendAnswers();
@@ -89,7 +88,7 @@
   // Set if any session has replies to send.
   bool m_hasAnswers = false;
   // Keyed by the incarnation of the leading process.
-  std::map<std::uint64_t, std::shared_ptr<LeaderSession>> m_sessions;
+  std::map<std::uint64_t, std::unique_ptr<LeaderSession>> m_sessions;
   // Closed connections whose threads have not ended yet.
   std::vector<std::unique_ptr<Connection>> m_closedConnections;
   std::thread m_thread;
