Test that a closed connection reports the starts that wait

The cause is gone since starts wait in OrderQueue, whose Close withdraws them and has each one reported. The test closes a connection with 50 starts that wait behind one without an answer, and adds one more: all 51 have to be reported as withdrawn, and none may reach the target.

--- a/src/jobhost/stopped_start_test.cpp
+++ b/src/jobhost/stopped_start_test.cpp
@@ -117,4 +117,26 @@
   EXPECT_THAT(m_started, ElementsAre(1));
 }
 
+// Guards against jobs that never end because the fleet passes the size up to
+// which orders go directly, and the starts that wait are dropped unreported.
+TEST_F(StoppedStartTest, ClosedConnectionReportsEveryStartThatWaits)
+{
+  TargetConnection connection(
+    m_orders, m_log, m_metrics, [] { return true; }, Handlers());
+  BlockConnection(connection);
+  constexpr std::uint32_t kWaiting = 50;
+  for (std::uint32_t run = 2; run < 2 + kWaiting; ++run) {
+    connection.Start(MakeStart(run));
+  }
+  connection.Close();
+  connection.Start(MakeStart(2 + kWaiting));
+  AwaitAnswers(2 + kWaiting);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  EXPECT_THAT(m_started, ElementsAre(1));
+  EXPECT_EQ(m_answered.at(1), OrderStatus::kDone);
+  for (std::uint32_t run = 2; run <= 2 + kWaiting; ++run) {
+    EXPECT_EQ(m_answered.at(run), OrderStatus::kWithdrawn) << run;
+  }
+}
+
 } // namespace lycheestep
