Give each row of a job its version in the cell model

A job that is submitted again under the id of a removed one is told from the former one by the version of its row. The model gave all rows version zero, so that EndsOfAFormerJobDoNotCountForItsNamesake failed (1 start in place of 2) once the scheduler compared versions. The test is as it was and passes.

--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -110,6 +110,7 @@
   StoredJob stored;
   stored.m_terms = m_queue;
   stored.m_spec = aSpec;
+  stored.m_version = ++m_version;
   stored.m_acceptedAt =
     kWallStart + std::chrono::duration_cast<WallTime>(Now());
   m_jobs[aJob] = stored;
