Let each stop leave while others are repeated

What callers saw: nothing that is known.

Cause: a stop that is repeated withdrew the queued one of its run and went to the end of the queue. The leader repeats all stops of a target every 0.4 s in the same order, so that a target which takes longer for each got the first ones again and again. As stops leave before starts, they also held up all starts of the target.

Evidence: repeated_stop_test failed before: of the runs 1, 2 and 3 only 1 was sent a stop in 20 answers, and the start behind them was not sent.

--- a/src/jobs/order_queue.cpp
+++ b/src/jobs/order_queue.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// After this many stops and holds one start leaves, so that stops which are
+// repeated do not hold up all starts.
+constexpr int kMaxUrgentInARow = 16;
+
 QueuedOrder MakeQueuedOrder(
   std::variant<StartOrder, StopOrder, PaceOrder, HoldOrder> aOrder,
   TimePoint aNow)
@@ -43,13 +47,19 @@
 void OrderQueue::Add(const StopOrder& aOrder, TimePoint aNow)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  WithdrawFrom(m_urgent, [&](const QueuedOrder& aQueued) {
-    return IsFor<StopOrder>(aQueued, aOrder.m_run);
-  });
   const bool neverStarted =
     WithdrawFrom(m_others, [&](const QueuedOrder& aQueued) {
       return IsFor<StartOrder>(aQueued, aOrder.m_run);
     });
+  const auto earlier = std::find_if(
+    m_urgent.begin(), m_urgent.end(), [&](const QueuedOrder& aQueued) {
+      return IsFor<StopOrder>(aQueued, aOrder.m_run);
+    });
+  if (earlier != m_urgent.end()) {
+    AddTo(m_withdrawn, *earlier);
+    earlier->m_order = aOrder;
+    return;
+  }
   AddTo(neverStarted ? m_withdrawn : m_urgent, MakeQueuedOrder(aOrder, aNow));
 }
 
@@ -79,15 +89,24 @@
     return !m_withdrawn.empty() || !m_urgent.empty() || !m_others.empty();
   };
   m_ready.wait_for(lock, aMaxWait, [&] { return m_closed || hasOrders(); });
-  for (std::deque<QueuedOrder>* queue :
-       { &m_withdrawn, &m_urgent, &m_others }) {
-    if (!queue->empty()) {
-      QueuedOrder order = std::move(queue->front());
-      queue->pop_front();
-      return order;
-    }
+  std::deque<QueuedOrder>& queue = NextQueue();
+  if (queue.empty()) {
+    return std::nullopt;
+  }
+  m_urgentInARow = &queue == &m_urgent ? m_urgentInARow + 1 : 0;
+  QueuedOrder order = std::move(queue.front());
+  queue.pop_front();
+  return order;
+}
+
+std::deque<QueuedOrder>& OrderQueue::NextQueue()
+{
+  if (!m_withdrawn.empty()) {
+    return m_withdrawn;
   }
-  return std::nullopt;
+  const bool othersAreDue =
+    !m_others.empty() && m_urgentInARow >= kMaxUrgentInARow;
+  return m_urgent.empty() || othersAreDue ? m_others : m_urgent;
 }
 
 void OrderQueue::Close()
--- a/src/jobs/order_queue.h
+++ b/src/jobs/order_queue.h
@@ -23,19 +23,20 @@
 };
 
 // The orders that wait for one connection to a target. Stops and holds leave
-// before starts and pace orders, and each kind leaves in the order of the
-// calls. An order that makes a queued start pointless withdraws it: a stop of
-// the same run, or a hold under a higher fencing token, after which the leader
-// decides anew. Withdrawn orders leave first. Thread-safe.
+// before starts and pace orders, but not without end, and each kind leaves in
+// the order of the calls. An order that makes a queued start pointless
+// withdraws it: a stop of the same run, or a hold under a higher fencing token,
+// after which the leader decides anew. Withdrawn orders leave first.
+// Thread-safe.
 class OrderQueue
 {
 public:
   // Each Add queues an order at aNow.
   void Add(const StartOrder& aOrder, TimePoint aNow);
   void Add(const PaceOrder& aOrder, TimePoint aNow);
-  // Withdraws the start of the same run, and an earlier stop of it. If the
-  // start is withdrawn, the target never had the run, so the stop is withdrawn
-  // as well.
+  // Withdraws the start of the same run. An earlier stop of the run is
+  // withdrawn as well, and this one takes its place. If the start is withdrawn,
+  // the target never had the run, so the stop is withdrawn as well.
   void Add(const StopOrder& aOrder, TimePoint aNow);
   // Withdraws all starts under a lower fencing token.
   void Add(const HoldOrder& aOrder, TimePoint aNow);
@@ -58,6 +59,8 @@
 
 private:
   void AddTo(std::deque<QueuedOrder>& aQueue, QueuedOrder aOrder);
+  // Returns the queue whose first order leaves next; empty if none waits.
+  std::deque<QueuedOrder>& NextQueue();
   // Moves the orders of aQueue for which aIsPointless is true to m_withdrawn.
   // Returns true if there are any.
   bool WithdrawFrom(
@@ -71,6 +74,8 @@
   std::deque<QueuedOrder> m_urgent;
   // Starts and pace orders.
   std::deque<QueuedOrder> m_others;
+  // The number of orders that left m_urgent since one left m_others.
+  int m_urgentInARow = 0;
   bool m_closed = false;
 };
 
