Find the carriers of a target's starts without a search

What callers would see: nothing; the leader's control thread would be busy. Each withdrawal looked through all orders in flight.

--- a/src/jobhost/order_dispatcher.cpp
+++ b/src/jobhost/order_dispatcher.cpp
@@ -138,13 +138,15 @@
 
 void OrderDispatcher::Withdraw(const WithdrawOrder& aOrder)
 {
+  const auto starts = m_pendingStarts.find(aOrder.m_target);
+  if (starts == m_pendingStarts.end()) {
+    return;
+  }
   std::set<std::string> carriers;
-  for (const auto& [id, pending] : m_pending) {
-    const auto* start = std::get_if<StartOrder>(&pending.m_order);
-    const bool isNamed = start != nullptr &&
-                         start->m_to.m_target == aOrder.m_target &&
-                         (!aOrder.m_run || start->m_run == *aOrder.m_run);
-    if (isNamed) {
+  for (const std::uint64_t id : starts->second) {
+    const Pending& pending = m_pending.at(id);
+    const RunName& run = std::get<StartOrder>(pending.m_order).m_run;
+    if (!aOrder.m_run || run == *aOrder.m_run) {
       carriers.insert(pending.m_carrier);
     }
   }
@@ -184,9 +186,7 @@
   for (const proto::CarriedAnswer& answer : aAnswers.answer()) {
     const auto found = m_pending.find(answer.id());
     if (found != m_pending.end()) {
-      const Pending pending = std::move(found->second);
-      m_pending.erase(found);
-      DeliverAnswer(pending, answer);
+      DeliverAnswer(TakePending(found), answer);
     }
   }
 }
@@ -311,10 +311,28 @@
   const TargetId& aTarget,
   std::variant<StartOrder, StopOrder, PendingHold> aOrder)
 {
+  if (std::holds_alternative<StartOrder>(aOrder)) {
+    m_pendingStarts[aTarget].insert(aMessage.id());
+  }
   m_pending[aMessage.id()] =
     Pending{ m_assigned.at(aTarget).m_carrier, m_now, std::move(aOrder) };
 }
 
+OrderDispatcher::Pending OrderDispatcher::TakePending(
+  std::map<std::uint64_t, Pending>::iterator aPending)
+{
+  if (const auto* start = std::get_if<StartOrder>(&aPending->second.m_order)) {
+    const auto starts = m_pendingStarts.find(start->m_to.m_target);
+    starts->second.erase(aPending->first);
+    if (starts->second.empty()) {
+      m_pendingStarts.erase(starts);
+    }
+  }
+  Pending pending = std::move(aPending->second);
+  m_pending.erase(aPending);
+  return pending;
+}
+
 void OrderDispatcher::DeliverAnswer(const Pending& aPending,
                                     const proto::CarriedAnswer& aAnswer)
 {
@@ -332,11 +350,9 @@
 {
   std::vector<Pending> lost;
   for (auto it = m_pending.begin(); it != m_pending.end();) {
-    if (aIsLost(it->second)) {
-      lost.push_back(std::move(it->second));
-      it = m_pending.erase(it);
-    } else {
-      ++it;
+    const auto pending = it++;
+    if (aIsLost(pending->second)) {
+      lost.push_back(TakePending(pending));
     }
   }
   proto::CarriedAnswer unknown;
--- a/src/jobhost/order_dispatcher.h
+++ b/src/jobhost/order_dispatcher.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -155,6 +156,8 @@
                   std::variant<StartOrder, StopOrder, PendingHold> aOrder);
   // Adds a withdrawal to the carrier's batch, if the carrier is still a host.
   void AddWithdrawal(const std::string& aCarrier, const WithdrawOrder& aOrder);
+  // Removes an order that was answered or is lost, and returns it.
+  Pending TakePending(std::map<std::uint64_t, Pending>::iterator aPending);
   void DeliverAnswer(const Pending& aPending,
                      const proto::CarriedAnswer& aAnswer);
   // Reports each pending order for which aIsLost is true as unknown, and
@@ -170,6 +173,8 @@
   std::map<TargetId, Assignment> m_assigned;
   // Keyed by the order's id.
   std::map<std::uint64_t, Pending> m_pending;
+  // The ids of the starts in m_pending. Targets without one have no entry.
+  std::map<TargetId, std::set<std::uint64_t>> m_pendingStarts;
   // The latest time that a caller passed.
   TimePoint m_now;
   TimePoint m_checkedAt;
