Keep rows in the soak for longer than a write is held up

Trace: the caller's submission was answered unknown by one host (an attempt was held up on its way to the store) and accepted by another; the job was added at row version 1457, ended 0.8 s later and its rows were removed 3 s after that. The attempt that was held up then took effect, since there was no such row, and the job was added again at version 1718.

docs/OPERATIONS.md says that the retention has to be above the time after which a submission may still arrive; it is 180 s unless given. The soak set 3 s and stalls ways for up to 6 s.

--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -31,6 +31,8 @@
 # After the last fault every accepted job ends within this.
 SETTLE_S = 90
 MAX_ATTEMPTS = 3
+# Longer than a stalled way delays the write of a submission.
+RETENTION_MS = 15000
 QUEUE = {"name": "r1", "host": "desk.example", "path_prefix": "/plans/",
          "service": "desk", "priority": 0, "max_attempts": MAX_ATTEMPTS,
          "slack_factor": 2.0, "target_latency_ms": 1000,
@@ -142,7 +144,7 @@
     parser.add_argument("--slow", type=float, default=0.3,
                         help="seconds that every second worker takes to "
                         "answer a start")
-    parser.add_argument("--retention-ms", type=int, default=3000,
+    parser.add_argument("--retention-ms", type=int, default=RETENTION_MS,
                         help="0: as the program has it")
     parser.add_argument("--forgets-after", type=float, default=0,
                         help="in the calm series the store forgets and "
