--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -23,8 +23,13 @@
   steps.reserve(m_ready.size());
   for (auto& [name, step] : m_ready) {
     const Job& job = *step.m_job;
+    const StepRank::Lateness before = step.m_rank.m_lateness;
     step.m_rank = RankOf(
       job.m_terms, job.m_criticalPath, step.m_remaining, step.m_due, aNow);
+    if (step.m_step->m_gang && step.m_rank.m_lateness > before) {
+      m_monitor.ReportLate(
+        name, step.m_step->m_count, step.m_rank.m_lateness, step.m_waits, aNow);
+    }
     steps.push_back(&step);
   }
   std::stable_sort(steps.begin(),
@@ -107,12 +112,28 @@
 {
   WaitingSteps waiting;
   for (const auto& [name, step] : m_ready) {
-    waiting.m_gangs += step.m_step->m_gang ? 1 : 0;
+    if (step.m_step->m_gang) {
+      ++waiting.m_gangs;
+      AddWaitingGang(step, aNow, waiting);
+    }
     ++waiting.m_steps[static_cast<std::size_t>(WaitOf(step, aNow))];
   }
   m_monitor.ReportFleet(waiting, m_keeper, m_gangReservations, aNow);
 }
 
+void JobScheduler::AddWaitingGang(const ReadyStep& aGang,
+                                  TimePoint aNow,
+                                  WaitingSteps& aWaiting) const
+{
+  WaitingGangs& group =
+    aWaiting.m_gangsByWidth[WidthGroupOf(aGang.m_step->m_count)];
+  ++group.m_gangs[static_cast<std::size_t>(aGang.m_rank.m_lateness)];
+  const auto readyAt = m_gangReservations.ReadyAt(aGang.m_name);
+  group.m_reserved += readyAt ? 1 : 0;
+  group.m_reservedFree += readyAt && *readyAt <= aNow ? 1 : 0;
+  group.m_oldest = std::max(group.m_oldest, aNow - aGang.m_waits.m_readySince);
+}
+
 // Reserves targets for a gang that did not fit. A gang that is too late to be
 // of use to its caller reserves none, so as to keep no capacity from others.
 void JobScheduler::ReserveForGang(const ReadyStep& aStep, TimePoint aNow)
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -118,7 +118,10 @@
   const StoredJob& stored = aRead.m_stored;
   m_effects.Log("job-added",
                 "job=" + id.Text() +
-                  " row_version=" + std::to_string(stored.m_version));
+                  " row_version=" + std::to_string(stored.m_version) +
+                  " queue=" + stored.m_terms.m_name.Text() +
+                  " steps=" + std::to_string(stored.m_spec.m_steps.size()) +
+                  " tasks=" + std::to_string(CountTasks(stored.m_spec)));
   Job& job = m_jobs[id];
   job.m_id = id;
   job.m_terms = stored.m_terms;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -262,6 +262,9 @@
   // Returns what the step waits for now.
   StepWait WaitOf(const ReadyStep& aStep, TimePoint aNow) const;
   void ReportFleet(TimePoint aNow);
+  void AddWaitingGang(const ReadyStep& aGang,
+                      TimePoint aNow,
+                      WaitingSteps& aWaiting) const;
   std::vector<PlacementCandidate> FindCandidates(const ReadyStep& aStep,
                                                  TimePoint aNow);
   void ReserveForGang(const ReadyStep& aStep, TimePoint aNow);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -60,6 +60,19 @@
 
 } // namespace
 
+const char* ToString(StepRank::Lateness aLateness)
+{
+  switch (aLateness) {
+    case StepRank::Lateness::kInTime:
+      return "in_time";
+    case StepRank::Lateness::kLate:
+      return "late";
+    case StepRank::Lateness::kTooLate:
+      return "too_late";
+  }
+  return "";
+}
+
 std::size_t CountThatFit(const Resources& aDemand,
                          const Resources& aFree,
                          std::size_t aMost)
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEESTEP_PLACEMENT_H
 #define LYCHEESTEP_PLACEMENT_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <tuple>
@@ -39,6 +40,11 @@
   }
 };
 
+constexpr std::size_t kLatenesses = 3;
+
+// Returns the lateness's name in logs and metrics.
+const char* ToString(StepRank::Lateness aLateness);
+
 // Returns the time from its due time within which a job, or one occurrence of
 // it, has to end to be in time. aCriticalPath is the estimate for the whole
 // occurrence.
--- a/src/jobs/placement_monitor.cpp
+++ b/src/jobs/placement_monitor.cpp
@@ -15,6 +15,26 @@
 
 constexpr Duration kReportPeriod = std::chrono::seconds(1);
 
+// The fewest tasks of a gang in each width group, and the groups' names.
+constexpr std::array<std::size_t, kWidthGroups> kFewestTasks{
+  { 1, 10, 20, 30, 40 }
+};
+constexpr std::array<const char*, kWidthGroups> kWidthNames{
+  { "1-9", "10-19", "20-29", "30-39", "40-" }
+};
+
+// Returns the time waited in all and by reason as fields of a log line.
+std::string WaitFields(const StepWaits& aWaits, TimePoint aNow)
+{
+  const Duration after = aNow - aWaits.m_readySince;
+  std::string fields = " after_ms=" + std::to_string(ToMilliseconds(after));
+  for (std::size_t i = 0; i < kStepWaits; ++i) {
+    fields += std::string(" ") + ToString(static_cast<StepWait>(i)) +
+              "_ms=" + std::to_string(ToMilliseconds(aWaits.m_waited[i]));
+  }
+  return fields;
+}
+
 std::string PercentField(const char* aName,
                          std::int64_t aPart,
                          std::int64_t aWhole)
@@ -38,6 +58,15 @@
   return "";
 }
 
+std::size_t WidthGroupOf(std::size_t aTasks)
+{
+  std::size_t group = kWidthGroups - 1;
+  while (group > 0 && aTasks < kFewestTasks[group]) {
+    --group;
+  }
+  return group;
+}
+
 PlacementMonitor::PlacementMonitor(JobEffects& aEffects)
   : m_effects(aEffects)
 {
@@ -64,19 +93,36 @@
                                     TimePoint aNow)
 {
   aWaits.Note(aWaits.m_wait, aNow);
-  const Duration after = aNow - aWaits.m_readySince;
-  std::string fields = "step=" + StepText(aStep) +
-                       " tasks=" + std::to_string(aTasks) +
-                       " gang=" + (aGang ? "yes" : "no") +
-                       " after_ms=" + std::to_string(ToMilliseconds(after));
+  MetricsSink& metrics = m_effects.Metrics();
   for (std::size_t i = 0; i < kStepWaits; ++i) {
     const std::string name = ToString(static_cast<StepWait>(i));
-    const Duration waited = aWaits.m_waited[i];
-    fields += " " + name + "_ms=" + std::to_string(ToMilliseconds(waited));
-    m_effects.Metrics().Observe(
-      "lycheestep_step_wait_seconds", "for=\"" + name + '"', waited);
+    metrics.Observe("lycheestep_step_wait_seconds",
+                    "for=\"" + name + '"',
+                    aWaits.m_waited[i]);
   }
-  m_effects.LogSummary("step-placed", fields);
+  if (aGang) {
+    const std::string width = kWidthNames[WidthGroupOf(aTasks)];
+    metrics.Observe("lycheestep_gang_wait_seconds",
+                    "tasks=\"" + width + '"',
+                    aNow - aWaits.m_readySince);
+  }
+  m_effects.LogSummary(
+    "step-placed",
+    "step=" + StepText(aStep) + " tasks=" + std::to_string(aTasks) +
+      " gang=" + (aGang ? "yes" : "no") + WaitFields(aWaits, aNow));
+}
+
+void PlacementMonitor::ReportLate(const StepName& aStep,
+                                  std::size_t aTasks,
+                                  StepRank::Lateness aLateness,
+                                  StepWaits aWaits,
+                                  TimePoint aNow)
+{
+  aWaits.Note(aWaits.m_wait, aNow);
+  m_effects.LogSummary(
+    "gang-late",
+    "step=" + StepText(aStep) + " tasks=" + std::to_string(aTasks) +
+      " lateness=" + ToString(aLateness) + WaitFields(aWaits, aNow));
 }
 
 bool PlacementMonitor::FleetReportIsDue(TimePoint aNow) const
@@ -144,6 +190,7 @@
             " advisor_busy=" + std::to_string(advisor.m_busyHosts) +
             " advisor_calls=" + std::to_string(advisor.m_calls);
   m_effects.LogSummary("fleet-state", fields);
+  ReportWaitingGangs(aWaiting);
   MetricsSink& metrics = m_effects.Metrics();
   metrics.SetGauge("lycheestep_fleet_processors",
                    static_cast<double>(capacity.m_total) / 1000);
@@ -158,4 +205,27 @@
                    static_cast<double>(aWaiting.m_gangs));
 }
 
+void PlacementMonitor::ReportWaitingGangs(const WaitingSteps& aWaiting)
+{
+  for (std::size_t i = 0; i < kWidthGroups; ++i) {
+    const WaitingGangs& waiting = aWaiting.m_gangsByWidth[i];
+    std::size_t gangs = 0;
+    std::string fields = std::string("tasks=") + kWidthNames[i];
+    for (std::size_t j = 0; j < kLatenesses; ++j) {
+      gangs += waiting.m_gangs[j];
+      fields += std::string(" ") +
+                ToString(static_cast<StepRank::Lateness>(j)) + "=" +
+                std::to_string(waiting.m_gangs[j]);
+    }
+    if (gangs > 0) {
+      const auto oldest = ToMilliseconds(waiting.m_oldest);
+      m_effects.LogSummary(
+        "waiting-gangs",
+        fields + " reserved=" + std::to_string(waiting.m_reserved) +
+          " reserved_free=" + std::to_string(waiting.m_reservedFree) +
+          " oldest_ms=" + std::to_string(oldest));
+    }
+  }
+}
+
 } // namespace lycheestep
--- a/src/jobs/placement_monitor.h
+++ b/src/jobs/placement_monitor.h
@@ -9,6 +9,7 @@
 #include "lycheestep/resources.h"
 #include "lycheestep/task_run.h"
 #include "lycheestep/time_types.h"
+#include "placement.h"
 
 namespace lycheestep {
 
@@ -45,16 +46,37 @@
   void Note(StepWait aWait, TimePoint aNow);
 };
 
+// Gangs are reported by width: one group for each range of task counts.
+constexpr std::size_t kWidthGroups = 5;
+
+// Returns the number of the group to which a gang of aTasks tasks belongs.
+std::size_t WidthGroupOf(std::size_t aTasks);
+
+// The gangs of one width group that wait to be placed.
+struct WaitingGangs
+{
+  // The number of gangs by StepRank::Lateness.
+  std::array<std::size_t, kLatenesses> m_gangs{};
+  // How many of them have reserved capacity, and how many of those expect all
+  // of it to be free by now.
+  std::size_t m_reserved = 0;
+  std::size_t m_reservedFree = 0;
+  // The longest time since one of them became ready.
+  Duration m_oldest = Duration::zero();
+};
+
 // The steps that wait to be placed.
 struct WaitingSteps
 {
   std::array<std::size_t, kStepWaits> m_steps{};
   std::size_t m_gangs = 0;
+  std::array<WaitingGangs, kWidthGroups> m_gangsByWidth{};
 };
 
 // Reports what delays the placement of steps, and how the fleet's capacity is
-// used: one log line for each step whose tasks are all placed, and one line per
-// second about the whole fleet; both also go into metrics. Makes no decisions.
+// used: one log line for each step whose tasks are all placed and for each
+// gang that becomes late, and once per second lines about the whole fleet and
+// the gangs that wait, by width; most also go into metrics. Makes no decisions.
 class PlacementMonitor
 {
 public:
@@ -67,6 +89,13 @@
                     StepWaits aWaits,
                     TimePoint aNow);
 
+  // Reports that a gang of aTasks tasks that waits has become late or too late.
+  void ReportLate(const StepName& aStep,
+                  std::size_t aTasks,
+                  StepRank::Lateness aLateness,
+                  StepWaits aWaits,
+                  TimePoint aNow);
+
   // Returns true if a second has passed since the last report on the fleet.
   bool FleetReportIsDue(TimePoint aNow) const;
 
@@ -91,6 +120,8 @@
     std::int64_t m_usedMemory = 0;
   };
 
+  void ReportWaitingGangs(const WaitingSteps& aWaiting);
+
   static FleetCapacity Measure(const TargetManager& aTargets,
                                const GangReservations& aReservations,
                                TimePoint aNow);
--- a/src/jobs/placement_monitor_test.cpp
+++ b/src/jobs/placement_monitor_test.cpp
@@ -42,6 +42,39 @@
   monitor.ReportPlaced(StepName{ JobId("job"), 0, 0 }, true, 7, waits, now);
 }
 
+TEST(PlacementMonitor, LateGangIsReportedWithItsWidthAndItsWaits)
+{
+  IgnoredMetrics metrics;
+  NiceMock<MockJobEffects> effects;
+  ON_CALL(effects, Metrics()).WillByDefault(ReturnRef(metrics));
+  PlacementMonitor monitor(effects);
+  const TimePoint ready{ milliseconds(5000) };
+  StepWaits waits;
+  waits.Begin(ready);
+  waits.Note(StepWait::kCapacity, ready + milliseconds(400));
+  EXPECT_CALL(effects,
+              LogSummary("gang-late",
+                         AllOf(HasSubstr("tasks=40"),
+                               HasSubstr("lateness=too_late"),
+                               HasSubstr("after_ms=900"),
+                               HasSubstr("advice_ms=400"),
+                               HasSubstr("capacity_ms=500"))));
+  monitor.ReportLate(StepName{ JobId("job"), 0, 0 },
+                     40,
+                     StepRank::Lateness::kTooLate,
+                     waits,
+                     ready + milliseconds(900));
+}
+
+TEST(PlacementMonitor, WidthGroupsCoverAllWidths)
+{
+  EXPECT_EQ(WidthGroupOf(1), 0U);
+  EXPECT_EQ(WidthGroupOf(9), 0U);
+  EXPECT_EQ(WidthGroupOf(10), 1U);
+  EXPECT_EQ(WidthGroupOf(39), kWidthGroups - 2);
+  EXPECT_EQ(WidthGroupOf(5000), kWidthGroups - 1);
+}
+
 TEST(PlacementMonitor, StepThatIsReadyAgainBeginsAnew)
 {
   StepWaits waits;
