Place work in the order in which it was due

Cause: steps of one lateness class and priority were ranked by deadline, which is the due time and a multiple of the job's own length. On a fleet that stays full there is always a shorter job with an earlier deadline, so that a job of several steps or long tasks, which is a large one, waited until its own deadline came near, which for half of the largest tenth is later than the load's end. Then it became late and ranked behind everything that was not.

Change: the due time in place of the deadline. Fewer jobs are served in all, as a large one takes the capacity of several small ones.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -105,10 +105,10 @@
   const TimePoint end = aNow + aRemaining;
   StepRank rank;
   rank.m_priority = aQueue.m_priority;
-  rank.m_deadline = aDue + objective;
+  rank.m_due = aDue;
   if (end > aDue + objective * kTooLateFactor) {
     rank.m_lateness = StepRank::Lateness::kTooLate;
-  } else if (end > rank.m_deadline) {
+  } else if (end > aDue + objective) {
     rank.m_lateness = StepRank::Lateness::kLate;
   }
   return rank;
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -16,10 +16,13 @@
 
 // The rank of a ready step; steps of smaller ranks are placed first. Ranks
 // compare by lateness class, then by priority (smaller numbers first), then by
-// deadline. If the load exceeds the fleet's capacity, work that can still be in
+// due time. If the load exceeds the fleet's capacity, work that can still be in
 // time goes before late work, and late work before work that is too late to be
 // of use to its caller, so that a burst does not delay one piece of work after
-// another until all of it is late.
+// another until all of it is late. Work of one class and priority goes in the
+// order in which it was due, and not by deadline: a large job has a late
+// deadline, and while the load lasts there is always a smaller one with an
+// earlier deadline.
 struct StepRank
 {
   enum class Lateness : std::uint8_t
@@ -31,12 +34,12 @@
 
   Lateness m_lateness = Lateness::kInTime;
   std::uint32_t m_priority = 0;
-  TimePoint m_deadline;
+  TimePoint m_due;
 
   friend bool operator<(const StepRank& aLeft, const StepRank& aRight)
   {
-    return std::tie(aLeft.m_lateness, aLeft.m_priority, aLeft.m_deadline) <
-           std::tie(aRight.m_lateness, aRight.m_priority, aRight.m_deadline);
+    return std::tie(aLeft.m_lateness, aLeft.m_priority, aLeft.m_due) <
+           std::tie(aRight.m_lateness, aRight.m_priority, aRight.m_due);
   }
 };
 
