--- a/src/jobs/large_jobs_served_test.cpp
+++ b/src/jobs/large_jobs_served_test.cpp
@@ -46,33 +46,6 @@
               << kNames[static_cast<std::size_t>(aCase.m_trouble)];
 }
 
-QueueConfig MakeQueue(const char* aName,
-                      std::uint32_t aPriority,
-                      double aSlackFactor,
-                      Duration aLatencyTarget,
-                      const AdviceTerms& aAdvice)
-{
-  QueueConfig queue;
-  queue.m_name = QueueName(aName);
-  queue.m_service = ServiceName("desk");
-  queue.m_priority = aPriority;
-  queue.m_maxAttempts = 4;
-  queue.m_slackFactor = aSlackFactor;
-  queue.m_latencyTarget = aLatencyTarget;
-  queue.m_advice = aAdvice;
-  return queue;
-}
-
-AdviceTerms MakeAdvice(Duration aPerCall, Duration aPerTarget)
-{
-  AdviceTerms advice;
-  advice.m_required = true;
-  advice.m_perCall = aPerCall;
-  advice.m_perTarget = aPerTarget;
-  advice.m_ticketLife = milliseconds(2500);
-  return advice;
-}
-
 // The index of each kind in the vector that MixedWork returns.
 constexpr std::size_t kPlans = 0;
 constexpr std::size_t kRounds = 1;
@@ -88,11 +61,8 @@
   const double size = static_cast<double>(aTargets) / kUsualTargets;
   const double wider = std::sqrt(size);
   FloodKind plan;
-  plan.m_terms = MakeQueue("plans",
-                           1,
-                           2.2,
-                           seconds(1),
-                           MakeAdvice(milliseconds(455), microseconds(6500)));
+  plan.m_terms = MakeFloodQueue(
+    "plans", 1, 2.2, seconds(1), milliseconds(455), microseconds(6500));
   plan.m_jobsPerSecond = 5.9 * kLoad * wider;
   plan.m_steps = { 1.2, 0.4, 2 };
   plan.m_width = { 20 * wider, 0.8, 120 * wider };
@@ -102,11 +72,8 @@
   plan.m_gangShare = 1;
   plan.m_fitShare = 0.25;
   FloodKind round;
-  round.m_terms = MakeQueue("rounds",
-                            2,
-                            4,
-                            seconds(3),
-                            MakeAdvice(milliseconds(169), microseconds(2340)));
+  round.m_terms = MakeFloodQueue(
+    "rounds", 2, 4, seconds(3), milliseconds(169), microseconds(2340));
   round.m_jobsPerSecond = 7.9 * kLoad * wider;
   round.m_steps = { 1.5, 0.4, 3.8 };
   round.m_width = { 25 * wider, 0.8, 150 * wider };
@@ -115,11 +82,8 @@
   round.m_estimateMs = { 3400, 0.5, 8400 };
   round.m_fitShare = 0.45;
   FloodKind check;
-  check.m_terms = MakeQueue("checks",
-                            0,
-                            1.5,
-                            milliseconds(300),
-                            MakeAdvice(milliseconds(12), microseconds(170)));
+  check.m_terms = MakeFloodQueue(
+    "checks", 0, 1.5, milliseconds(300), milliseconds(12), microseconds(170));
   check.m_jobsPerSecond = 110 * kLoad * size;
   check.m_width = { 3.2, 0.8, 19 };
   check.m_milliCores = { 2500, 0.45, 7400 };
--- a/src/standin/job_flood.cpp
+++ b/src/standin/job_flood.cpp
@@ -28,15 +28,39 @@
   return Resources(16000, 32768, 0, 0, 0);
 }
 
+constexpr std::uint32_t kMaxAttempts = 3;
+constexpr Duration kPermissionLife = milliseconds(2500);
+
 } // namespace
 
+QueueConfig MakeFloodQueue(const char* aName,
+                           std::uint32_t aPriority,
+                           double aSlackFactor,
+                           Duration aLatencyTarget,
+                           Duration aPerCall,
+                           Duration aPerTarget)
+{
+  QueueConfig queue;
+  queue.m_name = QueueName(aName);
+  queue.m_service = ServiceName("desk");
+  queue.m_priority = aPriority;
+  queue.m_maxAttempts = kMaxAttempts;
+  queue.m_slackFactor = aSlackFactor;
+  queue.m_latencyTarget = aLatencyTarget;
+  queue.m_advice.m_required = true;
+  queue.m_advice.m_perCall = aPerCall;
+  queue.m_advice.m_perTarget = aPerTarget;
+  queue.m_advice.m_ticketLife = kPermissionLife;
+  return queue;
+}
+
 JobFlood::JobFlood(std::uint64_t aSeed, std::size_t aTargets)
   : m_cell(aSeed, aTargets, TargetCapacity())
   , m_random(static_cast<std::uint32_t>(aSeed))
   , m_targets(static_cast<double>(aTargets))
 {
   m_cell.Advisor().m_hosts = aTargets / 8;
-  m_cell.Advisor().m_validFor = milliseconds(2500);
+  m_cell.Advisor().m_validFor = kPermissionLife;
 }
 
 void JobFlood::Submit(const std::vector<FloodKind>& aKinds,
--- a/src/standin/job_flood.h
+++ b/src/standin/job_flood.h
@@ -41,6 +41,15 @@
   double m_fitShare = 1;
 };
 
+// Returns the terms of a queue whose steps need the advisor. Each of its calls
+// takes aPerCall and aPerTarget for each target.
+QueueConfig MakeFloodQueue(const char* aName,
+                           std::uint32_t aPriority,
+                           double aSlackFactor,
+                           Duration aLatencyTarget,
+                           Duration aPerCall,
+                           Duration aPerTarget);
+
 // Submits jobs of several kinds to a cell on virtual time and counts how many
 // of them end in time to be of use, by the size of the job.
 class JobFlood
