--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -262,6 +262,7 @@
   // Returns what the step waits for now.
   StepWait WaitOf(const ReadyStep& aStep, TimePoint aNow) const;
   void ReportFleet(TimePoint aNow);
+  // Adds a gang that waits to the counts of its width group.
   void AddWaitingGang(const ReadyStep& aGang,
                       TimePoint aNow,
                       WaitingSteps& aWaiting) const;
--- a/src/jobs/large_jobs_served_test.cpp
+++ b/src/jobs/large_jobs_served_test.cpp
@@ -3,7 +3,6 @@
 #include "job_flood.h"
 
 #include <cmath>
-#include <cstdlib>
 #include <iostream>
 #include <ostream>
 
@@ -106,7 +105,7 @@
   if (aCase.m_trouble == Trouble::kLeaderLost) {
     cell.LoseLeader(seconds(1));
   } else if (aCase.m_trouble == Trouble::kPowerLost) {
-    cell.LoseLeader(seconds(6));
+    cell.LoseLeader(seconds(6)); // until a host is up again and has read all
   }
   aFlood.Submit(kinds, seconds(12));
   const double factor = aCase.m_trouble == Trouble::kBurst ? 3 : 1.7;
--- a/src/standin/job_flood.h
+++ b/src/standin/job_flood.h
@@ -66,6 +66,7 @@
               std::size_t aBurst = kNoBurst,
               double aFactor = 1);
 
+  // Stands for no kind.
   static constexpr std::size_t kNoBurst = SIZE_MAX;
 
   // Returns the share of the jobs of the kind with index aKind that ended in
