Say how busy a leader is, how often it places and what it asks the advisor

The log could not tell whether a leader with a long queue decides seldom, or asks the advisor for work that cannot start: it left out up to 890 lines a second, the lines about take-overs among them. New lines once per second: control-load (iterations and busy share of the control thread) and advice-state (calls, renewals, targets and surveys by queue), and rounds and tried steps in fleet-state. Lines about the lead, the store and the loading of rows no longer count towards the limit of lines per second.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -214,7 +214,7 @@
       if (row == answer.m_rows.end() || !IsOwnRow(*row)) {
         m_leading = false;
         aLock.unlock();
-        m_log.Write("commit-refused", "reason=\"another host's row\"");
+        m_log.WriteUnlimited("commit-refused", "reason=\"another host's row\"");
         m_onLeadershipLost();
         aLock.lock();
         return;
@@ -271,9 +271,10 @@
     return true;
   }
   aLock.unlock();
-  m_log.Write("commit-invalid",
-              "writes=" + std::to_string(aBatch.m_writes.size()) +
-                " removals=" + std::to_string(aBatch.m_removals.size()));
+  m_log.WriteUnlimited(
+    "commit-invalid",
+    "writes=" + std::to_string(aBatch.m_writes.size()) +
+      " removals=" + std::to_string(aBatch.m_removals.size()));
   if (aBatch.m_isCommit) {
     m_onCommitRejected();
   }
--- a/src/jobhost/event_log.cpp
+++ b/src/jobhost/event_log.cpp
@@ -78,8 +78,8 @@
   Queue(aEvent, aFields);
 }
 
-void EventLog::WriteSummary(const std::string& aEvent,
-                            const std::string& aFields)
+void EventLog::WriteUnlimited(const std::string& aEvent,
+                              const std::string& aFields)
 {
   m_metrics.Count("lycheestep_events_total", "event=\"" + aEvent + '"', 1);
   const std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/jobhost/event_log.h
+++ b/src/jobhost/event_log.h
@@ -31,8 +31,8 @@
   void Write(const std::string& aEvent, const std::string& aFields);
 
   // As Write, but the line does not count towards the limit per second, nor is
-  // it dropped because of it.
-  void WriteSummary(const std::string& aEvent, const std::string& aFields);
+  // it dropped because of it. For rare events that explain many others.
+  void WriteUnlimited(const std::string& aEvent, const std::string& aFields);
 
   // Writes the queued lines, and waits at most aTimeout until they are written.
   // Lines that are logged later may be lost.
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -178,9 +178,9 @@
   if (!m_peers.Start()) {
     return false;
   }
-  m_log.Write("host-started",
-              "data_centre=" + m_settings.m_dataCentre +
-                " incarnation=" + std::to_string(m_incarnation));
+  m_log.WriteUnlimited("host-started",
+                       "data_centre=" + m_settings.m_dataCentre +
+                         " incarnation=" + std::to_string(m_incarnation));
   m_configWatch = std::make_unique<TableWatch>(
     m_dependencies.m_documents.ConfigTable(),
     std::vector<std::string>{ "" },
@@ -245,12 +245,22 @@
     if (m_leader) {
       m_leader->SetTime(BootClockNow(), WallClockNow());
       m_leader->Tick();
+      ReportControlLoad(iterationStart, tasks.size());
     } else if (m_election.ShouldReadRow(BootClockNow())) {
       TryToLead();
     }
   }
 }
 
+void JobHost::ReportControlLoad(TimePoint aBegun, std::size_t aTasks)
+{
+  const TimePoint now = BootClockNow();
+  m_controlLoad.Note(aBegun, now, aTasks);
+  if (const auto fields = m_controlLoad.TakeReport(now)) {
+    m_log.WriteUnlimited("control-load", *fields);
+  }
+}
+
 void JobHost::TryToLead()
 {
   RowRange range;
@@ -273,12 +283,13 @@
   if (!m_election.OnRowRead(record, BootClockNow())) {
     return;
   }
-  m_log.Write("lead-attempt",
-              "former=" + record.m_host + " row_version=" +
-                std::to_string(record.m_version) + " row_age_ms=" +
-                std::to_string(ToMilliseconds(record.m_renewalAge)) +
-                " released=" + (record.m_released ? "yes" : "no") +
-                " process_gone=" + (record.m_processEnded ? "yes" : "no"));
+  m_log.WriteUnlimited(
+    "lead-attempt",
+    "former=" + record.m_host +
+      " row_version=" + std::to_string(record.m_version) +
+      " row_age_ms=" + std::to_string(ToMilliseconds(record.m_renewalAge)) +
+      " released=" + (record.m_released ? "yes" : "no") +
+      " process_gone=" + (record.m_processEnded ? "yes" : "no"));
   if (m_writer.AcquireLeadership(record.m_version, record.m_storeClock)) {
     BecomeLeader(record);
   } else {
@@ -308,7 +319,8 @@
 {
   const std::uint64_t term = ++m_term;
   const TimePoint now = BootClockNow();
-  m_log.Write("leading", "term=" + std::to_string(term));
+  m_log.WriteUnlimited("leading", "term=" + std::to_string(term));
+  m_controlLoad.Begin(now);
   m_leader =
     std::make_unique<Leader>(MakeLeaderDependencies(term),
                              SchedulerSettingsOf(m_settings),
@@ -322,7 +334,7 @@
   if (!m_leader) {
     return;
   }
-  m_log.Write("lead-lost", std::string("reason=\"") + aReason + "\"");
+  m_log.WriteUnlimited("lead-lost", std::string("reason=\"") + aReason + "\"");
   m_writer.StopWithoutRelease();
   m_leader->Retire();
   m_retiredLeaders.push_back(std::move(m_leader));
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -11,6 +11,7 @@
 #include "advice_worker.h"
 #include "commit_writer.h"
 #include "config_holder.h"
+#include "control_load.h"
 #include "event_log.h"
 #include "host_registration.h"
 #include "job_request_handler.h"
@@ -72,6 +73,9 @@
 private:
   // Runs the tasks of m_queue and, while this host leads, calls Leader::Tick.
   void RunControlLoop();
+  // Counts an iteration of the leader's control loop that began at aBegun, and
+  // logs the load once per second.
+  void ReportControlLoad(TimePoint aBegun, std::size_t aTasks);
   // Reads the leader row and acquires the leadership if the election allows.
   void TryToLead();
   // Reads the rows of all hosts, which decide this host's rank in the election.
@@ -117,6 +121,7 @@
   std::unique_ptr<Leader> m_leader;
   // Counts how often this process has become the leader.
   std::uint64_t m_term = 0;
+  ControlLoad m_controlLoad;
   // Former leader objects whose work in progress has not ended yet.
   std::vector<std::unique_ptr<Leader>> m_retiredLeaders;
   // Set by StopLeading: the host no longer registers or tries to lead.
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -159,7 +159,8 @@
   const bool valid = m_now < m_dependencies.m_writer.OrdersValidUntil();
   if (valid == m_suspended) {
     m_suspended = !valid;
-    Log(valid ? "leading-resumed" : "leading-suspended", "reason=renewal");
+    LogUnlimited(valid ? "leading-resumed" : "leading-suspended",
+                 "reason=renewal");
   }
   if (m_heartbeatDue <= m_now) {
     m_heartbeatDue = m_now + kHeartbeatPeriod;
@@ -192,8 +193,8 @@
   m_scheduler.SetMayStart(current);
   if (m_loaded && current == m_startsSuspended) {
     m_startsSuspended = !current;
-    Log(current ? "starts-resumed" : "starts-suspended",
-        "reason=cancellations");
+    LogUnlimited(current ? "starts-resumed" : "starts-suspended",
+                 "reason=cancellations");
   }
 }
 
@@ -411,9 +412,9 @@
   m_dependencies.m_log.Write(aEvent, aFields);
 }
 
-void Leader::LogSummary(const std::string& aEvent, const std::string& aFields)
+void Leader::LogUnlimited(const std::string& aEvent, const std::string& aFields)
 {
-  m_dependencies.m_log.WriteSummary(aEvent, aFields);
+  m_dependencies.m_log.WriteUnlimited(aEvent, aFields);
 }
 
 } // namespace lycheestep
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -79,10 +79,10 @@
   AddJobs(*m_jobRows);
   AddProgress(*m_progressRows, *m_jobRows);
   AddCancels(*m_cancelRows);
-  Log("leader-loaded",
-      "jobs=" + std::to_string(m_jobRows->size()) +
-        " progress=" + std::to_string(m_progressRows->size()) +
-        " cancels=" + std::to_string(m_cancelRows->size()));
+  LogUnlimited("leader-loaded",
+               "jobs=" + std::to_string(m_jobRows->size()) +
+                 " progress=" + std::to_string(m_progressRows->size()) +
+                 " cancels=" + std::to_string(m_cancelRows->size()));
   m_jobRows.reset();
   m_cancelRows.reset();
   m_progressRows.reset();
--- a/src/jobhost/relayed_store.cpp
+++ b/src/jobhost/relayed_store.cpp
@@ -277,8 +277,8 @@
     return;
   }
   m_loggedReachability = reachability;
-  m_log.Write(ReachabilityEvent(reachability),
-              "relays=" + std::to_string(m_router.RelayCount()));
+  m_log.WriteUnlimited(ReachabilityEvent(reachability),
+                       "relays=" + std::to_string(m_router.RelayCount()));
 }
 
 } // namespace lycheestep
--- a/src/jobhost/table_watch.cpp
+++ b/src/jobhost/table_watch.cpp
@@ -188,8 +188,8 @@
   }
   if (reachable != m_reachable) {
     m_reachable = reachable;
-    m_log.Write(reachable ? "store-regained" : "store-lost",
-                "watch=" + m_table);
+    m_log.WriteUnlimited(reachable ? "store-regained" : "store-lost",
+                         "watch=" + m_table);
   }
 }
 
--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -176,6 +176,7 @@
   if (!MayAsk(aNeed, terms)) {
     return;
   }
+  ++m_counts[aJob.m_terms.m_name].m_surveys;
   TargetsToAsk toAsk = FindTargetsToAsk(aJob, aStep, advice, aNeed, aNow);
   // Free capacity changes all the time. Further calls wait for the answers, or
   // each change would cause another small call.
@@ -262,6 +263,10 @@
                   " call=" + std::to_string(request.m_ticket) +
                   " targets=" + std::to_string(aTargets.size()) +
                   " renews=" + (aRenews ? "yes" : "no"));
+  AdviceCounts& counts = m_counts[call.m_queue];
+  ++counts.m_calls;
+  counts.m_renewals += aRenews ? 1 : 0;
+  counts.m_targets += aTargets.size();
   m_calls[request.m_ticket] = std::move(call);
   m_effects.Ask(request, TimeOfCall(aJob.m_terms.m_advice, aTargets.size()));
 }
@@ -453,6 +458,13 @@
   }
 }
 
+std::map<QueueName, AdviceCounts> AdviceCache::TakeCounts()
+{
+  std::map<QueueName, AdviceCounts> counts;
+  counts.swap(m_counts);
+  return counts;
+}
+
 void AdviceCache::RemoveJob(const JobId& aJob, TimePoint aNow)
 {
   auto step = m_steps.lower_bound(StepName{ aJob, 0, 0 });
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -18,6 +18,17 @@
 class TargetManager;
 struct TargetState;
 
+// What the advisor was asked for the steps of a queue.
+struct AdviceCounts
+{
+  std::size_t m_calls = 0;
+  std::size_t m_renewals = 0;
+  // The targets named in all calls.
+  std::size_t m_targets = 0;
+  // How often it was found out what to ask for a step.
+  std::size_t m_surveys = 0;
+};
+
 // What a step needs from the advisor in a placement round.
 struct AdviceNeed
 {
@@ -89,6 +100,9 @@
   // Records that a task of the step was placed on the target.
   void NoteUsed(const StepName& aStep, const TargetId& aTarget);
 
+  // Returns what was asked since the last call, by queue.
+  std::map<QueueName, AdviceCounts> TakeCounts();
+
   // Removes all cached answers for the job's steps. The answer to a call under
   // way is ignored unless Ask is called for its step again.
   void RemoveJob(const JobId& aJob, TimePoint aNow);
@@ -199,6 +213,7 @@
   // The share of the targets asked about that were fit, by queue: a moving
   // average over the answers.
   std::map<QueueName, double> m_fitShares;
+  std::map<QueueName, AdviceCounts> m_counts;
   std::uint64_t m_lastCall = 0;
 };
 
--- a/src/jobs/job_effects.h
+++ b/src/jobs/job_effects.h
@@ -66,9 +66,9 @@
   virtual void Log(const std::string& aEvent, const std::string& aFields) = 0;
 
   // As Log, but the line is written even if the log is over its rate limit. For
-  // events that sum up many others.
-  virtual void LogSummary(const std::string& aEvent,
-                          const std::string& aFields) = 0;
+  // rare events that sum up or explain many others.
+  virtual void LogUnlimited(const std::string& aEvent,
+                            const std::string& aFields) = 0;
 
   virtual MetricsSink& Metrics() = 0;
 };
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -45,6 +45,7 @@
   m_placementDue = false;
   m_lastPlacement = aNow;
   m_gangReservations.BeginRound(m_keeper.ListedCapacity(), aNow);
+  std::size_t tried = 0;
   for (ReadyStep* step : RankReadySteps(aNow)) {
     const bool adviceNeeded = step->m_job->m_terms.m_advice.m_required;
     // Gangs are always tried, so that they keep the capacity that they
@@ -53,6 +54,7 @@
       !adviceNeeded || step->m_step->m_gang || m_effects.CanAsk() ||
       m_advice.HasPermission(step->m_name, aNow + kMinValidityAtPlacement);
     if (worthTrying) {
+      ++tried;
       // Passes a copy, as m_ready loses a step when all its tasks are placed.
       PlaceStep(ReadyStep(*step), aNow);
     } else {
@@ -60,6 +62,7 @@
       step->m_waits.Note(asking ? StepWait::kAdvice : StepWait::kAdvisor, aNow);
     }
   }
+  m_monitor.NoteRound(tried);
 }
 
 void JobScheduler::PlaceStep(const ReadyStep& aStep, TimePoint aNow)
@@ -119,6 +122,7 @@
     ++waiting.m_steps[static_cast<std::size_t>(WaitOf(step, aNow))];
   }
   m_monitor.ReportFleet(waiting, m_keeper, m_gangReservations, aNow);
+  m_monitor.ReportAdvice(m_advice.TakeCounts());
 }
 
 void JobScheduler::AddWaitingGang(const ReadyStep& aGang,
--- a/src/jobs/mock_job_effects.h
+++ b/src/jobs/mock_job_effects.h
@@ -28,7 +28,7 @@
   MOCK_METHOD(AdvisorUse, GetAdvisorUse, (), (const, override));
   MOCK_METHOD(void, Log, (const std::string&, const std::string&), (override));
   MOCK_METHOD(void,
-              LogSummary,
+              LogUnlimited,
               (const std::string&, const std::string&),
               (override));
   MOCK_METHOD(MetricsSink&, Metrics, (), (override));
--- a/src/jobs/placement_monitor.cpp
+++ b/src/jobs/placement_monitor.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
+#include "advice_cache.h"
 #include "gang_reservations.h"
 #include "job_effects.h"
 #include "lycheestep/metrics_sink.h"
@@ -106,7 +108,7 @@
                     "tasks=\"" + width + '"',
                     aNow - aWaits.m_readySince);
   }
-  m_effects.LogSummary(
+  m_effects.LogUnlimited(
     "step-placed",
     "step=" + StepText(aStep) + " tasks=" + std::to_string(aTasks) +
       " gang=" + (aGang ? "yes" : "no") + WaitFields(aWaits, aNow));
@@ -119,7 +121,7 @@
                                   TimePoint aNow)
 {
   aWaits.Note(aWaits.m_wait, aNow);
-  m_effects.LogSummary(
+  m_effects.LogUnlimited(
     "gang-late",
     "step=" + StepText(aStep) + " tasks=" + std::to_string(aTasks) +
       " lateness=" + ToString(aLateness) + WaitFields(aWaits, aNow));
@@ -159,6 +161,25 @@
   return capacity;
 }
 
+void PlacementMonitor::NoteRound(std::size_t aTried)
+{
+  ++m_rounds;
+  m_tried += aTried;
+}
+
+void PlacementMonitor::ReportAdvice(
+  const std::map<QueueName, AdviceCounts>& aCounts)
+{
+  for (const auto& [queue, counts] : aCounts) {
+    m_effects.LogUnlimited("advice-state",
+                           "queue=" + queue.Text() +
+                             " calls=" + std::to_string(counts.m_calls) +
+                             " renewals=" + std::to_string(counts.m_renewals) +
+                             " targets=" + std::to_string(counts.m_targets) +
+                             " surveys=" + std::to_string(counts.m_surveys));
+  }
+}
+
 void PlacementMonitor::ReportFleet(const WaitingSteps& aWaiting,
                                    const TargetManager& aTargets,
                                    const GangReservations& aReservations,
@@ -188,8 +209,10 @@
   const AdvisorUse advisor = m_effects.GetAdvisorUse();
   fields += " advisor_hosts=" + std::to_string(advisor.m_hosts) +
             " advisor_busy=" + std::to_string(advisor.m_busyHosts) +
-            " advisor_calls=" + std::to_string(advisor.m_calls);
-  m_effects.LogSummary("fleet-state", fields);
+            " advisor_calls=" + std::to_string(advisor.m_calls) +
+            " rounds=" + std::to_string(std::exchange(m_rounds, 0)) +
+            " steps_tried=" + std::to_string(std::exchange(m_tried, 0));
+  m_effects.LogUnlimited("fleet-state", fields);
   ReportWaitingGangs(aWaiting);
   MetricsSink& metrics = m_effects.Metrics();
   metrics.SetGauge("lycheestep_fleet_processors",
@@ -219,7 +242,7 @@
     }
     if (gangs > 0) {
       const auto oldest = ToMilliseconds(waiting.m_oldest);
-      m_effects.LogSummary(
+      m_effects.LogUnlimited(
         "waiting-gangs",
         fields + " reserved=" + std::to_string(waiting.m_reserved) +
           " reserved_free=" + std::to_string(waiting.m_reservedFree) +
--- a/src/jobs/placement_monitor.h
+++ b/src/jobs/placement_monitor.h
@@ -4,8 +4,10 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 
+#include "lycheestep/queue_config.h"
 #include "lycheestep/resources.h"
 #include "lycheestep/task_run.h"
 #include "lycheestep/time_types.h"
@@ -14,6 +16,7 @@
 namespace lycheestep {
 
 class GangReservations;
+struct AdviceCounts;
 class JobEffects;
 class TargetManager;
 
@@ -99,6 +102,12 @@
   // Returns true if a second has passed since the last report on the fleet.
   bool FleetReportIsDue(TimePoint aNow) const;
 
+  // Counts a placement round that tried to place aTried steps.
+  void NoteRound(std::size_t aTried);
+
+  // Reports what the advisor was asked since the last report.
+  void ReportAdvice(const std::map<QueueName, AdviceCounts>& aCounts);
+
   void ReportFleet(const WaitingSteps& aWaiting,
                    const TargetManager& aTargets,
                    const GangReservations& aReservations,
@@ -128,6 +137,10 @@
 
   JobEffects& m_effects;
   TimePoint m_reportedAt;
+  // The placement rounds since the last report on the fleet, and the steps that
+  // they tried to place.
+  std::size_t m_rounds = 0;
+  std::size_t m_tried = 0;
 };
 
 } // namespace lycheestep
--- a/src/jobs/placement_monitor_test.cpp
+++ b/src/jobs/placement_monitor_test.cpp
@@ -33,12 +33,12 @@
   waits.Note(StepWait::kCapacity, now);
   now += milliseconds(200);
   EXPECT_CALL(effects,
-              LogSummary("step-placed",
-                         AllOf(HasSubstr("tasks=7"),
-                               HasSubstr("after_ms=730"),
-                               HasSubstr("advisor_ms=30"),
-                               HasSubstr("advice_ms=500"),
-                               HasSubstr("capacity_ms=200"))));
+              LogUnlimited("step-placed",
+                           AllOf(HasSubstr("tasks=7"),
+                                 HasSubstr("after_ms=730"),
+                                 HasSubstr("advisor_ms=30"),
+                                 HasSubstr("advice_ms=500"),
+                                 HasSubstr("capacity_ms=200"))));
   monitor.ReportPlaced(StepName{ JobId("job"), 0, 0 }, true, 7, waits, now);
 }
 
@@ -53,12 +53,12 @@
   waits.Begin(ready);
   waits.Note(StepWait::kCapacity, ready + milliseconds(400));
   EXPECT_CALL(effects,
-              LogSummary("gang-late",
-                         AllOf(HasSubstr("tasks=40"),
-                               HasSubstr("lateness=too_late"),
-                               HasSubstr("after_ms=900"),
-                               HasSubstr("advice_ms=400"),
-                               HasSubstr("capacity_ms=500"))));
+              LogUnlimited("gang-late",
+                           AllOf(HasSubstr("tasks=40"),
+                                 HasSubstr("lateness=too_late"),
+                                 HasSubstr("after_ms=900"),
+                                 HasSubstr("advice_ms=400"),
+                                 HasSubstr("capacity_ms=500"))));
   monitor.ReportLate(StepName{ JobId("job"), 0, 0 },
                      40,
                      StepRank::Lateness::kTooLate,
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -120,7 +120,7 @@
     }
   }
 
-  void LogSummary(const std::string& aEvent,
+  void LogUnlimited(const std::string& aEvent,
                   const std::string& aFields) override
   {
     Log(aEvent, aFields);
--- a/src/standin/takeover_world.h
+++ b/src/standin/takeover_world.h
@@ -106,7 +106,7 @@
   void Ask(const AdviceRequest& /*aRequest*/, Duration /*aTime*/) override {}
   AdvisorUse GetAdvisorUse() const override { return AdvisorUse(); }
   void Log(const std::string& aEvent, const std::string& aFields) override;
-  void LogSummary(const std::string& aEvent,
+  void LogUnlimited(const std::string& aEvent,
                   const std::string& aFields) override
   {
     Log(aEvent, aFields);
