Share the hosts that call the advisor while the fleet is idle

Callers saw: after a leader had been away, accepted jobs had nothing running for seconds beside a fleet that was more than half empty.

Cause: calls are made in the order of rank, and a call of the most urgent queue takes up to a second. With a long queue and an empty fleet these calls take all hosts, while calls of 20 to 200 ms for other queues, which would fill the fleet, wait. Also, a step whose host was taken just before asked again only 100 ms later, and a quarter of the hosts was kept from late steps although nothing else waited. The class: strict priority for a resource that is not the scarce one.

While less than 60 % of the processors are in use, each waiting queue gets an equal share of the hosts, and what is left goes in the order of rank. Steps try again as soon as a host is free, and one host in eight is kept from late steps.

--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -35,11 +35,10 @@
 constexpr double kWholeCapacityFactor = 3;
 constexpr Duration kMinPermissionLife = std::chrono::milliseconds(500);
 
-// One in this many hosts is kept free of calls for steps that can no longer end
-// in time, and of long calls for other steps, so that quick calls for urgent
-// work never queue behind them.
-constexpr std::size_t kHostsKeptFromLateSteps = 4;
-constexpr std::size_t kHostsKeptFromLongCalls = 8;
+// One in this many hosts, and at least one, is kept free of calls for steps
+// that can no longer end in time, and of long calls for other steps, so that
+// quick calls for urgent work never queue behind them.
+constexpr std::size_t kHostsPerKeptHost = 8;
 constexpr Duration kLongCall = std::chrono::milliseconds(100);
 
 // What may be asked for a step is found out this long after the last time, or
@@ -162,27 +161,43 @@
   }
 }
 
-void AdviceCache::Ask(const Job& aJob,
+void AdviceCache::BeginRound(std::size_t aQueues, bool aSharesHosts)
+{
+  m_sharingQueues = aSharesHosts ? aQueues : 0;
+  UpdateUse();
+}
+
+void AdviceCache::UpdateUse()
+{
+  m_use = m_effects.GetAdvisorUse();
+  m_canAsk = m_effects.CanAsk();
+}
+
+bool AdviceCache::Ask(const Job& aJob,
                       const StepName& aStep,
                       const AdviceNeed& aNeed,
                       TimePoint aNow)
 {
+  const AdviceTerms& terms = aJob.m_terms.m_advice;
+  if (!MayAsk(aJob.m_terms, aNeed.m_inTime)) {
+    return true;
+  }
   StepAdvice& advice = m_steps[aStep];
-  if (advice.m_retryAt > aNow || !m_effects.CanAsk()) {
-    return;
+  if (advice.m_retryAt > aNow) {
+    return true;
   }
-  advice.m_retryAt = aNow + kSurveyInterval;
-  const AdviceTerms& terms = aJob.m_terms.m_advice;
-  if (!MayAsk(aNeed, terms)) {
-    return;
+  if (UsesItsShare(aNeed, aJob.m_terms)) {
+    return false;
   }
+  advice.m_retryAt = aNow + kSurveyInterval;
   ++m_counts[aJob.m_terms.m_name].m_surveys;
   TargetsToAsk toAsk = FindTargetsToAsk(aJob, aStep, advice, aNeed, aNow);
   // Free capacity changes all the time. Further calls wait for the answers, or
   // each change would cause another small call.
   const bool mayAskAboutNew =
     advice.m_calls.size() == (advice.m_renewing ? 1 : 0);
-  while (mayAskAboutNew && MayAsk(aNeed, terms)) {
+  while (mayAskAboutNew && MayAsk(aJob.m_terms, aNeed.m_inTime) &&
+         !UsesItsShare(aNeed, aJob.m_terms)) {
     const auto targets =
       TakeNewTargets(aJob, aStep, advice, aNeed, toAsk, aNow);
     if (targets.empty()) {
@@ -195,9 +210,10 @@
   const bool usable = !aNeed.m_together ||
                       toAsk.m_fittingOnFit >= aNeed.m_missing ||
                       (aNeed.m_expectedAt && *aNeed.m_expectedAt <= answeredAt);
-  const bool mayRenew = !advice.m_renewing && MayAsk(aNeed, terms);
+  const bool mayRenew =
+    !advice.m_renewing && MayAsk(aJob.m_terms, aNeed.m_inTime);
   if (renewals.empty() || !usable || !mayRenew) {
-    return;
+    return true;
   }
   SortByFittingTasks(renewals);
   std::vector<const TargetState*> targets;
@@ -207,6 +223,7 @@
     }
   }
   Send(aJob, aStep, targets, true, aNow);
+  return true;
 }
 
 // Sorts the targets on which the most tasks fit first.
@@ -219,19 +236,32 @@
                    });
 }
 
-bool AdviceCache::MayAsk(const AdviceNeed& aNeed,
-                         const AdviceTerms& aTerms) const
+std::size_t AdviceCache::HostsFor(const QueueConfig& aQueue, bool aInTime) const
 {
-  const bool isLong = aTerms.m_perCall >= kLongCall;
-  if (aNeed.m_inTime && !isLong) {
-    return m_effects.CanAsk();
-  }
-  const AdvisorUse use = m_effects.GetAdvisorUse();
-  const std::size_t kept =
-    use.m_hosts /
-    (aNeed.m_inTime ? kHostsKeptFromLongCalls : kHostsKeptFromLateSteps);
-  const std::size_t limit = use.m_hosts - kept;
-  return use.m_busyHosts < limit && m_effects.CanAsk();
+  const bool isQuick = aInTime && aQueue.m_advice.m_perCall < kLongCall;
+  if (isQuick || m_use.m_hosts <= 1) {
+    return m_use.m_hosts;
+  }
+  const std::size_t least = aInTime ? 0 : 1;
+  return m_use.m_hosts - std::max(m_use.m_hosts / kHostsPerKeptHost, least);
+}
+
+bool AdviceCache::MayAsk(const QueueConfig& aQueue, bool aInTime) const
+{
+  const bool isQuick = aInTime && aQueue.m_advice.m_perCall < kLongCall;
+  return m_canAsk && (isQuick || m_use.m_busyHosts < HostsFor(aQueue, aInTime));
+}
+
+bool AdviceCache::UsesItsShare(const AdviceNeed& aNeed,
+                               const QueueConfig& aQueue) const
+{
+  if (m_sharingQueues == 0 || aNeed.m_beyondShare) {
+    return false;
+  }
+  const auto calls = m_callsOf.find(aQueue.m_name);
+  const std::size_t share = std::max<std::size_t>(
+    HostsFor(aQueue, aNeed.m_inTime) / m_sharingQueues, 1);
+  return calls != m_callsOf.end() && calls->second >= share;
 }
 
 void AdviceCache::Send(const Job& aJob,
@@ -265,10 +295,12 @@
                   " renews=" + (aRenews ? "yes" : "no"));
   AdviceCounts& counts = m_counts[call.m_queue];
   ++counts.m_calls;
+  ++m_callsOf[call.m_queue];
   counts.m_renewals += aRenews ? 1 : 0;
   counts.m_targets += aTargets.size();
   m_calls[request.m_ticket] = std::move(call);
   m_effects.Ask(request, TimeOfCall(aJob.m_terms.m_advice, aTargets.size()));
+  UpdateUse();
 }
 
 AdviceCache::TargetsToAsk AdviceCache::FindTargetsToAsk(
@@ -381,6 +413,7 @@
   }
   const Call call = found->second;
   m_calls.erase(found);
+  --m_callsOf[call.m_queue];
   const auto step = m_steps.find(call.m_step);
   if (step == m_steps.end()) {
     return; // removed while the call was under way
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -40,6 +40,8 @@
   // True if the step can still end in time. Other steps leave some hosts free
   // for the calls of such steps.
   bool m_inTime = true;
+  // True if the step may use more hosts than its queue's share.
+  bool m_beyondShare = false;
   // When a gang expects all of the capacity that it has reserved; nothing if it
   // has reserved none.
   std::optional<TimePoint> m_expectedAt;
@@ -80,13 +82,23 @@
   void ForEachFit(const StepName& aStep,
                   const std::function<void(const TargetState&)>& aUse) const;
 
+  // Begins a placement round in which steps of aQueues queues wait. If
+  // aSharesHosts, each of these queues gets an equal share of the hosts for its
+  // calls.
+  void BeginRound(std::size_t aQueues, bool aSharesHosts);
+
+  // Returns true if a host is free for a call for a step of the queue that can
+  // end in time, or no longer can.
+  bool MayAsk(const QueueConfig& aQueue, bool aInTime) const;
+
   // Makes the calls of the advisor that a step needs whose tasks could not all
-  // be placed, as far as JobEffects::CanAsk allows: calls about targets that
+  // be placed, as far as hosts are free for them: calls about targets that
   // the advisor was not asked about yet, several at the same time for a wide
   // step, and one call that renews the permissions for fit targets. A call
   // names as many targets as are worth its fixed cost, so that the number of
-  // calls for a step is small whatever its width and the load are.
-  void Ask(const Job& aJob,
+  // calls for a step is small whatever its width and the load are. Returns
+  // false if the step's queue uses its share of the hosts already.
+  bool Ask(const Job& aJob,
            const StepName& aStep,
            const AdviceNeed& aNeed,
            TimePoint aNow);
@@ -194,8 +206,13 @@
                                                  TargetsToAsk& aToAsk,
                                                  TimePoint aNow) const;
   static void SortByFittingTasks(std::vector<TargetToAsk>& aTargets);
-  // Returns true if a host is free for a call of a step.
-  bool MayAsk(const AdviceNeed& aNeed, const AdviceTerms& aTerms) const;
+  // Returns how many hosts calls for a step of the queue may use together with
+  // all other calls.
+  std::size_t HostsFor(const QueueConfig& aQueue, bool aInTime) const;
+  // Returns true if the step's queue uses its share of the hosts.
+  bool UsesItsShare(const AdviceNeed& aNeed, const QueueConfig& aQueue) const;
+  // Finds out which hosts are free for calls.
+  void UpdateUse();
   // Sends a call that names the targets.
   void Send(const Job& aJob,
             const StepName& aStep,
@@ -215,6 +232,13 @@
   std::map<QueueName, double> m_fitShares;
   std::map<QueueName, AdviceCounts> m_counts;
   std::uint64_t m_lastCall = 0;
+  // The hosts that make calls, as of the last call or the round's beginning.
+  AdvisorUse m_use;
+  bool m_canAsk = false;
+  // The queues among which the hosts are shared; zero if they are not. The
+  // calls under way, by queue.
+  std::size_t m_sharingQueues = 0;
+  std::map<QueueName, std::size_t> m_callsOf;
 };
 
 // Returns how many tasks of the step fit into aFree, at most the step's task
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -14,6 +14,12 @@
 // A permission has to be valid for at least this long when a task is placed.
 constexpr Duration kMinValidityAtPlacement = std::chrono::milliseconds(200);
 
+// While less of the fleet's processors is in use, the queues share the hosts
+// that call the advisor. Calls of the most urgent queue may take a second each,
+// and others would leave the fleet empty meanwhile.
+constexpr std::int64_t kBusyFleetPercent = 60;
+constexpr std::int64_t kWhole = 100;
+
 } // namespace
 
 std::vector<JobScheduler::ReadyStep*> JobScheduler::RankReadySteps(
@@ -45,13 +51,16 @@
   m_placementDue = false;
   m_lastPlacement = aNow;
   m_gangReservations.BeginRound(m_keeper.ListedCapacity(), aNow);
+  const std::vector<ReadyStep*> steps = RankReadySteps(aNow);
+  m_advice.BeginRound(CountQueues(steps), IsFleetIdle());
+  m_turnedAway.clear();
   std::size_t tried = 0;
-  for (ReadyStep* step : RankReadySteps(aNow)) {
+  for (ReadyStep* step : steps) {
     const bool adviceNeeded = step->m_job->m_terms.m_advice.m_required;
     // Gangs are always tried, so that they keep the capacity that they
     // reserved.
     const bool worthTrying =
-      !adviceNeeded || step->m_step->m_gang || m_effects.CanAsk() ||
+      !adviceNeeded || step->m_step->m_gang || MayAskAdvisor(*step) ||
       m_advice.HasPermission(step->m_name, aNow + kMinValidityAtPlacement);
     if (worthTrying) {
       ++tried;
@@ -62,9 +71,30 @@
       step->m_waits.Note(asking ? StepWait::kAdvice : StepWait::kAdvisor, aNow);
     }
   }
+  AskBeyondShares(aNow);
   m_monitor.NoteRound(tried);
 }
 
+std::size_t JobScheduler::CountQueues(const std::vector<ReadyStep*>& aSteps)
+{
+  std::set<QueueName> queues;
+  for (const ReadyStep* step : aSteps) {
+    queues.insert(step->m_job->m_terms.m_name);
+  }
+  return queues.size();
+}
+
+bool JobScheduler::IsFleetIdle() const
+{
+  std::int64_t used = 0;
+  std::int64_t total = 0;
+  for (const auto& [id, target] : m_keeper.Targets()) {
+    used += target.m_used.Get(ResourceKind::kProcessors);
+    total += target.m_record.m_capacity.Get(ResourceKind::kProcessors);
+  }
+  return used * kWhole < total * kBusyFleetPercent;
+}
+
 void JobScheduler::PlaceStep(const ReadyStep& aStep, TimePoint aNow)
 {
   std::vector<PlacementCandidate> candidates = FindCandidates(aStep, aNow);
@@ -78,15 +108,7 @@
     ReserveForGang(aStep, aNow);
   }
   if (missing > 0 && job.m_terms.m_advice.m_required) {
-    AdviceNeed need;
-    need.m_missing = missing;
-    need.m_together = aStep.m_step->m_gang;
-    need.m_inTime = aStep.m_rank.m_lateness == StepRank::Lateness::kInTime;
-    need.m_expectedAt = m_gangReservations.ReadyAt(aStep.m_name);
-    need.m_available = [&](const TargetState& aTarget) {
-      return FreeFor(aStep, aTarget, aNow);
-    };
-    m_advice.Ask(job, aStep.m_name, need, aNow);
+    AskAdvisor(aStep, missing, false, aNow);
   }
   const auto ready = m_ready.find(aStep.m_name);
   if (ready != m_ready.end()) {
@@ -100,13 +122,49 @@
   }
 }
 
+bool JobScheduler::MayAskAdvisor(const ReadyStep& aStep) const
+{
+  return m_advice.MayAsk(aStep.m_job->m_terms,
+                         aStep.m_rank.m_lateness ==
+                           StepRank::Lateness::kInTime);
+}
+
+void JobScheduler::AskAdvisor(const ReadyStep& aStep,
+                              std::size_t aMissing,
+                              bool aBeyondShare,
+                              TimePoint aNow)
+{
+  AdviceNeed need;
+  need.m_missing = aMissing;
+  need.m_together = aStep.m_step->m_gang;
+  need.m_inTime = aStep.m_rank.m_lateness == StepRank::Lateness::kInTime;
+  need.m_beyondShare = aBeyondShare;
+  need.m_expectedAt = m_gangReservations.ReadyAt(aStep.m_name);
+  need.m_available = [&](const TargetState& aTarget) {
+    return FreeFor(aStep, aTarget, aNow);
+  };
+  if (!m_advice.Ask(*aStep.m_job, aStep.m_name, need, aNow)) {
+    m_turnedAway.emplace_back(aStep.m_name, aMissing);
+  }
+}
+
+void JobScheduler::AskBeyondShares(TimePoint aNow)
+{
+  for (const auto& [name, missing] : m_turnedAway) {
+    const auto step = m_ready.find(name);
+    if (step != m_ready.end() && MayAskAdvisor(step->second)) {
+      AskAdvisor(step->second, missing, true, aNow);
+    }
+  }
+}
+
 StepWait JobScheduler::WaitOf(const ReadyStep& aStep, TimePoint aNow) const
 {
   if (m_advice.IsAsking(aStep.m_name)) {
     return StepWait::kAdvice;
   }
   const bool lacksHost = aStep.m_job->m_terms.m_advice.m_required &&
-                         !m_effects.CanAsk() &&
+                         !MayAskAdvisor(aStep) &&
                          !m_advice.HasPermission(aStep.m_name, aNow);
   return lacksHost ? StepWait::kAdvisor : StepWait::kCapacity;
 }
--- a/src/standin/job_cell_checks.cpp
+++ b/src/standin/job_cell_checks.cpp
@@ -1,6 +1,7 @@
 // The part of JobCellModel that checks promises which bound a time.
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "job_cell_model.h"
 #include "run_text.h"
@@ -58,6 +59,104 @@
   }
 }
 
+bool JobCellModel::IsStepDone(const JobId& aJob, std::uint32_t aStep) const
+{
+  const JobStep& step = m_jobs.at(aJob).m_spec.m_steps[aStep];
+  const StepName name{ aJob, 0, aStep };
+  for (std::uint32_t i = 0; i < step.m_count; ++i) {
+    if (m_done.count(TaskName{ name, i }) == 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+const JobStep* JobCellModel::DueStep(const JobId& aJob,
+                                     std::uint32_t* aNumber) const
+{
+  const std::vector<JobStep>& steps = m_jobs.at(aJob).m_spec.m_steps;
+  for (std::uint32_t s = 0; s < steps.size(); ++s) {
+    const std::vector<std::uint32_t>& after = steps[s].m_after;
+    const bool isDue =
+      std::all_of(after.begin(), after.end(), [&](std::uint32_t aEarlier) {
+        return IsStepDone(aJob, aEarlier);
+      });
+    if (isDue && !IsStepDone(aJob, s)) {
+      *aNumber = s;
+      return &steps[s];
+    }
+  }
+  return nullptr;
+}
+
+std::vector<IdleStep> JobCellModel::IdleSteps() const
+{
+  std::set<JobId> running;
+  for (const auto& target : m_targets) {
+    for (const auto& [name, run] : target->Running()) {
+      running.insert(name.m_task.m_step.m_job);
+    }
+  }
+  std::vector<IdleStep> idle;
+  for (const auto& [id, job] : m_jobs) {
+    const bool open = m_endedAt.count(id) == 0 && m_cancels.count(id) == 0 &&
+                      running.count(id) == 0 && job.m_spec.m_occurrences == 0;
+    std::uint32_t number = 0;
+    const JobStep* step = open ? DueStep(id, &number) : nullptr;
+    if (step == nullptr) {
+      continue;
+    }
+    idle.push_back(MakeIdleStep(id, number));
+  }
+  return idle;
+}
+
+IdleStep JobCellModel::MakeIdleStep(const JobId& aJob,
+                                    std::uint32_t aStep) const
+{
+  const StoredJob& job = m_jobs.at(aJob);
+  IdleStep step;
+  step.m_name = StepName{ aJob, 0, aStep };
+  step.m_step = &job.m_spec.m_steps[aStep];
+  step.m_mayUse = [this, &job, name = step.m_name](const TargetId& aTarget) {
+    return !job.m_terms.m_advice.m_required || IsFit(name, aTarget);
+  };
+  return step;
+}
+
+bool JobCellModel::AllThatFitOver() const
+{
+  std::vector<OpenTarget> empty = OpenTargets();
+  for (OpenTarget& target : empty) {
+    target.m_used = Resources();
+  }
+  for (const auto& [id, job] : m_jobs) {
+    std::uint32_t number = 0;
+    const JobStep* step =
+      m_endedAt.count(id) == 0 ? DueStep(id, &number) : nullptr;
+    if (step != nullptr &&
+        WaitingWorkCheck::Fits(MakeIdleStep(id, number), empty, 1)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<OpenTarget> JobCellModel::OpenTargets() const
+{
+  std::vector<OpenTarget> open;
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    const JobTargetModel& target = *m_targets[i];
+    const TargetId& id = target.Record().m_target;
+    if (!m_cut[i] && m_downUntil[i] <= m_now &&
+        m_drainingSince.count(id) == 0) {
+      open.push_back(
+        OpenTarget{ id, target.Record().m_capacity, target.Used() });
+    }
+  }
+  return open;
+}
+
 TimePoint JobCellModel::HarmedAt(std::size_t aTarget) const
 {
   if (m_cut[aTarget]) {
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -26,6 +26,19 @@
 
 constexpr std::size_t kTargetsPerRack = 6;
 
+constexpr Duration kWaitingLookPeriod = std::chrono::milliseconds(100);
+
+// The share of targets that are fit for a step of a queue that the test says
+// nothing about.
+constexpr double kUsualFitShare = 0.5;
+
+// Returns a number from 0 to 1, always the same for the same text.
+double DrawOf(const std::string& aText)
+{
+  constexpr std::size_t kDraws = 10000;
+  return static_cast<double>(std::hash<std::string>()(aText) % kDraws) / kDraws;
+}
+
 } // namespace
 
 JobCellModel::JobCellModel(std::uint64_t aSeed,
@@ -237,12 +250,31 @@
     RunGangs();
     CheckEnds();
     CheckCancelledRuns();
+    if (m_checksWaitingWork) {
+      LookAtWaitingWork();
+    }
     if (m_terms.back()->IsAlive()) {
       m_terms.back()->Step();
     }
   }
 }
 
+void JobCellModel::LookAtWaitingWork()
+{
+  if (m_faults.m_storeDown || !m_terms.back()->IsAlive()) {
+    m_waitingWork.Reset();
+    return;
+  }
+  if (m_now < m_nextWaitingLook) {
+    return;
+  }
+  m_nextWaitingLook = m_now + kWaitingLookPeriod;
+  for (const JobId& job :
+       m_waitingWork.Look(OpenTargets(), IdleSteps(), m_now)) {
+    Break("WAITS BESIDE FREE CAPACITY " + job.Text());
+  }
+}
+
 JobState JobCellModel::StateOf(const JobId& aJob) const
 {
   const Row* row = m_table.Find(ProgressKey(aJob));
@@ -284,6 +316,19 @@
   return Duration(way(m_random));
 }
 
+bool JobCellModel::IsFit(const StepName& aStep, const TargetId& aTarget) const
+{
+  // One target is fit for everything, so that every job can end.
+  if (aTarget.Text() == "target-0") {
+    return true;
+  }
+  const auto share =
+    m_advisor.m_fitShareOf.find(m_jobs.at(aStep.m_job).m_terms.m_name);
+  const double fitShare =
+    share != m_advisor.m_fitShareOf.end() ? share->second : kUsualFitShare;
+  return DrawOf(StepText(aStep) + aTarget.Text()) < fitShare;
+}
+
 bool JobCellModel::Chance(double aShare)
 {
   std::uniform_real_distribution<double> draw(0, 1);
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -15,6 +15,7 @@
 #include "job_target_model.h"
 #include "row_table_model.h"
 #include "start_ledger.h"
+#include "waiting_work_check.h"
 
 namespace lycheestep {
 
@@ -91,12 +92,20 @@
   // Tasks on the target stand still.
   void HangTarget(std::size_t aTarget) { m_targets[aTarget]->Hang(true); }
 
+  // Checks from now on that no job waits beside free capacity. A test calls it
+  // when the load it submits has ended.
+  void CheckWaitingWork() { m_checksWaitingWork = true; }
+  const WaitingWorkCheck& WaitingWork() const { return m_waitingWork; }
+
   // Lets virtual time pass.
   void Run(Duration aTime);
 
   JobState StateOf(const JobId& aJob) const;
   // Jobs that wait to begin, as the leader counts them.
   std::uint32_t Pending() const;
+  // True when every accepted job is over that its targets could run if each ran
+  // nothing else.
+  bool AllThatFitOver() const;
   // True when every accepted job is over.
   bool AllOver() const;
   // Promises that were broken so far.
@@ -139,6 +148,18 @@
                       TimePoint aNow);
   // Checks that no run of a cancelled job goes on. Looks at calm targets only.
   void CheckCancelledRuns();
+  // Checks that accepted work starts while there is capacity for it.
+  void LookAtWaitingWork();
+  std::vector<OpenTarget> OpenTargets() const;
+  // Returns the steps that are due of jobs that have nothing running.
+  std::vector<IdleStep> IdleSteps() const;
+  IdleStep MakeIdleStep(const JobId& aJob, std::uint32_t aStep) const;
+  // Returns the first step of the job whose turn has come and whose tasks are
+  // not done; null if there is none.
+  const JobStep* DueStep(const JobId& aJob, std::uint32_t* aNumber) const;
+  bool IsStepDone(const JobId& aJob, std::uint32_t aStep) const;
+  // Returns true if the advisor lets the step run on the target.
+  bool IsFit(const StepName& aStep, const TargetId& aTarget) const;
   // Returns when the way to the target was last harmed, or the target itself.
   TimePoint HarmedAt(std::size_t aTarget) const;
   // Returns the target's record as the platform lists it.
@@ -198,6 +219,9 @@
   std::map<TaskName, std::uint32_t> m_failures;
   std::map<std::size_t, std::uint64_t> m_read;
   std::vector<std::string> m_broken;
+  bool m_checksWaitingWork = false;
+  WaitingWorkCheck m_waitingWork;
+  TimePoint m_nextWaitingLook;
   StartLedger m_ledger;
   std::size_t m_starts = 0;
   std::size_t m_newestStartAt = 0;
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -99,11 +99,8 @@
       answer.m_ticket = aRequest.m_ticket;
       answer.m_answered = true;
       answer.m_validFor = m_cell.m_advisor.m_validFor;
-      const double fitShare = FitShareOf(aRequest.m_step.m_job);
       for (const TargetId& target : aRequest.m_targets) {
-        const std::string text = StepText(aRequest.m_step) + target.Text();
-        // One target is fit for everything, so that every job can end.
-        if (target.Text() == "target-0" || DrawOf(text) < fitShare) {
+        if (m_cell.IsFit(aRequest.m_step, target)) {
           answer.m_good.push_back(AdvisedTarget{ target, "ticket" });
         }
       }
@@ -121,7 +118,7 @@
   }
 
   void LogUnlimited(const std::string& aEvent,
-                  const std::string& aFields) override
+                    const std::string& aFields) override
   {
     Log(aEvent, aFields);
   }
@@ -156,22 +153,6 @@
     return settings;
   }
 
-  double FitShareOf(const JobId& aJob) const
-  {
-    constexpr double kFitShare = 0.5;
-    const auto& shares = m_cell.m_advisor.m_fitShareOf;
-    const auto share = shares.find(m_cell.m_jobs.at(aJob).m_terms.m_name);
-    return share != shares.end() ? share->second : kFitShare;
-  }
-
-  // Returns a number from 0 to 1, always the same for the same text.
-  static double DrawOf(const std::string& aText)
-  {
-    constexpr std::size_t kDraws = 10000;
-    return static_cast<double>(std::hash<std::string>()(aText) % kDraws) /
-           kDraws;
-  }
-
   void Write(const std::vector<RowWrite>& aWrites,
              const std::vector<RowKey>& aRemovals)
   {
--- a/src/standin/job_flood.cpp
+++ b/src/standin/job_flood.cpp
@@ -23,13 +23,8 @@
 constexpr double kWidestPart = 0.5;
 constexpr std::size_t kMostTasksPerTarget = 100;
 
-Resources TargetCapacity()
-{
-  return Resources(16000, 32768, 0, 0, 0);
-}
-
 constexpr std::uint32_t kMaxAttempts = 3;
-constexpr Duration kPermissionLife = milliseconds(2500);
+constexpr std::size_t kTargetsPerHost = 8;
 
 } // namespace
 
@@ -50,17 +45,16 @@
   queue.m_advice.m_required = true;
   queue.m_advice.m_perCall = aPerCall;
   queue.m_advice.m_perTarget = aPerTarget;
-  queue.m_advice.m_ticketLife = kPermissionLife;
   return queue;
 }
 
-JobFlood::JobFlood(std::uint64_t aSeed, std::size_t aTargets)
-  : m_cell(aSeed, aTargets, TargetCapacity())
+JobFlood::JobFlood(std::uint64_t aSeed, const FloodFleet& aFleet)
+  : m_fleet(aFleet)
+  , m_cell(aSeed, aFleet.m_targets, aFleet.m_capacity)
   , m_random(static_cast<std::uint32_t>(aSeed))
-  , m_targets(static_cast<double>(aTargets))
 {
-  m_cell.Advisor().m_hosts = aTargets / 8;
-  m_cell.Advisor().m_validFor = kPermissionLife;
+  m_cell.Advisor().m_hosts = aFleet.m_targets / kTargetsPerHost;
+  m_cell.Advisor().m_validFor = aFleet.m_permissionLife;
 }
 
 void JobFlood::Submit(const std::vector<FloodKind>& aKinds,
@@ -123,8 +117,9 @@
   const auto memory = static_cast<std::int64_t>(Draw(aKind.m_memoryMib));
   step.m_demand = Resources(cores, memory, 0, 0, 0);
   const double room = static_cast<double>(
-    CountThatFit(step.m_demand, TargetCapacity(), kMostTasksPerTarget));
-  const double widest = m_targets * aKind.m_fitShare * room * kWidestPart;
+    CountThatFit(step.m_demand, m_fleet.m_capacity, kMostTasksPerTarget));
+  const double widest = static_cast<double>(m_fleet.m_targets) *
+                        aKind.m_fitShare * room * kWidestPart;
   const double width = std::min(Draw(aKind.m_width), widest);
   step.m_count = static_cast<std::uint32_t>(std::max(width, 1.0));
   step.m_estimate = milliseconds(std::lround(Draw(aKind.m_estimateMs)));
@@ -138,6 +133,7 @@
     step.m_after = { i };
   }
   m_cell.Queue() = aKind.m_terms;
+  m_cell.Queue().m_advice.m_ticketLife = m_fleet.m_permissionLife;
   m_cell.Advisor().m_fitShareOf[aKind.m_terms.m_name] = aKind.m_fitShare;
   const auto length = static_cast<std::int64_t>(spec.m_steps.size());
   const Duration adviceTime =
--- a/src/standin/job_flood.h
+++ b/src/standin/job_flood.h
@@ -41,6 +41,15 @@
   double m_fitShare = 1;
 };
 
+// The fleet that a flood comes to.
+struct FloodFleet
+{
+  std::size_t m_targets = 0;
+  Resources m_capacity = Resources(16000, 32768, 0, 0, 0);
+  // How long a permission of the advisor is valid.
+  Duration m_permissionLife = std::chrono::milliseconds(2500);
+};
+
 // Returns the terms of a queue whose steps need the advisor. Each of its calls
 // takes aPerCall and aPerTarget for each target.
 QueueConfig MakeFloodQueue(const char* aName,
@@ -55,7 +64,11 @@
 class JobFlood
 {
 public:
-  JobFlood(std::uint64_t aSeed, std::size_t aTargets);
+  JobFlood(std::uint64_t aSeed, std::size_t aTargets)
+    : JobFlood(aSeed, FloodFleet{ aTargets })
+  {
+  }
+  JobFlood(std::uint64_t aSeed, const FloodFleet& aFleet);
 
   JobCellModel& Cell() { return m_cell; }
 
@@ -90,9 +103,9 @@
   Submitted SubmitOne(const FloodKind& aKind);
   double Draw(const Spread& aSpread);
 
+  const FloodFleet m_fleet;
   JobCellModel m_cell;
   std::minstd_rand m_random;
-  double m_targets = 0;
   std::map<std::size_t, std::vector<Submitted>> m_submitted;
 };
 
--- a/src/standin/takeover_world.h
+++ b/src/standin/takeover_world.h
@@ -107,7 +107,7 @@
   AdvisorUse GetAdvisorUse() const override { return AdvisorUse(); }
   void Log(const std::string& aEvent, const std::string& aFields) override;
   void LogUnlimited(const std::string& aEvent,
-                  const std::string& aFields) override
+                    const std::string& aFields) override
   {
     Log(aEvent, aFields);
   }
