Hand the lead to hosts that can carry it

Nothing started for up to 15 s.

Cause: successors were ranked by processor share alone, and nothing ever gave a lead back. The class: a fallback that lasts after its reason has gone.

Hosts now say in their replies to heartbeats whether they reach the store without a relay. Those that do come first as successors and as relays, and a leader hands over the lead when a host with twice its share has reached the store for two seconds.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -202,17 +202,22 @@
   std::promise<void> done;
   m_queue.Add([this, &done] {
     m_leadershipDisabled = true;
-    if (m_leader) {
-      m_writer.ReleaseLeadership(kReleaseTimeout);
-      m_leader->AnnounceRelease();
-      StepDown("this host stops");
-    }
+    ReleaseLead("this host stops");
     m_registration.Remove();
     done.set_value();
   });
   done.get_future().wait();
 }
 
+void JobHost::ReleaseLead(const char* aReason)
+{
+  if (m_leader) {
+    m_writer.ReleaseLeadership(kReleaseTimeout);
+    m_leader->AnnounceRelease();
+    StepDown(aReason);
+  }
+}
+
 bool JobHost::CanServe() const
 {
   return m_config.Get() != nullptr && m_configWatch &&
@@ -246,6 +251,9 @@
       m_leader->SetTime(BootClockNow(), WallClockNow());
       m_leader->Tick();
       ReportControlLoad(iterationStart, tasks.size());
+      if (m_leader->ShouldHandOver()) {
+        ReleaseLead("a larger host can lead");
+      }
     } else if (m_election.ShouldReadRow(BootClockNow())) {
       TryToLead();
     }
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -81,6 +81,9 @@
   // Reads the rows of all hosts, which decide this host's rank in the election.
   void RankHosts();
   void BecomeLeader(const LeaderRecord& aRecord);
+  // Gives up the leadership, if this host has it, so that another host takes it
+  // at once.
+  void ReleaseLead(const char* aReason);
   // Ends the leadership, if this host has it, and starts a new election.
   void StepDown(const char* aReason);
   // Deletes retired leaders that no longer have work in progress.
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -29,10 +29,8 @@
 // Time between counts of the waiting jobs.
 constexpr Duration kPendingCountPeriod = std::chrono::milliseconds(150);
 
-// A host that has not replied to heartbeats for kHostSilentTimeout relays no
-// calls to the store, gets no calls for the advisor and is not named as a
-// successor. After kHostRemovalTimeout its row is removed.
-constexpr Duration kHostSilentTimeout = std::chrono::seconds(4);
+// The row of a host that has not replied to heartbeats for this long is
+// removed.
 constexpr Duration kHostRemovalTimeout = std::chrono::minutes(2);
 
 // Longest time between two calls of Tick, while the scheduler is busy and while
@@ -144,13 +142,17 @@
   m_orderDispatcher.OnAnswers(aHost, aAnswers, m_now);
 }
 
-void Leader::OnHostAlive(const std::string& aHost, Duration aClock)
+void Leader::OnHostAlive(const std::string& aHost,
+                         Duration aClock,
+                         bool aReachesStore)
 {
   m_orderDispatcher.OnCarrierAlive(aHost, aClock, m_now);
   const auto host = m_hosts.find(aHost);
   if (host != m_hosts.end()) {
     host->second.m_lastSeen = m_now;
     host->second.m_answeredHeartbeat = true;
+    std::optional<TimePoint>& since = host->second.m_reachesStoreSince;
+    since = aReachesStore ? since.value_or(m_now) : std::optional<TimePoint>();
   }
 }
 
@@ -255,13 +257,12 @@
     heartbeat->add_successor(host);
   }
   std::vector<std::string> live;
-  std::vector<std::string> relays;
   for (const auto& [name, host] : m_hosts) {
-    if (IsLive(host)) {
+    if (host.IsLive(m_now)) {
       live.push_back(name);
-      relays.push_back(host.m_address);
     }
   }
+  std::vector<std::string> relays = Relays();
   for (const std::string& relay : relays) {
     if (heartbeat->relay_address_size() < kMaxRelaysInHeartbeat) {
       heartbeat->add_relay_address(relay);
@@ -280,12 +281,6 @@
   m_orderDispatcher.SetHosts(carriers);
 }
 
-bool Leader::IsLive(const PeerHost& aHost) const
-{
-  return aHost.m_answeredHeartbeat &&
-         m_now - aHost.m_lastSeen < kHostSilentTimeout;
-}
-
 void Leader::DropDeadHosts()
 {
   for (auto it = m_hosts.begin(); it != m_hosts.end();) {
@@ -301,20 +296,31 @@
 
 std::vector<std::string> Leader::Successors() const
 {
-  std::vector<std::pair<double, std::string>> ranked;
+  std::vector<std::string> successors = RankSuccessors(m_hosts, m_now);
+  successors.resize(std::min(successors.size(), kMaxSuccessors));
+  return successors;
+}
+
+std::vector<std::string> Leader::Relays() const
+{
+  std::vector<std::string> relays;
+  std::vector<std::string> others;
   for (const auto& [name, host] : m_hosts) {
-    if (IsLive(host)) {
-      ranked.emplace_back(-host.m_processorShare, name);
-    }
-  }
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<std::string> successors;
-  for (const auto& [share, name] : ranked) {
-    if (successors.size() < kMaxSuccessors) {
-      successors.push_back(name);
+    if (host.IsLive(m_now)) {
+      (host.m_reachesStoreSince ? relays : others).push_back(host.m_address);
     }
   }
-  return successors;
+  relays.insert(relays.end(), others.begin(), others.end());
+  return relays;
+}
+
+bool Leader::ShouldHandOver() const
+{
+  return m_loaded &&
+         lycheestep::ShouldHandOver(m_hosts,
+                                    m_dependencies.m_settings.m_processorShare,
+                                    m_loadedAt,
+                                    m_now);
 }
 
 void Leader::AnnounceRelease()
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -14,6 +14,7 @@
 #include "job_effects.h"
 #include "job_row_reader.h"
 #include "job_scheduler.h"
+#include "lead_succession.h"
 #include "order_dispatcher.h"
 #include "peer_host.h"
 #include "table_watch.h"
@@ -79,8 +80,10 @@
   // Handles the advisor's reply to a call that this host or another one made.
   void OnAdvice(const AdviceAnswer& aAnswer);
   // Handles a host's reply to a heartbeat. aClock is the host's clock when it
-  // replied.
-  void OnHostAlive(const std::string& aHost, Duration aClock);
+  // replied, and aReachesStore is true if it needs no relay to the store.
+  void OnHostAlive(const std::string& aHost,
+                   Duration aClock,
+                   bool aReachesStore);
   // Handles the targets' replies to orders that aHost carried.
   void OnCarriedAnswers(const std::string& aHost,
                         const proto::CarriedAnswers& aAnswers);
@@ -92,6 +95,9 @@
   // Returns the longest time between two calls of Tick.
   Duration MaxWait() const;
 
+  // Returns true if another host is much better able to lead.
+  bool ShouldHandOver() const;
+
   // Tells all hosts that this host has given up the lead, and names its
   // successors.
   void AnnounceRelease();
@@ -151,11 +157,11 @@
   // Removes the rows of hosts that have not replied to heartbeats for a long
   // time.
   void DropDeadHosts();
-  // Returns true if the host replied to a heartbeat lately.
-  bool IsLive(const PeerHost& aHost) const;
-  // Returns the live hosts that may take the lead after this host, those with
-  // the largest processor share first.
+  // Returns the hosts that may take the lead after this host, at most five.
   std::vector<std::string> Successors() const;
+  // Returns the addresses of the live hosts, those that reach the store by
+  // themselves first.
+  std::vector<std::string> Relays() const;
   // Sends a call for the advisor to a host, or makes it on this host if aHost
   // is empty or unknown.
   void SendAdvice(const std::string& aHost,
@@ -205,7 +211,7 @@
 
   JobRowReader m_jobRowReader;
   TargetList m_targets;
-  std::map<std::string, PeerHost> m_hosts;
+  PeerHosts m_hosts;
   // When the next heartbeats are sent, and when the waiting jobs are next
   // counted for the leader row.
   TimePoint m_heartbeatDue;
--- a/src/jobhost/relayed_store.cpp
+++ b/src/jobhost/relayed_store.cpp
@@ -114,6 +114,12 @@
     aWait + aTimeout);
 }
 
+bool RelayedStore::IsDirect()
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_router.Reachability(BootClockNow()) == StoreReachability::kDirect;
+}
+
 void RelayedStore::SetRelays(std::vector<std::string> aAddresses)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/jobhost/relayed_store.h
+++ b/src/jobhost/relayed_store.h
@@ -44,6 +44,9 @@
                  Duration aWait,
                  Duration aTimeout) override;
 
+  // Returns true if calls reach the store without a relay.
+  bool IsDirect();
+
   // Sets the addresses of the hosts that can relay calls, in the order in which
   // they are tried.
   void SetRelays(std::vector<std::string> aAddresses);
