Place less often the more steps wait

Callers saw: the longer the queue of accepted work, the slower it was worked off.

Cause: each placement round looks at every waiting step, and rounds came as often whatever their number. With 1,500 waiting steps a leader with half a processor was busy for 90 % of the time and its control loop went from 300 to 65 turns a second, so that answers and ends waited too. The class: work per event that grows with the queue, without a bound.

The time between rounds now grows with the number of waiting steps, and gangs that are too late, which reserve no capacity, are tried only when a host is free for a call or a permission is valid.

--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -57,10 +57,12 @@
   std::size_t tried = 0;
   for (ReadyStep* step : steps) {
     const bool adviceNeeded = step->m_job->m_terms.m_advice.m_required;
-    // Gangs are always tried, so that they keep the capacity that they
-    // reserved.
+    // Gangs that may reserve capacity are always tried, so that they keep it.
+    const bool mayReserve =
+      step->m_step->m_gang &&
+      step->m_rank.m_lateness != StepRank::Lateness::kTooLate;
     const bool worthTrying =
-      !adviceNeeded || step->m_step->m_gang || MayAskAdvisor(*step) ||
+      !adviceNeeded || mayReserve || MayAskAdvisor(*step) ||
       m_advice.HasPermission(step->m_name, aNow + kMinValidityAtPlacement);
     if (worthTrying) {
       ++tried;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -12,9 +12,11 @@
 
 namespace {
 
-// The minimum time between two placement rounds. The changes in between are
-// batched.
+// The minimum time between two placement rounds, and how much longer it is for
+// each step that waits. The changes in between are batched. A round takes
+// longer the more steps wait, and must leave time for other work.
 constexpr Duration kMinPlacementInterval = std::chrono::milliseconds(8);
+constexpr Duration kPlacementIntervalPerStep = std::chrono::microseconds(12);
 
 // A placement round runs after this time even if no event called for one, as
 // pauses may have ended and permissions may have expired.
@@ -241,7 +243,10 @@
     it = allOpen ? m_recurringJobs.erase(it) : std::next(it);
   }
   const Duration sincePlacement = aNow - m_lastPlacement;
-  if ((m_placementDue && sincePlacement >= kMinPlacementInterval) ||
+  const Duration minInterval =
+    kMinPlacementInterval +
+    kPlacementIntervalPerStep * static_cast<std::int64_t>(m_ready.size());
+  if ((m_placementDue && sincePlacement >= minInterval) ||
       sincePlacement >= kMaxPlacementInterval) {
     if (m_mayStart) {
       PlaceAll(aNow);
