Wait by rank again for each new leader

A wait now counts only for the leader that was followed when it began: the version of the stale row, or for the end of heartbeats the age of the row.

--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -29,6 +29,9 @@
 constexpr Duration kStaleRowAge = std::chrono::milliseconds(1000);
 constexpr int kReadLatencyFactor = 4;
 
+// A leader that works renews its row in this time.
+constexpr Duration kMaxRenewalPeriod = std::chrono::milliseconds(300);
+
 // Delay between reads of the leader's row while no heartbeat comes.
 constexpr Duration kRereadDelay = std::chrono::milliseconds(200);
 
@@ -94,6 +97,8 @@
              ? std::min(place, kMaxRank)
              : std::clamp(m_rankAmongHosts, kMinUnlistedRank, kMaxRank);
   m_higherRanksHadTime = true; // the wait below gives it to them
+  m_waitsSince = aNow;
+  m_waitsForVersion = 0;
   const Duration wait = kDelayPerRank * static_cast<std::int64_t>(m_rank);
   m_nextReadTime =
     aReleased ? aNow + wait : aNow + kElectionTimeout + wait - aRenewedAgo / 2;
@@ -141,13 +146,28 @@
   if (!vacant && afterOutage) {
     return false;
   }
-  if (std::exchange(m_higherRanksHadTime, true) || m_rank == 0) {
+  const bool isOfLaterLeader = !vacant && IsOfLaterLeader(aRecord, aNow);
+  const bool hadTime = m_higherRanksHadTime && !isOfLaterLeader;
+  if (hadTime || m_rank == 0) {
     return true;
   }
+  m_higherRanksHadTime = true;
+  m_waitsSince = aNow;
+  m_waitsForVersion = aRecord.m_version;
   m_nextReadTime = aNow + kDelayPerRank * static_cast<std::int64_t>(m_rank);
   return false;
 }
 
+bool LeaderElection::IsOfLaterLeader(const LeaderRecord& aRecord,
+                                     TimePoint aNow) const
+{
+  if (m_waitsForVersion != 0) {
+    return aRecord.m_version != m_waitsForVersion;
+  }
+  // The former leader may have renewed once more after its last heartbeat.
+  return aRecord.m_renewalAge < aNow - m_waitsSince - kMaxRenewalPeriod;
+}
+
 void LeaderElection::OnReadFailed(TimePoint aNow)
 {
   m_readFailed = true;
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -93,6 +93,10 @@
   static Duration RemainingFormerLease(const LeaderRecord& aRecord);
 
 private:
+  // Returns true if the row is that of a leader which came after this host had
+  // begun to give time to hosts of a higher rank.
+  bool IsOfLaterLeader(const LeaderRecord& aRecord, TimePoint aNow) const;
+
   const std::string m_host;
   const std::uint64_t m_incarnation;
   // This host's index in the list of successors of the last heartbeat; for a
@@ -102,6 +106,10 @@
   bool m_ranked = false;
   // True once hosts of a higher rank have been given time to take the lead.
   bool m_higherRanksHadTime = false;
+  // When this host last began to give it to them, and the version of the stale
+  // row that was the reason; zero if it was the end of the heartbeats.
+  TimePoint m_waitsSince;
+  std::uint64_t m_waitsForVersion = 0;
   TimePoint m_nextReadTime;
   // True if the last read of the leader's row failed.
   bool m_readFailed = false;
--- a/src/jobhost/leader_election_test.cpp
+++ b/src/jobhost/leader_election_test.cpp
@@ -133,7 +133,8 @@
   EXPECT_TRUE(third.OnRowRead(RecordOf("x", seconds(4)), now));
 }
 
-// Hosts with one row, on virtual time. Whoever takes the lead never renews.
+// Hosts with one row, on virtual time. Whoever takes the lead never renews, and
+// does nothing any more.
 class SilentLeaders
 {
 public:
@@ -168,11 +169,12 @@
     while (true) {
       m_now += milliseconds(1);
       for (std::size_t i = 0; i < m_elections.size(); ++i) {
-        if (m_host != NameOf(i) && m_elections[i]->ShouldReadRow(m_now) &&
-            m_elections[i]->OnRowRead(RecordOf(m_host, m_now - m_renewedAt),
-                                      m_now)) {
+        if (m_elections[i] && m_elections[i]->ShouldReadRow(m_now) &&
+            m_elections[i]->OnRowRead(Row(), m_now)) {
+          ++m_version;
           m_host = NameOf(i);
           m_renewedAt = m_now;
+          m_elections[i].reset();
           return i;
         }
       }
@@ -180,6 +182,13 @@
   }
 
 private:
+  LeaderRecord Row() const
+  {
+    LeaderRecord record = RecordOf(m_host, m_now - m_renewedAt);
+    record.m_version = m_version;
+    return record;
+  }
+
   static std::string NameOf(std::size_t aIndex)
   {
     return "host-" + std::to_string(aIndex);
@@ -188,6 +197,7 @@
   std::minstd_rand m_random;
   TimePoint m_now{ seconds(100) };
   std::string m_host = "former";
+  std::uint64_t m_version = 1;
   TimePoint m_renewedAt = m_now;
   std::vector<std::unique_ptr<LeaderElection>> m_elections;
 };
