Hand over the lead also before the jobs are loaded, and only if that can be stored

From the review: a leader too small to load the jobs never handed over; one that could not write announced a release that was not stored; hosts of earlier releases, which do not say whether they reach the store, came last; a host that could not read the hosts' rows tried as if it were the largest, and the time of that read counted as latency of the leader's row.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -251,7 +251,7 @@
       m_leader->SetTime(BootClockNow(), WallClockNow());
       m_leader->Tick();
       ReportControlLoad(iterationStart, tasks.size());
-      if (m_leader->ShouldHandOver()) {
+      if (m_leader->IsBetterLedByAnother()) {
         ReleaseLead("a larger host can lead");
       }
     } else if (m_election.ShouldReadRow(BootClockNow())) {
@@ -281,11 +281,12 @@
     m_election.OnReadFailed(BootClockNow());
     return;
   }
-  if (!m_election.IsRanked()) {
-    RankHosts();
-  }
   LeaderRecord record = DecodeLeaderRow(answer);
   record.m_readLatency = BootClockNow() - sent;
+  if (!m_election.IsRanked() && !RankHosts()) {
+    m_election.OnReadFailed(BootClockNow());
+    return;
+  }
   record.m_processEnded = record.m_incarnation == m_leaderIncarnation &&
                           HasProcessEnded(m_leaderAddress, kProbeTimeout);
   if (!m_election.OnRowRead(record, BootClockNow())) {
@@ -305,13 +306,13 @@
   }
 }
 
-void JobHost::RankHosts()
+bool JobHost::RankHosts()
 {
   RowRange range;
   range.m_table = kHostTable;
   const RowAnswer answer = m_store.Read(range, kCallTimeout);
   if (answer.m_status != RowStatus::kOk) {
-    return;
+    return false;
   }
   std::vector<ElectionHost> hosts;
   for (const Row& row : answer.m_rows) {
@@ -321,6 +322,7 @@
     }
   }
   m_election.SetHosts(std::move(hosts));
+  return true;
 }
 
 void JobHost::BecomeLeader(const LeaderRecord& aRecord)
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -79,7 +79,8 @@
   // Reads the leader row and acquires the leadership if the election allows.
   void TryToLead();
   // Reads the rows of all hosts, which decide this host's rank in the election.
-  void RankHosts();
+  // Returns false if they could not be read.
+  bool RankHosts();
   void BecomeLeader(const LeaderRecord& aRecord);
   // Gives up the leadership, if this host has it, so that another host takes it
   // at once.
--- a/src/jobhost/job_host_peers.cpp
+++ b/src/jobhost/job_host_peers.cpp
@@ -47,7 +47,7 @@
   } else if (aMessage.has_host_alive()) {
     const Duration clock =
       std::chrono::milliseconds(aMessage.host_alive().clock_ms());
-    const bool reachesStore = aMessage.host_alive().reaches_store();
+    const bool reachesStore = !aMessage.host_alive().needs_relay();
     m_queue.Add([this, host = aMessage.from(), clock, reachesStore] {
       if (m_leader) {
         m_leader->OnHostAlive(host, clock, reachesStore);
@@ -104,7 +104,7 @@
   proto::JobPeerMessage answer;
   answer.mutable_host_alive()->set_clock_ms(
     ToMilliseconds(BootClockNow().time_since_epoch()));
-  answer.mutable_host_alive()->set_reaches_store(m_store.IsDirect());
+  answer.mutable_host_alive()->set_needs_relay(!m_store.IsDirect());
   m_peers.Send(aLeaderAddress, std::move(answer));
 }
 
--- a/src/jobhost/lead_succession.cpp
+++ b/src/jobhost/lead_succession.cpp
@@ -10,10 +10,9 @@
 
 namespace {
 
-// A change of the leader costs about two seconds without new starts, so a
-// leader keeps the lead at least for kMinTerm, and hands it over only to a host
-// with kMuchLarger times its processor share that has reached the store for
-// kMinReachTime.
+// No task is started while the leader changes. A leader therefore keeps the
+// lead at least for kMinTerm, and hands it over only to a host with kMuchLarger
+// times its processor share that has reached the store for kMinReachTime.
 constexpr Duration kMinTerm = std::chrono::seconds(4);
 constexpr Duration kMinReachTime = std::chrono::seconds(2);
 constexpr double kMuchLarger = 2;
@@ -50,6 +49,7 @@
     const PeerHost& host = aEntry.second;
     return host.IsLive(aNow) && host.m_reachesStoreSince &&
            aNow - *host.m_reachesStoreSince >= kMinReachTime &&
+           host.m_processorShare > aOwnShare &&
            host.m_processorShare >= aOwnShare * kMuchLarger;
   });
 }
--- a/src/jobhost/lead_succession_test.cpp
+++ b/src/jobhost/lead_succession_test.cpp
@@ -31,8 +31,7 @@
 
 } // namespace
 
-// On phanviet-ops-grown, a host that was cut off from the store came first, and
-// took a lead that it could not renew.
+// A host that is cut off from the store takes a lead that it can't renew.
 TEST(LeadSuccession, HostsThatReachTheStoreComeFirst)
 {
   const TimePoint now{ seconds(100) };
@@ -59,6 +58,17 @@
   EXPECT_FALSE(ShouldHandOver(hosts, kSmall, now - seconds(2), now));
 }
 
+TEST(LeadSuccession, HostsOfOneShareKeepTheLead)
+{
+  const TimePoint now{ seconds(100) };
+  const TimePoint longAgo{ seconds(50) };
+  for (const double share : { 0.0, kLarge }) {
+    PeerHosts hosts;
+    hosts["other"] = MakeHost(share, longAgo);
+    EXPECT_FALSE(ShouldHandOver(hosts, share, longAgo, now));
+  }
+}
+
 TEST(LeadSuccession, NobodyHandsOverToAHostThatHardlyReachesTheStore)
 {
   const TimePoint now{ seconds(100) };
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -23,7 +23,8 @@
 // Time between heartbeats to all hosts.
 constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(250);
 
-// No heartbeats are sent if the last renewal is older than this.
+// No heartbeats are sent, and the lead is not handed over, if the last renewal
+// is older than this.
 constexpr Duration kMaxRenewalAge = std::chrono::milliseconds(1500);
 
 // Time between counts of the waiting jobs.
@@ -92,6 +93,7 @@
       MakeAnswerHandlers([](const std::function<void()>& aTask) { aTask(); }),
       aTerm << kOrderIdBits)
   , m_now(aNow)
+  , m_leadingSince(aNow)
 {
   m_scheduler.Targets().SetFormerLeaseExpiry(aNow + aFormerLeases);
   OnConfig();
@@ -245,14 +247,13 @@
 
 void Leader::SendHeartbeats()
 {
-  const TimePoint renewed = m_dependencies.m_writer.OrdersValidUntil() -
-                            m_dependencies.m_writer.OrderValidity();
-  if (m_now - renewed > kMaxRenewalAge) {
+  const Duration renewedAgo = RenewalAge();
+  if (renewedAgo > kMaxRenewalAge) {
     return;
   }
   proto::JobPeerMessage message;
   proto::LeaderHeartbeat* heartbeat = message.mutable_leader_heartbeat();
-  heartbeat->set_renewed_ago_ms(ToMilliseconds(m_now - renewed));
+  heartbeat->set_renewed_ago_ms(ToMilliseconds(renewedAgo));
   for (const std::string& host : Successors()) {
     heartbeat->add_successor(host);
   }
@@ -314,13 +315,20 @@
   return relays;
 }
 
-bool Leader::ShouldHandOver() const
+bool Leader::IsBetterLedByAnother() const
 {
-  return m_loaded &&
-         lycheestep::ShouldHandOver(m_hosts,
-                                    m_dependencies.m_settings.m_processorShare,
-                                    m_loadedAt,
-                                    m_now);
+  return RenewalAge() <= kMaxRenewalAge &&
+         ShouldHandOver(m_hosts,
+                        m_dependencies.m_settings.m_processorShare,
+                        m_leadingSince,
+                        m_now);
+}
+
+Duration Leader::RenewalAge() const
+{
+  const TimePoint renewed = m_dependencies.m_writer.OrdersValidUntil() -
+                            m_dependencies.m_writer.OrderValidity();
+  return m_now - renewed;
 }
 
 void Leader::AnnounceRelease()
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -95,8 +95,8 @@
   // Returns the longest time between two calls of Tick.
   Duration MaxWait() const;
 
-  // Returns true if another host is much better able to lead.
-  bool ShouldHandOver() const;
+  // Returns true if a much larger host can lead.
+  bool IsBetterLedByAnother() const;
 
   // Tells all hosts that this host has given up the lead, and names its
   // successors.
@@ -157,6 +157,8 @@
   // Removes the rows of hosts that have not replied to heartbeats for a long
   // time.
   void DropDeadHosts();
+  // Returns the time since the leader's row was last renewed.
+  Duration RenewalAge() const;
   // Returns the hosts that may take the lead after this host, at most five.
   std::vector<std::string> Successors() const;
   // Returns the addresses of the live hosts, those that reach the store by
@@ -201,6 +203,7 @@
   // True once the tables of jobs, cancellations and progress were read.
   bool m_loaded = false;
   TimePoint m_loadedAt;
+  const TimePoint m_leadingSince;
   // True once scheduling may start: the fleet is small, enough carriers have
   // replied to heartbeats, or the wait for carriers is over.
   bool m_mayStartScheduling = false;
