Bound the looks at waiting steps also for the longest queues

From the review: above 3,500 waiting steps the longest time between two rounds ended the bound, as both limits were alternatives. Cells of two or three hosts keep no host from late steps, as before the shares.

--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -35,9 +35,11 @@
 constexpr double kWholeCapacityFactor = 3;
 constexpr Duration kMinPermissionLife = std::chrono::milliseconds(500);
 
-// One in this many hosts, and at least one, is kept free of calls for steps
-// that can no longer end in time, and of long calls for other steps, so that
-// quick calls for urgent work never queue behind them.
+// One in kHostsPerKeptHost hosts is kept free of long calls and of calls for
+// steps that can no longer end in time, so that quick calls for urgent work
+// never queue behind them. Of kMinHostsToKeepOne hosts or more, at least one is
+// kept free of the latter.
+constexpr std::size_t kMinHostsToKeepOne = 4;
 constexpr std::size_t kHostsPerKeptHost = 8;
 constexpr Duration kLongCall = std::chrono::milliseconds(100);
 
@@ -242,7 +244,8 @@
   if (isQuick || m_use.m_hosts <= 1) {
     return m_use.m_hosts;
   }
-  const std::size_t least = aInTime ? 0 : 1;
+  const bool keepsOne = !aInTime && m_use.m_hosts >= kMinHostsToKeepOne;
+  const std::size_t least = keepsOne ? 1 : 0;
   return m_use.m_hosts - std::max(m_use.m_hosts / kHostsPerKeptHost, least);
 }
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -246,8 +246,8 @@
   const Duration minInterval =
     kMinPlacementInterval +
     kPlacementIntervalPerStep * static_cast<std::int64_t>(m_ready.size());
-  if ((m_placementDue && sincePlacement >= minInterval) ||
-      sincePlacement >= kMaxPlacementInterval) {
+  const bool isDue = m_placementDue || sincePlacement >= kMaxPlacementInterval;
+  if (isDue && sincePlacement >= minInterval) {
     if (m_mayStart) {
       PlaceAll(aNow);
     }
