--- a/src/jobhost/event_log.h
+++ b/src/jobhost/event_log.h
@@ -31,7 +31,7 @@
   void Write(const std::string& aEvent, const std::string& aFields);
 
   // As Write, but the line does not count towards the limit per second, nor is
-  // it dropped because of it. For rare events that explain many others.
+  // it dropped because of it. For events that sum up or explain many others.
   void WriteUnlimited(const std::string& aEvent, const std::string& aFields);
 
   // Writes the queued lines, and waits at most aTimeout until they are written.
--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -73,6 +73,12 @@
   return std::clamp(targets, kMinTargetsPerCall, kMaxTargetsPerCall);
 }
 
+// Returns true if a call for a step of the queue may use every host.
+bool IsQuickCall(const QueueConfig& aQueue, bool aInTime)
+{
+  return aInTime && aQueue.m_advice.m_perCall < kLongCall;
+}
+
 } // namespace
 
 std::size_t TasksThatFit(const JobStep& aStep, const Resources& aFree)
@@ -240,8 +246,7 @@
 
 std::size_t AdviceCache::HostsFor(const QueueConfig& aQueue, bool aInTime) const
 {
-  const bool isQuick = aInTime && aQueue.m_advice.m_perCall < kLongCall;
-  if (isQuick || m_use.m_hosts <= 1) {
+  if (IsQuickCall(aQueue, aInTime) || m_use.m_hosts <= 1) {
     return m_use.m_hosts;
   }
   const bool keepsOne = !aInTime && m_use.m_hosts >= kMinHostsToKeepOne;
@@ -251,8 +256,8 @@
 
 bool AdviceCache::MayAsk(const QueueConfig& aQueue, bool aInTime) const
 {
-  const bool isQuick = aInTime && aQueue.m_advice.m_perCall < kLongCall;
-  return m_canAsk && (isQuick || m_use.m_busyHosts < HostsFor(aQueue, aInTime));
+  return m_canAsk && (IsQuickCall(aQueue, aInTime) ||
+                      m_use.m_busyHosts < HostsFor(aQueue, aInTime));
 }
 
 bool AdviceCache::UsesItsShare(const AdviceNeed& aNeed,
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -235,9 +235,10 @@
   // The hosts that make calls, as of the last call or the round's beginning.
   AdvisorUse m_use;
   bool m_canAsk = false;
-  // The queues among which the hosts are shared; zero if they are not. The
-  // calls under way, by queue.
+  // The number of queues among which the hosts are shared; zero if they are
+  // not.
   std::size_t m_sharingQueues = 0;
+  // The number of calls under way for each queue.
   std::map<QueueName, std::size_t> m_callsOf;
 };
 
--- a/src/jobs/job_effects.h
+++ b/src/jobs/job_effects.h
@@ -66,7 +66,7 @@
   virtual void Log(const std::string& aEvent, const std::string& aFields) = 0;
 
   // As Log, but the line is written even if the log is over its rate limit. For
-  // rare events that sum up or explain many others.
+  // events that sum up or explain many others.
   virtual void LogUnlimited(const std::string& aEvent,
                             const std::string& aFields) = 0;
 
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -52,8 +52,8 @@
   m_lastPlacement = aNow;
   m_gangReservations.BeginRound(m_keeper.ListedCapacity(), aNow);
   const std::vector<ReadyStep*> steps = RankReadySteps(aNow);
-  m_advice.BeginRound(CountQueues(steps), IsFleetIdle());
-  m_turnedAway.clear();
+  m_advice.BeginRound(CountQueues(steps), HasMuchFreeCapacity());
+  m_stepsOverShare.clear();
   std::size_t tried = 0;
   for (ReadyStep* step : steps) {
     const bool adviceNeeded = step->m_job->m_terms.m_advice.m_required;
@@ -86,7 +86,7 @@
   return queues.size();
 }
 
-bool JobScheduler::IsFleetIdle() const
+bool JobScheduler::HasMuchFreeCapacity() const
 {
   std::int64_t used = 0;
   std::int64_t total = 0;
@@ -146,13 +146,13 @@
     return FreeFor(aStep, aTarget, aNow);
   };
   if (!m_advice.Ask(*aStep.m_job, aStep.m_name, need, aNow)) {
-    m_turnedAway.emplace_back(aStep.m_name, aMissing);
+    m_stepsOverShare.emplace_back(aStep.m_name, aMissing);
   }
 }
 
 void JobScheduler::AskBeyondShares(TimePoint aNow)
 {
-  for (const auto& [name, missing] : m_turnedAway) {
+  for (const auto& [name, missing] : m_stepsOverShare) {
     const auto step = m_ready.find(name);
     if (step != m_ready.end() && MayAskAdvisor(step->second)) {
       AskAdvisor(step->second, missing, true, aNow);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -259,18 +259,18 @@
   bool MayAskAdvisor(const ReadyStep& aStep) const;
   // Asks the advisor for a step of which aMissing tasks found no target. If
   // the step's queue uses its share of the hosts, the step is added to
-  // m_turnedAway.
+  // m_stepsOverShare.
   void AskAdvisor(const ReadyStep& aStep,
                   std::size_t aMissing,
                   bool aBeyondShare,
                   TimePoint aNow);
-  // Lets the steps of m_turnedAway use the hosts that are still free.
+  // Lets the steps of m_stepsOverShare use the hosts that are still free.
   void AskBeyondShares(TimePoint aNow);
   // Returns the number of queues of the steps.
   static std::size_t CountQueues(const std::vector<ReadyStep*>& aSteps);
   // Returns true if so much of the fleet is free that the advisor limits what
   // can be placed.
-  bool IsFleetIdle() const;
+  bool HasMuchFreeCapacity() const;
   void CheckForStall(const TargetId& aTarget,
                      const RunningTask& aRunning,
                      TaskRef& aRef,
@@ -407,7 +407,7 @@
   std::vector<RunName> m_dispatchesInCommit;
   // Steps that got no host in this placement round because their queue used
   // its share, and how many of their tasks have no target.
-  std::vector<std::pair<StepName, std::size_t>> m_turnedAway;
+  std::vector<std::pair<StepName, std::size_t>> m_stepsOverShare;
   bool m_placementDue = false;
   bool m_mayStart = true;
   TimePoint m_lastPlacement;
--- a/src/jobs/waiting_work_test.cpp
+++ b/src/jobs/waiting_work_test.cpp
@@ -137,8 +137,8 @@
       cell.TraceTo(&std::cout);
     }
     Play(flood, test);
-    cell.CheckWaitingWork();
-    for (int second = 0; second < 120 && !cell.AllThatFitOver(); ++second) {
+    cell.EnableWaitingWorkCheck();
+    for (int second = 0; second < 120 && !cell.AllRunnableOver(); ++second) {
       cell.Run(seconds(1));
     }
     std::cout << test << ", seed " << test.m_firstSeed + run
@@ -146,7 +146,7 @@
               << ToMilliseconds(cell.WaitingWork().LongestWait())
               << " ms, all over after " << ToMilliseconds(cell.Now())
               << " ms\n";
-    EXPECT_TRUE(cell.AllThatFitOver());
+    EXPECT_TRUE(cell.AllRunnableOver());
     EXPECT_THAT(cell.Broken(), testing::IsEmpty());
   }
 }
--- a/src/standin/job_cell_checks.cpp
+++ b/src/standin/job_cell_checks.cpp
@@ -124,7 +124,7 @@
   return step;
 }
 
-bool JobCellModel::AllThatFitOver() const
+bool JobCellModel::AllRunnableOver() const
 {
   std::vector<OpenTarget> empty = OpenTargets();
   for (OpenTarget& target : empty) {
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -26,7 +26,7 @@
 
 constexpr std::size_t kTargetsPerRack = 6;
 
-constexpr Duration kWaitingLookPeriod = std::chrono::milliseconds(100);
+constexpr Duration kWaitingCheckPeriod = std::chrono::milliseconds(100);
 
 // The share of targets that are fit for a step of a queue that the test says
 // nothing about.
@@ -251,7 +251,7 @@
     CheckEnds();
     CheckCancelledRuns();
     if (m_checksWaitingWork) {
-      LookAtWaitingWork();
+      CheckWaitingWork();
     }
     if (m_terms.back()->IsAlive()) {
       m_terms.back()->Step();
@@ -259,18 +259,18 @@
   }
 }
 
-void JobCellModel::LookAtWaitingWork()
+void JobCellModel::CheckWaitingWork()
 {
   if (m_faults.m_storeDown || !m_terms.back()->IsAlive()) {
     m_waitingWork.Reset();
     return;
   }
-  if (m_now < m_nextWaitingLook) {
+  if (m_now < m_nextWaitingCheck) {
     return;
   }
-  m_nextWaitingLook = m_now + kWaitingLookPeriod;
+  m_nextWaitingCheck = m_now + kWaitingCheckPeriod;
   for (const JobId& job :
-       m_waitingWork.Look(OpenTargets(), IdleSteps(), m_now)) {
+       m_waitingWork.Check(OpenTargets(), IdleSteps(), m_now)) {
     Break("WAITS BESIDE FREE CAPACITY " + job.Text());
   }
 }
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -94,7 +94,7 @@
 
   // Checks from now on that no job waits beside free capacity. A test calls it
   // when the load it submits has ended.
-  void CheckWaitingWork() { m_checksWaitingWork = true; }
+  void EnableWaitingWorkCheck() { m_checksWaitingWork = true; }
   const WaitingWorkCheck& WaitingWork() const { return m_waitingWork; }
 
   // Lets virtual time pass.
@@ -105,7 +105,7 @@
   std::uint32_t Pending() const;
   // True when every accepted job is over that its targets could run if each ran
   // nothing else.
-  bool AllThatFitOver() const;
+  bool AllRunnableOver() const;
   // True when every accepted job is over.
   bool AllOver() const;
   // Promises that were broken so far.
@@ -149,7 +149,7 @@
   // Checks that no run of a cancelled job goes on. Looks at calm targets only.
   void CheckCancelledRuns();
   // Checks that accepted work starts while there is capacity for it.
-  void LookAtWaitingWork();
+  void CheckWaitingWork();
   std::vector<OpenTarget> OpenTargets() const;
   // Returns the steps that are due of jobs that have nothing running.
   std::vector<IdleStep> IdleSteps() const;
@@ -221,7 +221,7 @@
   std::vector<std::string> m_broken;
   bool m_checksWaitingWork = false;
   WaitingWorkCheck m_waitingWork;
-  TimePoint m_nextWaitingLook;
+  TimePoint m_nextWaitingCheck;
   StartLedger m_ledger;
   std::size_t m_starts = 0;
   std::size_t m_newestStartAt = 0;
--- a/src/standin/waiting_work_check.cpp
+++ b/src/standin/waiting_work_check.cpp
@@ -47,7 +47,7 @@
   return fitting >= needed;
 }
 
-std::vector<JobId> WaitingWorkCheck::Look(
+std::vector<JobId> WaitingWorkCheck::Check(
   const std::vector<OpenTarget>& aTargets,
   const std::vector<IdleStep>& aSteps,
   TimePoint aNow)
--- a/src/standin/waiting_work_check.h
+++ b/src/standin/waiting_work_check.h
@@ -39,9 +39,9 @@
 public:
   // Looks at the fleet and the steps as they are at aNow, and returns the jobs
   // that have waited too long just now. Each job is reported once.
-  std::vector<JobId> Look(const std::vector<OpenTarget>& aTargets,
-                          const std::vector<IdleStep>& aSteps,
-                          TimePoint aNow);
+  std::vector<JobId> Check(const std::vector<OpenTarget>& aTargets,
+                           const std::vector<IdleStep>& aSteps,
+                           TimePoint aNow);
 
   // Forgets the waits so far, as something harms the whole cell.
   void Reset() { m_idleSince.clear(); }
