--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -35,14 +35,6 @@
 constexpr double kWholeCapacityFactor = 3;
 constexpr Duration kMinPermissionLife = std::chrono::milliseconds(500);
 
-// One in kHostsPerKeptHost hosts is kept free of long calls and of calls for
-// steps that can no longer end in time, so that quick calls for urgent work
-// never queue behind them. Of kMinHostsToKeepOne hosts or more, at least one is
-// kept free of the latter.
-constexpr std::size_t kMinHostsToKeepOne = 4;
-constexpr std::size_t kHostsPerKeptHost = 8;
-constexpr Duration kLongCall = std::chrono::milliseconds(100);
-
 // What may be asked for a step is found out this long after the last time, or
 // when the advisor has answered.
 constexpr Duration kSurveyInterval = std::chrono::milliseconds(100);
@@ -73,12 +65,6 @@
   return std::clamp(targets, kMinTargetsPerCall, kMaxTargetsPerCall);
 }
 
-// Returns true if a call for a step of the queue may use every host.
-bool IsQuickCall(const QueueConfig& aQueue, bool aInTime)
-{
-  return aInTime && aQueue.m_advice.m_perCall < kLongCall;
-}
-
 } // namespace
 
 std::size_t TasksThatFit(const JobStep& aStep, const Resources& aFree)
@@ -99,6 +85,7 @@
 AdviceCache::AdviceCache(JobEffects& aEffects, const TargetManager& aKeeper)
   : m_effects(aEffects)
   , m_keeper(aKeeper)
+  , m_hosts(aEffects)
 {
 }
 
@@ -169,32 +156,20 @@
   }
 }
 
-void AdviceCache::BeginRound(std::size_t aQueues, bool aSharesHosts)
-{
-  m_sharingQueues = aSharesHosts ? aQueues : 0;
-  UpdateUse();
-}
-
-void AdviceCache::UpdateUse()
-{
-  m_use = m_effects.GetAdvisorUse();
-  m_canAsk = m_effects.CanAsk();
-}
-
 bool AdviceCache::Ask(const Job& aJob,
                       const StepName& aStep,
                       const AdviceNeed& aNeed,
                       TimePoint aNow)
 {
   const AdviceTerms& terms = aJob.m_terms.m_advice;
-  if (!MayAsk(aJob.m_terms, aNeed.m_inTime)) {
+  if (!m_hosts.MayAsk(aJob.m_terms, aNeed.m_inTime)) {
     return true;
   }
   StepAdvice& advice = m_steps[aStep];
   if (advice.m_retryAt > aNow) {
     return true;
   }
-  if (UsesItsShare(aNeed, aJob.m_terms)) {
+  if (!MayAsk(aJob.m_terms, aNeed)) {
     return false;
   }
   advice.m_retryAt = aNow + kSurveyInterval;
@@ -204,8 +179,7 @@
   // each change would cause another small call.
   const bool mayAskAboutNew =
     advice.m_calls.size() == (advice.m_renewing ? 1 : 0);
-  while (mayAskAboutNew && MayAsk(aJob.m_terms, aNeed.m_inTime) &&
-         !UsesItsShare(aNeed, aJob.m_terms)) {
+  while (mayAskAboutNew && MayAsk(aJob.m_terms, aNeed)) {
     const auto targets =
       TakeNewTargets(aJob, aStep, advice, aNeed, toAsk, aNow);
     if (targets.empty()) {
@@ -219,7 +193,7 @@
                       toAsk.m_fittingOnFit >= aNeed.m_missing ||
                       (aNeed.m_expectedAt && *aNeed.m_expectedAt <= answeredAt);
   const bool mayRenew =
-    !advice.m_renewing && MayAsk(aJob.m_terms, aNeed.m_inTime);
+    !advice.m_renewing && m_hosts.MayAsk(aJob.m_terms, aNeed.m_inTime);
   if (renewals.empty() || !usable || !mayRenew) {
     return true;
   }
@@ -244,32 +218,11 @@
                    });
 }
 
-std::size_t AdviceCache::HostsFor(const QueueConfig& aQueue, bool aInTime) const
+bool AdviceCache::MayAsk(const QueueConfig& aQueue,
+                         const AdviceNeed& aNeed) const
 {
-  if (IsQuickCall(aQueue, aInTime) || m_use.m_hosts <= 1) {
-    return m_use.m_hosts;
-  }
-  const bool keepsOne = !aInTime && m_use.m_hosts >= kMinHostsToKeepOne;
-  const std::size_t least = keepsOne ? 1 : 0;
-  return m_use.m_hosts - std::max(m_use.m_hosts / kHostsPerKeptHost, least);
-}
-
-bool AdviceCache::MayAsk(const QueueConfig& aQueue, bool aInTime) const
-{
-  return m_canAsk && (IsQuickCall(aQueue, aInTime) ||
-                      m_use.m_busyHosts < HostsFor(aQueue, aInTime));
-}
-
-bool AdviceCache::UsesItsShare(const AdviceNeed& aNeed,
-                               const QueueConfig& aQueue) const
-{
-  if (m_sharingQueues == 0 || aNeed.m_beyondShare) {
-    return false;
-  }
-  const auto calls = m_callsOf.find(aQueue.m_name);
-  const std::size_t share = std::max<std::size_t>(
-    HostsFor(aQueue, aNeed.m_inTime) / m_sharingQueues, 1);
-  return calls != m_callsOf.end() && calls->second >= share;
+  return m_hosts.MayAsk(aQueue, aNeed.m_inTime) &&
+         (aNeed.m_beyondShare || !m_hosts.UsesItsShare(aQueue, aNeed.m_inTime));
 }
 
 void AdviceCache::Send(const Job& aJob,
@@ -303,12 +256,11 @@
                   " renews=" + (aRenews ? "yes" : "no"));
   AdviceCounts& counts = m_counts[call.m_queue];
   ++counts.m_calls;
-  ++m_callsOf[call.m_queue];
   counts.m_renewals += aRenews ? 1 : 0;
   counts.m_targets += aTargets.size();
   m_calls[request.m_ticket] = std::move(call);
   m_effects.Ask(request, TimeOfCall(aJob.m_terms.m_advice, aTargets.size()));
-  UpdateUse();
+  m_hosts.OnCallSent(aJob.m_terms.m_name);
 }
 
 AdviceCache::TargetsToAsk AdviceCache::FindTargetsToAsk(
@@ -421,7 +373,7 @@
   }
   const Call call = found->second;
   m_calls.erase(found);
-  --m_callsOf[call.m_queue];
+  m_hosts.OnCallEnded(call.m_queue);
   const auto step = m_steps.find(call.m_step);
   if (step == m_steps.end()) {
     return; // removed while the call was under way
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "advisor_hosts.h"
 #include "job.h"
 #include "lycheestep/advice.h"
 
@@ -82,14 +83,9 @@
   void ForEachFit(const StepName& aStep,
                   const std::function<void(const TargetState&)>& aUse) const;
 
-  // Begins a placement round in which steps of aQueues queues wait. If
-  // aSharesHosts, each of these queues gets an equal share of the hosts for its
-  // calls.
-  void BeginRound(std::size_t aQueues, bool aSharesHosts);
-
-  // Returns true if a host is free for a call for a step of the queue that can
-  // end in time, or no longer can.
-  bool MayAsk(const QueueConfig& aQueue, bool aInTime) const;
+  // The hosts that make the calls.
+  AdvisorHosts& Hosts() { return m_hosts; }
+  const AdvisorHosts& Hosts() const { return m_hosts; }
 
   // Makes the calls of the advisor that a step needs whose tasks could not all
   // be placed, as far as hosts are free for them: calls about targets that
@@ -206,13 +202,9 @@
                                                  TargetsToAsk& aToAsk,
                                                  TimePoint aNow) const;
   static void SortByFittingTasks(std::vector<TargetToAsk>& aTargets);
-  // Returns how many hosts calls for a step of the queue may use together with
-  // all other calls.
-  std::size_t HostsFor(const QueueConfig& aQueue, bool aInTime) const;
-  // Returns true if the step's queue uses its share of the hosts.
-  bool UsesItsShare(const AdviceNeed& aNeed, const QueueConfig& aQueue) const;
-  // Finds out which hosts are free for calls.
-  void UpdateUse();
+  // Returns true if a host is free for the step, within its queue's share or
+  // beyond it, as the need says.
+  bool MayAsk(const QueueConfig& aQueue, const AdviceNeed& aNeed) const;
   // Sends a call that names the targets.
   void Send(const Job& aJob,
             const StepName& aStep,
@@ -232,14 +224,7 @@
   std::map<QueueName, double> m_fitShares;
   std::map<QueueName, AdviceCounts> m_counts;
   std::uint64_t m_lastCall = 0;
-  // The hosts that make calls, as of the last call or the round's beginning.
-  AdvisorUse m_use;
-  bool m_canAsk = false;
-  // The number of queues among which the hosts are shared; zero if they are
-  // not.
-  std::size_t m_sharingQueues = 0;
-  // The number of calls under way for each queue.
-  std::map<QueueName, std::size_t> m_callsOf;
+  AdvisorHosts m_hosts;
 };
 
 // Returns how many tasks of the step fit into aFree, at most the step's task
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -52,7 +52,7 @@
   m_lastPlacement = aNow;
   m_gangReservations.BeginRound(m_keeper.ListedCapacity(), aNow);
   const std::vector<ReadyStep*> steps = RankReadySteps(aNow);
-  m_advice.BeginRound(CountQueues(steps), HasMuchFreeCapacity());
+  m_advice.Hosts().BeginRound(CountQueues(steps), HasMuchFreeCapacity());
   m_stepsOverShare.clear();
   std::size_t tried = 0;
   for (ReadyStep* step : steps) {
@@ -126,9 +126,9 @@
 
 bool JobScheduler::MayAskAdvisor(const ReadyStep& aStep) const
 {
-  return m_advice.MayAsk(aStep.m_job->m_terms,
-                         aStep.m_rank.m_lateness ==
-                           StepRank::Lateness::kInTime);
+  return m_advice.Hosts().MayAsk(aStep.m_job->m_terms,
+                                 aStep.m_rank.m_lateness ==
+                                   StepRank::Lateness::kInTime);
 }
 
 void JobScheduler::AskAdvisor(const ReadyStep& aStep,
