Let a host that needs a relay to the store take the lead last

It never renewed, and the next take-over came a second later.

Cause: an election did not know how its row had been read, so that a host which was cut off kept the rank that it had before. The class: an order that is decided once and not checked when it is used.

A host whose read needed a relay now waits like the lowest rank, 1.2 s, and tries only if the same row is still stale then. If nobody else can lead, it does. The test failed before: such a host tried at its first read.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -283,6 +283,7 @@
   }
   LeaderRecord record = DecodeLeaderRow(answer);
   record.m_readLatency = BootClockNow() - sent;
+  record.m_readByRelay = !m_store.IsDirect();
   if (!m_election.IsRanked() && !RankHosts()) {
     m_election.OnReadFailed(BootClockNow());
     return;
--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -99,6 +99,7 @@
   m_higherRanksHadTime = true; // the wait below gives it to them
   m_waitsSince = aNow;
   m_waitsForVersion = 0;
+  m_waitsAtRank = m_rank;
   const Duration wait = kDelayPerRank * static_cast<std::int64_t>(m_rank);
   m_nextReadTime =
     aReleased ? aNow + wait : aNow + kElectionTimeout + wait - aRenewedAgo / 2;
@@ -146,15 +147,18 @@
   if (!vacant && afterOutage) {
     return false;
   }
+  const std::size_t rank = aRecord.m_readByRelay ? kMaxRank : m_rank;
   const bool isOfLaterLeader = !vacant && IsOfLaterLeader(aRecord, aNow);
-  const bool hadTime = m_higherRanksHadTime && !isOfLaterLeader;
-  if (hadTime || m_rank == 0) {
+  const bool hadTime =
+    m_higherRanksHadTime && !isOfLaterLeader && m_waitsAtRank >= rank;
+  if (hadTime || rank == 0) {
     return true;
   }
   m_higherRanksHadTime = true;
   m_waitsSince = aNow;
   m_waitsForVersion = aRecord.m_version;
-  m_nextReadTime = aNow + kDelayPerRank * static_cast<std::int64_t>(m_rank);
+  m_waitsAtRank = rank;
+  m_nextReadTime = aNow + kDelayPerRank * static_cast<std::int64_t>(rank);
   return false;
 }
 
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -31,6 +31,8 @@
   Duration m_storeClock = Duration::zero();
   // Time that the store took to answer the read.
   Duration m_readLatency = Duration::zero();
+  // True if the reader needs a relay to reach the store.
+  bool m_readByRelay = false;
   // True if a probe of the leader's address showed that its process has ended.
   bool m_processEnded = false;
 };
@@ -107,8 +109,10 @@
   // True once hosts of a higher rank have been given time to take the lead.
   bool m_higherRanksHadTime = false;
   // When this host last began to give it to them, and the version of the stale
-  // row that was the reason; zero if it was the end of the heartbeats.
+  // row that was the reason; zero if it was the end of the heartbeats. The rank
+  // for which it waits.
   TimePoint m_waitsSince;
+  std::size_t m_waitsAtRank = 0;
   std::uint64_t m_waitsForVersion = 0;
   TimePoint m_nextReadTime;
   // True if the last read of the leader's row failed.
--- a/src/jobhost/leader_election_test.cpp
+++ b/src/jobhost/leader_election_test.cpp
@@ -214,6 +214,20 @@
   }
 }
 
+// A leader that reaches the store by a relay only renews late and is soon lost.
+TEST(LeaderElection, HostThatNeedsARelayGoesLast)
+{
+  LeaderElection election("a", 1);
+  const TimePoint now{ seconds(100) };
+  election.OnHeartbeat({ "a", "b" }, milliseconds(0), false, now);
+  LeaderRecord record = RecordOf("x", seconds(2));
+  record.m_readByRelay = true;
+  EXPECT_FALSE(election.OnRowRead(record, election.NextReadTime()));
+  const TimePoint second = election.NextReadTime();
+  EXPECT_GE(second, now + milliseconds(1200));
+  EXPECT_TRUE(election.OnRowRead(record, second));
+}
+
 TEST(LeaderElection, FormerLeasesCoverOrdersThatMayStillBeSent)
 {
   EXPECT_EQ(LeaderElection::RemainingFormerLease(LeaderRecord()),
