Rank hosts anew that the leader does not list

Callers would see: when all successors that the leader lists are in a data centre that is cut off, a host with 0.12 of a core takes the lead before large hosts.

The class: a value that is right at the start and is never read again.

A host that the last heartbeat does not list reads the hosts' rows again before it may try, and waits for its new rank if that is lower than the one for which it has waited. The test failed before: a small host that had ranked itself first tried at the same time as a large one.

--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -82,6 +82,7 @@
 {
   m_rank = m_rankAmongHosts;
   m_ranked = false;
+  m_isListed = false;
   m_higherRanksHadTime = false;
   m_nextReadTime = aNow + aFirstDelay;
 }
@@ -97,6 +98,9 @@
              ? std::min(place, kMaxRank)
              : std::clamp(m_rankAmongHosts, kMinUnlistedRank, kMaxRank);
   m_higherRanksHadTime = true; // the wait below gives it to them
+  m_isListed = own != aSuccessors.end();
+  // The rank of a host that is not listed may be one among few hosts.
+  m_ranked = m_ranked && m_isListed;
   m_waitsSince = aNow;
   m_waitsForVersion = 0;
   m_waitsAtRank = m_rank;
@@ -119,7 +123,9 @@
     });
   const auto place = static_cast<std::size_t>(own - aHosts.begin());
   m_rankAmongHosts = std::min(place, kMaxRank);
-  m_rank = m_rankAmongHosts;
+  if (!m_isListed) {
+    m_rank = m_rankAmongHosts;
+  }
   m_ranked = true;
 }
 
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -106,6 +106,8 @@
   std::size_t m_rank = 0;
   std::size_t m_rankAmongHosts = 0;
   bool m_ranked = false;
+  // True if the last heartbeat listed this host as a successor.
+  bool m_isListed = false;
   // True once hosts of a higher rank have been given time to take the lead.
   bool m_higherRanksHadTime = false;
   // When this host last began to give it to them, and the version of the stale
--- a/src/jobhost/leader_election_test.cpp
+++ b/src/jobhost/leader_election_test.cpp
@@ -228,6 +228,31 @@
   EXPECT_TRUE(election.OnRowRead(record, second));
 }
 
+// At the first start the rows of most hosts are missing, and small hosts would
+// keep the rank that they have among the others.
+TEST(LeaderElection, RankAmongTheFirstHostsIsNotKept)
+{
+  const TimePoint now{ seconds(100) };
+  LeaderElection small("small", 1);
+  small.SetHosts({ { "small", 0.12 } });
+  LeaderElection large("f-large", 1);
+  std::vector<ElectionHost> hosts = { { "small", 0.12 } };
+  for (const char* name : { "a", "b", "c", "d", "e", "f-large" }) {
+    hosts.push_back(ElectionHost{ name, 0.5 });
+  }
+  large.SetHosts(hosts);
+  for (LeaderElection* election : { &small, &large }) {
+    election->OnHeartbeat(
+      { "a", "b", "c", "d", "e" }, milliseconds(0), false, now);
+    if (!election->IsRanked()) {
+      election->SetHosts(hosts);
+    }
+  }
+  const TimePoint late = now + seconds(2);
+  EXPECT_TRUE(large.OnRowRead(RecordOf("x", seconds(2)), late));
+  EXPECT_FALSE(small.OnRowRead(RecordOf("x", seconds(2)), late));
+}
+
 TEST(LeaderElection, FormerLeasesCoverOrdersThatMayStillBeSent)
 {
   EXPECT_EQ(LeaderElection::RemainingFormerLease(LeaderRecord()),
