Keep the relays to the store when a host becomes the leader

Cause: a leader sets its relays with each heartbeat, from the hosts that have answered it. A new leader has read no rows of hosts yet, so its first heartbeat set an empty list. A leader that needs a relay then had none to read those rows with: its log says store-by-relay at 26.07, leading and store-away relays=0 at 26.96, and it never renewed. The class: a value that is not known yet is taken for an empty one.

An empty list now changes nothing. The test failed before: no route instead of the relay.

--- a/src/jobhost/store_router.cpp
+++ b/src/jobhost/store_router.cpp
@@ -44,7 +44,9 @@
 
 void StoreRouter::SetRelays(std::vector<std::string> aAddresses)
 {
-  m_relays = std::move(aAddresses);
+  if (!aAddresses.empty()) {
+    m_relays = std::move(aAddresses);
+  }
 }
 
 StoreCallRoute StoreRouter::Choose(StoreCallKind aKind, TimePoint aNow)
--- a/src/jobhost/store_router.h
+++ b/src/jobhost/store_router.h
@@ -58,7 +58,8 @@
 {
 public:
   // Sets the addresses of the hosts that can relay calls, in the order in which
-  // they are tried.
+  // they are tried. An empty list changes nothing, as a host that has just
+  // become the leader knows of no other hosts yet.
   void SetRelays(std::vector<std::string> aAddresses);
 
   // Returns the route of a new call.
--- a/src/jobhost/store_router_test.cpp
+++ b/src/jobhost/store_router_test.cpp
@@ -57,6 +57,14 @@
   EXPECT_EQ(route.m_relay, "c:1");
 }
 
+TEST(StoreRouter, NewLeaderThatKnowsNoHostsYetKeepsItsRelays)
+{
+  StoreRouter router = MakeDirectFailing();
+  router.SetRelays({});
+  EXPECT_EQ(router.Reachability(kStart), StoreReachability::kRelay);
+  EXPECT_EQ(router.Choose(StoreCallKind::kRead, kStart).m_relay, "b:1");
+}
+
 TEST(StoreRouter, WriteIsNeverTheFirstCallOnAnUncertainRoute)
 {
   StoreRouter directFailing = MakeDirectFailing();
