Do not wait when an order queue is only polled

Tests on virtual time took many times their processor time: each poll of an empty queue waited on a condition for zero time, which is a sleep of the thread. Threads that send orders always wait for longer than zero, so nothing changes for them.

--- a/src/jobs/order_queue.cpp
+++ b/src/jobs/order_queue.cpp
@@ -88,7 +88,9 @@
   const auto hasOrders = [this] {
     return !m_withdrawn.empty() || !m_urgent.empty() || !m_others.empty();
   };
-  m_ready.wait_for(lock, aMaxWait, [&] { return m_closed || hasOrders(); });
+  if (aMaxWait > Duration::zero()) {
+    m_ready.wait_for(lock, aMaxWait, [&] { return m_closed || hasOrders(); });
+  }
   std::deque<QueuedOrder>& queue = NextQueue();
   if (queue.empty()) {
     return std::nullopt;
