Let the soak play slow stops, rows that are away and changes of the lead

Options for the calm series: the time that every second worker takes to answer a stop or a hold, how long tasks work, when waves are cancelled, and series in which the leader is stopped or killed, also while the rows of every second worker are away for nine seconds. In a calm series only a change of the lead excuses a run that goes on, for two seconds, which is stricter than the bound for other faults. Workers report the progress of their runs; before, all that took longer than 4.5 s were stopped as stalled.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -8,17 +8,19 @@
 
 TRIES = 8
 WAVE_CANCELLED = 0.7
-WAVE_CANCELLED_WITHIN_S = 2.5
+CANCELLED_WITHIN_S = 2.5
 
 
 class Callers:
-    def __init__(self, hosts, ledger, seed):
+    def __init__(self, hosts, ledger, seed, load=1.0,
+                 cancelled_within_s=CANCELLED_WITHIN_S):
         self.hosts = hosts
         self.ledger = ledger
         self.random = random.Random(seed)
+        self.cancelled_within_s = cancelled_within_s
         self.over = threading.Event()
         self.threads = [threading.Thread(target=self.submit_all, args=(i,))
-                        for i in range(6)]
+                        for i in range(round(6 * load))]
         self.threads.append(threading.Thread(target=self.send_waves))
         self.threads.append(threading.Thread(target=self.watch))
 
@@ -72,7 +74,7 @@
             self.submit(job_id, job, chance)
             if job.accepted and chance.random() < WAVE_CANCELLED:
                 at = time.monotonic() + chance.uniform(
-                    0, WAVE_CANCELLED_WITHIN_S)
+                    0, self.cancelled_within_s)
                 cancels.append((at, job_id, job))
         for at, job_id, job in sorted(cancels, key=lambda entry: entry[0]):
             time.sleep(max(0.0, at - time.monotonic()))
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -8,6 +8,12 @@
 
 # The time that slow workers take to answer a start, in seconds.
 SLOW_S = (0.1, 0.6)
+# The rows of workers that live are away for so long.
+ROWS_AWAY_S = 9
+# Before that, work begins everywhere.
+WORK_BEGINS_AFTER_S = 3
+# A new leader is chosen this long after the rows went away.
+LEAD_CHANGES_AFTER_S = 0.5
 
 
 class Faults:
@@ -151,6 +157,37 @@
     def nothing(self):
         pass
 
+    def leading_host(self):
+        name = self.store.leading(host.name for host in self.hosts)
+        return next((host for host in self.hosts if host.name == name), None)
+
+    def stop_leader(self):
+        """A planned stop, and the process is back at once."""
+        host = self.leading_host()
+        if host is None:
+            return
+        host.stopping_at = time.monotonic()
+        self.ledger.lead.disturb()
+        host.send(signal.SIGTERM)
+        self.restart(host)
+
+    def kill_leader(self):
+        host = self.leading_host()
+        if host is not None:
+            self.ledger.lead.disturb()
+            host.send(signal.SIGKILL)
+            self.restart(host)
+
+    def rows_away(self):
+        """The rows of every second worker are away while the lead changes."""
+        time.sleep(WORK_BEGINS_AFTER_S)
+        for worker in self.workers[1::2]:
+            worker.keep_row_away(True)
+            self.later(ROWS_AWAY_S, worker.keep_row_away, False)
+        time.sleep(LEAD_CHANGES_AFTER_S)
+        self.random.choice([self.stop_leader, self.kill_leader])()
+        time.sleep(ROWS_AWAY_S)
+
     def slow_worker(self):
         """For a while, or for good."""
         worker = self.random.choice(self.workers)
--- a/testsuite/soak/ledger.py
+++ b/testsuite/soak/ledger.py
@@ -17,6 +17,8 @@
 SHOWN_S = 1.0
 # The members of a gang wait so long for each other.
 GANG_S = 3.0
+# After the leader's end another one has taken over within this.
+LEAD_S = 2.0
 # An order to a worker whose way was disturbed may be carried out so late.
 LATE_S = 12.0
 
@@ -80,6 +82,10 @@
         self.resumed = {}  # (step, run) of a gang -> checkpoint of its start
         self.gangs = {}  # (step, run) -> when its last member came
         self.gangs_done = set()
+        # In the calm series only a change of the lead excuses a run that goes
+        # on: other hosts that stop or start have no part in its stop.
+        self.in_calm_series = False
+        self.lead = Calm()
         self.starts = 0
         self.timed_starts = 0  # after a cancelling, with no excuse
         self.resumes = 0
@@ -175,8 +181,9 @@
         job = self.jobs.get(task.split(".")[0])
         if job is None or not job.cancel_acked or late_way(worker):
             return False
-        since = max(job.cancel_acked, self.calm.since + CONTACT_S,
-                    self.reads.since + CONTACT_S)
+        hosts_calm = self.lead.since + LEAD_S if self.in_calm_series \
+            else self.calm.since + CONTACT_S
+        since = max(job.cancel_acked, hosts_calm, self.reads.since + CONTACT_S)
         if time.monotonic() < since + CANCEL_S + STOP_S:
             return False
         self.timed("run that goes on after a cancelling",
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -2,7 +2,9 @@
 """Runs hosts as separate processes among faults and checks their promises.
 
 Usage: soak.py PROGRAM [--seed N] [--seconds S] [--calm S] [--hosts N]
-[--workers N] [--slow S] [--retention-ms N] [--forgets-after S] [--logs FOLDER]
+[--workers N] [--slow S] [--slow-stop S] [--slow-hold S] [--work LEAST MOST]
+[--load X] [--cancelled-within S] [--retention-ms N] [--forgets-after S]
+[--logs FOLDER]
 
 First a calm series: nothing but slow workers, workers that drain and waves of
 cancellations, so that no check with a time bound has an excuse. Then faults
@@ -19,13 +21,13 @@
 import tempfile
 import time
 
-from callers import Callers
+from callers import CANCELLED_WITHIN_S, Callers
 from faults import Faults
 from hosts import GRACE_S, PORTS_PER_HOST, Host, free_ports
 from ledger import CONTACT_S, Ledger
 from proxy import Proxy
 from store import Store
-from targets import Worker
+from targets import WORK_S, Worker
 from web import call
 
 # After the last fault every accepted job ends within this.
@@ -60,7 +62,8 @@
                            first + i * PORTS_PER_HOST, base, self.ledger.calm,
                            arguments.retention_ms)
                       for i in range(arguments.hosts)]
-        self.callers = Callers(self.hosts, self.ledger, arguments.seed)
+        self.callers = Callers(self.hosts, self.ledger, arguments.seed,
+                               arguments.load, arguments.cancelled_within)
         self.faults = Faults(self.hosts, self.workers, self.worker_ways,
                              self.store, self.ledger, arguments.seed)
 
@@ -89,14 +92,22 @@
         arguments = self.arguments
         for worker in self.workers[1::2]:
             worker.answer_s = arguments.slow
+            worker.stop_answer_s = arguments.slow_stop
+            worker.hold_answer_s = arguments.slow_hold
+        for worker in self.workers:
+            worker.work_s = arguments.work
         if arguments.forgets_after:
             time.sleep(arguments.forgets_after)
             print("the store forgets", flush=True)
             self.faults.forget_often(arguments.calm, arguments.read_delay)
         faults = {"mixed": self.faults.of_calm_times(),
                   "drain": [self.faults.drain_worker],
+                  "lead": [self.faults.stop_leader, self.faults.kill_leader],
+                  "rows": [self.faults.rows_away],
                   "none": [self.faults.nothing]}[arguments.calm_faults]
+        self.ledger.in_calm_series = True
         self.faults.play(arguments.calm, faults)
+        self.ledger.in_calm_series = False
 
     def await_ready(self):
         end = time.monotonic() + SETTLE_S
@@ -138,12 +149,23 @@
     parser.add_argument("--calm", type=float, default=10,
                         help="seconds of the calm series before the faults")
     parser.add_argument("--calm-faults", default="mixed",
-                        choices=["mixed", "drain", "none"])
+                        choices=["mixed", "drain", "lead", "rows", "none"])
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--slow", type=float, default=0.3,
                         help="seconds that every second worker takes to "
                         "answer a start")
+    parser.add_argument("--slow-stop", type=float, default=0,
+                        help="the same of a stop")
+    parser.add_argument("--slow-hold", type=float, default=0,
+                        help="the same of a hold")
+    parser.add_argument("--work", type=float, nargs=2, default=WORK_S,
+                        help="the least and most seconds that a task works")
+    parser.add_argument("--load", type=float, default=1,
+                        help="share of the callers beside the waves")
+    parser.add_argument("--cancelled-within", type=float,
+                        default=CANCELLED_WITHIN_S,
+                        help="seconds after a job of a wave was accepted")
     parser.add_argument("--retention-ms", type=int, default=RETENTION_MS,
                         help="0: as the program has it")
     parser.add_argument("--forgets-after", type=float, default=0,
--- a/testsuite/soak/store.py
+++ b/testsuite/soak/store.py
@@ -77,6 +77,12 @@
             self.write((table, "", key), value)
             self.lock.notify_all()
 
+    def leading(self, names):
+        """The host that the leader's row names, if it is one of NAMES."""
+        with self.lock:
+            value, _ = self.rows.get(("leader", "", "leader"), (b"", 0))
+        return next((name for name in names if name.encode() in value), None)
+
     def transact(self, body):
         def key_of(entry):
             return entry["table"], entry.get("part", ""), entry["key"]
--- a/testsuite/soak/targets.py
+++ b/testsuite/soak/targets.py
@@ -2,8 +2,9 @@
 
 A worker obeys no fencing token below the highest it has seen, kills all that
 runs when its lease is over by its own clock, which may be slow, and lists ends
-until they may be forgotten. It may take long to answer a start. It does not
-guard its room: the ledger does, and names each promise that was broken.
+until they may be forgotten. It may take long to answer each kind of order, and
+its row may be away from the store while it lives. It does not guard its room:
+the ledger does, and names each promise that was broken.
 """
 import random
 import threading
@@ -15,6 +16,8 @@
 MAX_HOLD_MS = 10000
 STOP_S = 0.2
 CHECKPOINT_S = 0.15
+# How long a task works, unless the soak says otherwise.
+WORK_S = (0.1, 0.9)
 
 
 class Run:
@@ -30,6 +33,10 @@
         self.saves_at = self.began + CHECKPOINT_S
         self.too_long = False
 
+    def percent(self):
+        worked_s = time.monotonic() - self.began
+        return min(99, int(100 * worked_s / self.work_s))
+
 
 class Worker:
     def __init__(self, name, port, address, store, ledger, seed):
@@ -43,6 +50,10 @@
         self.draining = False
         self.drained_at = None  # when the store took the report
         self.answer_s = 0.0  # time to answer a start
+        self.stop_answer_s = 0.0  # ... a stop, which takes effect at once
+        self.hold_answer_s = 0.0  # ... a hold, beyond the wait for an end
+        self.work_s = WORK_S
+        self.row_away = False
         self.hangs = False
         self.gone = False
         self.disturbed_at = time.monotonic() - LATE_S  # its way, last
@@ -67,7 +78,8 @@
         return int((time.monotonic() - self.start) * 1000 * self.rate)
 
     def register(self):
-        self.store.put("servers", self.name, None if self.gone else {
+        away = self.gone or self.row_away
+        self.store.put("servers", self.name, None if away else {
             "service": "desk", "address": "127.0.0.1:%d" % self.address,
             "zone": "z1", "version": "1", "slots": 8, "cold_left_ms": 0,
             "state": "draining" if self.draining else "ready", "seq": 1,
@@ -75,6 +87,10 @@
             "labels": ["k1", "r1"], "machine": "m-" + self.name,
             "born": self.born})
 
+    def keep_row_away(self, away):
+        self.row_away = away
+        self.register()
+
     def drain(self, draining):
         self.draining = draining
         self.drained_at = None
@@ -130,8 +146,10 @@
                 self.gone:
             return 421, {}
         answer = self.obey(path, body)
-        if path.endswith("/run-start"):
-            time.sleep(self.answer_s)
+        time.sleep({"/run-start": self.answer_s,
+                    "/run-stop": self.stop_answer_s,
+                    "/hold": self.hold_answer_s}.get(
+                        path.replace("/lycheestep", ""), 0.0))
         return answer
 
     def obey(self, path, body):
@@ -163,7 +181,7 @@
         entry = self.ledger.on_start(self, body["task"], body["run"],
                                      body["spec"], checkpoint) or {}
         fails = self.random.random() < 0.03
-        self.runs[key] = Run(self.random.uniform(0.1, 0.9), fails, entry,
+        self.runs[key] = Run(self.random.uniform(*self.work_s), fails, entry,
                              checkpoint)
         if sum(run.cpu for run in self.runs.values()) > self.capacity:
             self.ledger.breach("%s was given more than it has" % self.name)
@@ -199,6 +217,6 @@
         if born != self.born:
             return None  # the process that was asked is no more
         return 200, {"clock_ms": self.clock(), "born": self.born,
-                     "running": [[*key, run.checkpoint, 50, 0]
+                     "running": [[*key, run.checkpoint, run.percent(), 0]
                                  for key, run in self.runs.items()],
                      "finished": self.finished[:500]}
