Name each run that is to be stopped and is not, and why

No line named a stop that was sent, answered or could not be sent, and nothing said how long stops wait.

The mock of JobEffects ignores metrics unless a test expects them, as the monitor reports with each tick.

--- a/src/jobhost/target_connection.cpp
+++ b/src/jobhost/target_connection.cpp
@@ -25,9 +25,19 @@
 // wakes the thread earlier.
 constexpr Duration kIdle = std::chrono::minutes(10);
 
-// Starts that waited for at least this long are logged.
+// Starts and stops that waited for at least this long are logged.
 constexpr Duration kLoggedWait = std::chrono::milliseconds(100);
 
+// Returns the fields of a log line about an order that waited.
+std::string WaitFields(const RunName& aRun,
+                       const TargetId& aTarget,
+                       Duration aWait)
+{
+  return "task=" + TaskText(aRun.m_task) +
+         " run=" + std::to_string(aRun.m_run) + " target=" + aTarget.Text() +
+         " waited_ms=" + std::to_string(ToMilliseconds(aWait));
+}
+
 } // namespace
 
 TargetConnection::TargetConnection(TargetOrders& aOrders,
@@ -146,9 +156,11 @@
 {
   OrderAnswer answer;
   answer.m_status = CheckSendable(aQueued);
-  return answer.m_status == OrderStatus::kDone
-           ? m_orders.Stop(aOrder, kOrderTimeout)
-           : answer;
+  if (answer.m_status != OrderStatus::kDone) {
+    return answer;
+  }
+  ReportWait(aOrder, BootClockNow() - aQueued.m_queuedAt);
+  return m_orders.Stop(aOrder, kOrderTimeout);
 }
 
 HoldAnswer TargetConnection::SendHold(const HoldOrder& aOrder,
@@ -178,10 +190,16 @@
     return;
   }
   m_log.Write(aSent ? "start-left-late" : "start-dropped",
-              "task=" + TaskText(aOrder.m_run.m_task) +
-                " run=" + std::to_string(aOrder.m_run.m_run) +
-                " target=" + aOrder.m_to.m_target.Text() +
-                " waited_ms=" + std::to_string(ToMilliseconds(aWait)));
+              WaitFields(aOrder.m_run, aOrder.m_to.m_target, aWait));
+}
+
+void TargetConnection::ReportWait(const StopOrder& aOrder, Duration aWait)
+{
+  m_metrics.Observe("lycheestep_stop_queue_seconds", "", aWait);
+  if (aWait >= kLoggedWait) {
+    m_log.Write("stop-left-late",
+                WaitFields(aOrder.m_run, aOrder.m_to.m_target, aWait));
+  }
 }
 
 } // namespace lycheestep
--- a/src/jobhost/target_connection.h
+++ b/src/jobhost/target_connection.h
@@ -22,7 +22,7 @@
 public:
   // Starts the threads. aMaySend returns true while orders may be sent, and is
   // called right before each order. aAnswers are called on these threads. aLog
-  // and aMetrics are told how long starts wait in the queue.
+  // and aMetrics are told how long starts and stops wait in the queue.
   TargetConnection(TargetOrders& aOrders,
                    EventLog& aLog,
                    MetricsSink& aMetrics,
@@ -64,6 +64,8 @@
   // Reports how long a start waited in the queue before it was sent, or before
   // it was found that it must not be sent.
   void ReportWait(const StartOrder& aOrder, Duration aWait, bool aSent);
+  // Reports how long a stop waited in the queue before it was sent.
+  void ReportWait(const StopOrder& aOrder, Duration aWait);
 
   TargetOrders& m_orders;
   EventLog& m_log;
--- a/src/jobs/mock_job_effects.h
+++ b/src/jobs/mock_job_effects.h
@@ -6,13 +6,20 @@
 
 #include <gmock/gmock.h>
 
+#include "ignored_metrics.h"
 #include "job_effects.h"
 
 namespace lycheestep {
 
+// Metrics are ignored unless a test expects them.
 class MockJobEffects : public JobEffects
 {
 public:
+  MockJobEffects()
+  {
+    ON_CALL(*this, Metrics()).WillByDefault(testing::ReturnRef(m_metrics));
+  }
+
   MOCK_METHOD(void,
               Commit,
               (std::vector<RowWrite>, std::vector<RowKey>),
@@ -32,6 +39,9 @@
               (const std::string&, const std::string&),
               (override));
   MOCK_METHOD(MetricsSink&, Metrics, (), (override));
+
+private:
+  IgnoredMetrics m_metrics;
 };
 
 } // namespace lycheestep
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -150,6 +150,10 @@
       continue;
     }
     aTarget.m_lastEndSeen = ended.m_number;
+    const auto run = aTarget.m_runs.find(ended.m_run);
+    if (run != aTarget.m_runs.end()) {
+      m_stopMonitor.OnRunEnded(run->second, aNow);
+    }
     DropRun(aTarget, ended.m_run);
     m_listener.OnRunEnded(aTarget.m_record.m_target, ended, aNow);
   }
@@ -165,7 +169,7 @@
     listed.insert(task.m_run);
     const auto run = aTarget.m_runs.find(task.m_run);
     if (run == aTarget.m_runs.end()) {
-      AddUnknownRun(aTarget, task.m_run);
+      AddUnknownRun(aTarget, task.m_run, aNow);
       continue;
     }
     if (!run->second.m_confirmed) {
@@ -225,7 +229,9 @@
   }
 }
 
-void TargetManager::AddUnknownRun(TargetState& aTarget, const RunName& aRun)
+void TargetManager::AddUnknownRun(TargetState& aTarget,
+                                  const RunName& aRun,
+                                  TimePoint aNow)
 {
   m_effects.Log("run-unknown",
                 "target=" + aTarget.m_record.m_target.Text() + " task=" +
@@ -238,7 +244,7 @@
   run.m_confirmed = true;
   run.m_confirmedAt = TimePoint::max();
   run.m_ofUnknownJob = true;
-  run.m_stopRequested = true;
+  RequestStop(aTarget, aRun, run, aNow);
   aTarget.m_runs.emplace(aRun, run);
   aTarget.m_used += run.m_demand;
 }
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -20,6 +20,7 @@
   : m_settings(aSettings)
   , m_effects(aEffects)
   , m_listener(aListener)
+  , m_stopMonitor(aEffects)
 {
 }
 
@@ -132,6 +133,7 @@
     ResendStops(target, aNow);
     ++it;
   }
+  m_stopMonitor.Tick(m_targets, aNow);
 }
 
 Resources TargetManager::ListedCapacity() const
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "job_effects.h"
+#include "stop_monitor.h"
 #include "target_state.h"
 
 namespace lycheestep {
@@ -155,7 +156,7 @@
                                const std::set<RunName>& aListed);
   void DetectMissingRuns(TargetState& aTarget,
                          const std::set<RunName>& aListed);
-  void AddUnknownRun(TargetState& aTarget, const RunName& aRun);
+  void AddUnknownRun(TargetState& aTarget, const RunName& aRun, TimePoint aNow);
   // Drops all runs whose start was sent and tells the listener.
   void DropSentRuns(TargetState& aTarget);
   // Drops the sent runs that a freshly taken target does not list, and tells
@@ -163,6 +164,11 @@
   void DropAbsentRuns(TargetState& aTarget, const HoldAnswer& aAnswer);
   void DropRun(TargetState& aTarget, const RunName& aRun);
   void DropExpiredRuns(TargetState& aTarget, TimePoint aNow);
+  // Notes that the run is to be stopped.
+  void RequestStop(TargetState& aTarget,
+                   const RunName& aName,
+                   TargetRun& aRun,
+                   TimePoint aNow);
   void ResendStops(TargetState& aTarget, TimePoint aNow);
   bool HoldIsDue(const TargetState& aTarget, TimePoint aNow) const;
   // Moves aTarget.m_leaseEnd to one lease after the target's estimated time at
@@ -175,6 +181,7 @@
   const TargetManagerSettings m_settings;
   JobEffects& m_effects;
   RunListener& m_listener;
+  StopMonitor m_stopMonitor;
   std::map<TargetId, TargetState> m_targets;
   // The number of the last run end processed of each target when the commit in
   // progress began. Targets whose run ends are all stored have no entry.
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -6,6 +6,7 @@
 
 #include "job_effects.h"
 #include "run_listener.h"
+#include "run_text.h"
 #include "target_manager.h"
 
 namespace lycheestep {
@@ -118,13 +119,16 @@
   TargetState& target = found->second;
   const auto run = target.m_runs.find(aRun);
   if (run == target.m_runs.end()) {
+    m_effects.Log("stop-without-run",
+                  "task=" + TaskText(aRun.m_task) + " run=" +
+                    std::to_string(aRun.m_run) + " target=" + aTarget.Text());
     return;
   }
   if (!run->second.m_sent) {
     DropRun(target, aRun);
     return;
   }
-  run->second.m_stopRequested = true;
+  RequestStop(target, aRun, run->second, aNow);
   const bool mayWait = !run->second.m_confirmed;
   ResendStops(target, aNow);
   if (mayWait) {
@@ -210,6 +214,20 @@
     return;
   }
   TargetState& target = found->second;
+  if (aAnswer.m_status == OrderStatus::kWithdrawn) {
+    return; // a later stop of the run takes its place, or it never started
+  }
+  const auto run = target.m_runs.find(aOrder.m_run);
+  if (run != target.m_runs.end()) {
+    run->second.m_stopAnswer = aAnswer.m_status;
+  }
+  if (aAnswer.m_status != OrderStatus::kDone) {
+    m_effects.Log("stop-refused",
+                  "task=" + TaskText(aOrder.m_run.m_task) +
+                    " run=" + std::to_string(aOrder.m_run.m_run) +
+                    " target=" + aOrder.m_to.m_target.Text() +
+                    " status=" + ToString(aAnswer.m_status));
+  }
   const bool current = aOrder.m_to.m_fence == target.m_fence;
   if (current && aAnswer.m_status == OrderStatus::kFenced) {
     m_needsFencingToken = true;
@@ -292,6 +310,24 @@
   DropSentRuns(aTarget);
 }
 
+void TargetManager::RequestStop(TargetState& aTarget,
+                                const RunName& aName,
+                                TargetRun& aRun,
+                                TimePoint aNow)
+{
+  if (aRun.m_stopRequested) {
+    return;
+  }
+  aRun.m_stopRequested = true;
+  aRun.m_stopRequestedAt = aNow;
+  m_effects.Log("stop-requested",
+                "task=" + TaskText(aName.m_task) +
+                  " run=" + std::to_string(aName.m_run) +
+                  " target=" + aTarget.m_record.m_target.Text() +
+                  " phase=" + ToString(aTarget.m_phase) +
+                  " listed=" + (aTarget.m_listed ? "yes" : "no"));
+}
+
 void TargetManager::ResendStops(TargetState& aTarget, TimePoint aNow)
 {
   if (aTarget.m_phase != TargetPhase::kHeld) {
@@ -300,6 +336,7 @@
   for (auto& [name, run] : aTarget.m_runs) {
     if (run.m_stopRequested && aNow - run.m_stopSentAt >= kStopRetryInterval) {
       run.m_stopSentAt = aNow;
+      ++run.m_stopsSent;
       m_effects.Stop(StopOrder{ AddressOf(aTarget), name });
     }
   }
--- a/src/jobs/target_state.cpp
+++ b/src/jobs/target_state.cpp
@@ -15,6 +15,19 @@
 
 } // namespace
 
+const char* ToString(TargetPhase aPhase)
+{
+  switch (aPhase) {
+    case TargetPhase::kUntaken:
+      return "untaken";
+    case TargetPhase::kTaking:
+      return "taking";
+    case TargetPhase::kHeld:
+      return "held";
+  }
+  return "";
+}
+
 TimePoint TargetRun::ExpectedEnd(TimePoint aNow) const
 {
   constexpr std::int64_t kWhole = 100;
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "lycheestep/target_orders.h"
 #include "lycheestep/target_record.h"
@@ -18,6 +19,9 @@
   kHeld,    // taken under m_fence and its runs are listed: Free() is exact
 };
 
+// Returns the phase's name in logs.
+const char* ToString(TargetPhase aPhase);
+
 // A run that uses capacity of a target, or may use it.
 struct TargetRun
 {
@@ -33,7 +37,12 @@
   bool m_stopRequested = false;
   // True if the target listed the run, but no job of this leader has it.
   bool m_ofUnknownJob = false;
+  TimePoint m_stopRequestedAt;
   TimePoint m_stopSentAt;
+  // The number of stop orders that were sent, and the answer to the last one
+  // that was answered or given up.
+  std::uint32_t m_stopsSent = 0;
+  std::optional<OrderStatus> m_stopAnswer;
   // The run's progress in percent, and when the target reported it.
   std::uint32_t m_percentDone = 0;
   TimePoint m_percentAt;
