Let the cell model play slow stops, slow holds and rows that are away

The model could slow only starts, and took a row away only by cutting the target off, which excuses its runs. HideTargetRow excuses nothing: a leader that begins meanwhile is not told of the target. What former leaders stored is restored in one place, and sending an order stands apart from choosing it, so that further tables and stops that leave in parallel can join.

--- a/src/standin/job_cell_checks.cpp
+++ b/src/standin/job_cell_checks.cpp
@@ -148,7 +148,7 @@
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
     const JobTargetModel& target = *m_targets[i];
     const TargetId& id = target.Record().m_target;
-    if (!m_cut[i] && m_downUntil[i] <= m_now &&
+    if (IsListed(i) && m_downUntil[i] <= m_now &&
         m_drainingSince.count(id) == 0) {
       open.push_back(
         OpenTarget{ id, target.Record().m_capacity, target.Used() });
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -21,6 +21,11 @@
 // A target that restarts answers nothing for this long.
 constexpr Duration kRestartTime = std::chrono::milliseconds(300);
 
+// How long the list takes to leave out a target that can't be reached, and to
+// have it again.
+constexpr Duration kUnlistTime = std::chrono::milliseconds(4500);
+constexpr Duration kRelistTime = std::chrono::milliseconds(500);
+
 // How long a long-running task works if nothing ends it.
 constexpr Duration kLongRunTime = std::chrono::hours(1);
 
@@ -75,6 +80,7 @@
       }));
   }
   m_cut.resize(aTargets, false);
+  m_hidden.resize(aTargets, false);
   m_downUntil.resize(aTargets);
   StartTerm();
 }
@@ -172,21 +178,53 @@
   for (const auto& [id, job] : m_jobs) {
     scheduler.OnJob(id, job, 0, m_now);
   }
-  const StoredProgressTable table =
-    ReadProgressRows(m_table.Rows(kProgressTable));
-  for (const auto& [id, progress] : table.m_jobs) {
-    scheduler.OnProgress(id, progress, m_now);
-  }
+  RestoreStoredRows(term);
   for (const JobId& id : m_cancels) {
     scheduler.OnCancel(id, m_now);
   }
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
-    if (!m_cut[i]) {
+    if (IsListed(i)) {
       scheduler.OnTargetRecord(ListedRecord(i), m_now);
     }
   }
 }
 
+void JobCellModel::RestoreStoredRows(Term& aTerm)
+{
+  const StoredProgressTable table =
+    ReadProgressRows(m_table.Rows(kProgressTable));
+  for (const auto& [id, progress] : table.m_jobs) {
+    aTerm.Scheduler().OnProgress(id, progress, m_now);
+  }
+}
+
+bool JobCellModel::IsListed(std::size_t aTarget) const
+{
+  return !m_cut[aTarget] && !m_hidden[aTarget];
+}
+
+void JobCellModel::TellListed(std::size_t aTarget, Duration aDelay)
+{
+  Term& term = *m_terms.back();
+  const TargetRecord record = ListedRecord(aTarget);
+  term.Tell(aDelay, [this, &term, aTarget, record] {
+    if (!m_hidden[aTarget]) {
+      term.Scheduler().OnTargetRecord(record, m_now);
+    }
+  });
+}
+
+void JobCellModel::TellUnlisted(std::size_t aTarget, Duration aDelay)
+{
+  Term& term = *m_terms.back();
+  term.Tell(aDelay, [this, &term, aTarget] {
+    if (!IsListed(aTarget)) {
+      term.Scheduler().OnTargetGone(m_targets[aTarget]->Record().m_target,
+                                    m_now);
+    }
+  });
+}
+
 void JobCellModel::RestartTarget(std::size_t aTarget)
 {
   JobTargetModel& target = *m_targets[aTarget];
@@ -198,39 +236,34 @@
   m_drainingSince.erase(target.Record().m_target);
   m_read.erase(aTarget);
   m_seen.erase(aTarget);
-  Term& term = *m_terms.back();
-  term.Tell(kRestartTime, [this, &term, record = target.Record()] {
-    term.Scheduler().OnTargetRecord(record, m_now);
-  });
+  TellListed(aTarget, kRestartTime);
 }
 
 void JobCellModel::CutTarget(std::size_t aTarget, bool aCut)
 {
   m_cut[aTarget] = aCut;
   m_targetHarmedAt[aTarget] = m_now;
-  Term& term = *m_terms.back();
-  const TargetRecord record = ListedRecord(aTarget);
   if (aCut) {
-    term.Tell(std::chrono::milliseconds(4500), [this, &term, aTarget, record] {
-      if (m_cut[aTarget]) {
-        term.Scheduler().OnTargetGone(record.m_target, m_now);
-      }
-    });
-    return;
+    TellUnlisted(aTarget, kUnlistTime);
+  } else {
+    TellListed(aTarget, kRelistTime);
+  }
+}
+
+void JobCellModel::HideTargetRow(std::size_t aTarget, bool aHidden)
+{
+  m_hidden[aTarget] = aHidden;
+  if (aHidden) {
+    TellUnlisted(aTarget, Way());
+  } else if (!m_cut[aTarget]) {
+    TellListed(aTarget, Way());
   }
-  term.Tell(std::chrono::milliseconds(500), [this, &term, record] {
-    term.Scheduler().OnTargetRecord(record, m_now);
-  });
 }
 
 void JobCellModel::DrainTarget(std::size_t aTarget)
 {
   m_drainingSince.try_emplace(m_targets[aTarget]->Record().m_target, m_now);
-  const TargetRecord record = ListedRecord(aTarget);
-  Term& term = *m_terms.back();
-  term.Tell(Way(), [this, &term, record] {
-    term.Scheduler().OnTargetRecord(record, m_now);
-  });
+  TellListed(aTarget, Way());
 }
 
 void JobCellModel::Run(Duration aTime)
@@ -297,6 +330,11 @@
   });
 }
 
+std::size_t JobCellModel::RunsOn(std::size_t aTarget) const
+{
+  return m_targets[aTarget]->Running().size();
+}
+
 Duration JobCellModel::TookOf(const JobId& aJob) const
 {
   const auto ended = m_endedAt.find(aJob);
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -27,8 +27,11 @@
   double m_lateOrders = 0;
   // No call reaches the store.
   bool m_storeDown = false;
-  // How long every second target takes to answer a start.
+  // How long every second target takes to answer a start, a stop or a hold. The
+  // order takes effect at once.
   Duration m_slowStart = Duration::zero();
+  Duration m_slowStop = Duration::zero();
+  Duration m_slowHold = Duration::zero();
 };
 
 // How the advisor of the cell answers.
@@ -81,11 +84,14 @@
   // The leader dies and another one takes over at once: the former one's
   // orders and commits are still on their way.
   void ChangeLeader();
-  // The leader dies, and another one takes over after aTime.
+  // The leader dies, and another one takes over after aTime. The time without a
+  // leader is no excuse for a run that goes on.
   void LoseLeader(Duration aTime);
   void RestartTarget(std::size_t aTarget);
   // A target can't be reached and does not list itself, but works on.
   void CutTarget(std::size_t aTarget, bool aCut);
+  // The platform's list does not have the target, which works on and answers.
+  void HideTargetRow(std::size_t aTarget, bool aHidden);
   void DrainTarget(std::size_t aTarget);
   // All tasks on the target fail.
   void FailOnTarget(std::size_t aTarget) { m_targets[aTarget]->FailAll(true); }
@@ -110,6 +116,8 @@
   bool AllOver() const;
   // Promises that were broken so far.
   const std::vector<std::string>& Broken() const { return m_broken; }
+  // The number of runs on a target, by its own account.
+  std::size_t RunsOn(std::size_t aTarget) const;
   bool AnyGangAlone() const { return !m_alone.empty(); }
   std::size_t Starts() const { return m_starts; }
   // The target that carried out the newest start.
@@ -168,6 +176,15 @@
   void RunGangs();
   RunPlan PlanOf(const RunName& aRun) const;
   void StartTerm();
+  // Tells a new leader what the former ones stored.
+  void RestoreStoredRows(Term& aTerm);
+  // Returns true if the platform's list has the target.
+  bool IsListed(std::size_t aTarget) const;
+  // Tells the leader after aDelay that the list has the target, if it has.
+  void TellListed(std::size_t aTarget, Duration aDelay);
+  // Tells the leader after aDelay that the list no longer has the target, if
+  // that is so then.
+  void TellUnlisted(std::size_t aTarget, Duration aDelay);
   void Break(const std::string& aWhat);
 
   std::ostream* m_trace = nullptr;
@@ -184,6 +201,8 @@
   // The order that a target carries out just now is a late one.
   bool m_carriesOutLate = false;
   std::vector<bool> m_cut;
+  // Targets that live although the list does not have them.
+  std::vector<bool> m_hidden;
   std::vector<TimePoint> m_downUntil;
   // When the targets that drain reported it.
   std::map<TargetId, TimePoint> m_drainingSince;
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -83,7 +83,7 @@
     Connection& connection =
       m_connections[{ aOrder.m_target, HoldPath::kOrders }];
     connection.m_queue.Withdraw(aOrder);
-    SendNext(connection, HoldPath::kOrders);
+    SendWaiting(connection, HoldPath::kOrders);
   }
 
   void Forget(const TargetId& /*aTarget*/) override {}
@@ -172,6 +172,9 @@
       return;
     }
     for (const RowWrite& write : aWrites) {
+      if (write.m_key.m_table != kProgressTable) {
+        continue;
+      }
       const JobId job(write.m_key.m_key);
       const auto progress = DecodeProgress(job, write.m_value);
       const bool over = progress && progress->m_state >= JobState::kDone;
@@ -192,7 +195,13 @@
   {
     Connection& connection = m_connections[{ aOrder.m_to.m_target, aPath }];
     connection.m_queue.Add(aOrder, m_cell.m_now);
-    SendNext(connection, aPath);
+    SendWaiting(connection, aPath);
+  }
+
+  // Sends the orders that need not wait for an answer to another one.
+  void SendWaiting(Connection& aConnection, HoldPath aPath)
+  {
+    SendNext(aConnection, aPath);
   }
 
   // Sends the next order unless another one waits for its answer. Reports the
@@ -207,15 +216,22 @@
       aConnection.m_isSending = !queued->m_withdrawn;
       const Done done = [this, &aConnection, aPath] {
         aConnection.m_isSending = false;
-        SendNext(aConnection, aPath);
+        SendWaiting(aConnection, aPath);
       };
-      if (const auto* start = std::get_if<StartOrder>(&queued->m_order)) {
-        SendStart(*start, queued->m_withdrawn, done);
-      } else if (const auto* stop = std::get_if<StopOrder>(&queued->m_order)) {
-        SendStop(*stop, queued->m_withdrawn, done);
-      } else if (const auto* hold = std::get_if<HoldOrder>(&queued->m_order)) {
-        SendHold(*hold, aPath, done);
-      }
+      SendOrder(*queued, aPath, done);
+    }
+  }
+
+  // Sends the order, or reports it if it is withdrawn. Calls aDone when its
+  // answer has come.
+  void SendOrder(const QueuedOrder& aQueued, HoldPath aPath, const Done& aDone)
+  {
+    if (const auto* start = std::get_if<StartOrder>(&aQueued.m_order)) {
+      SendStart(*start, aQueued.m_withdrawn, aDone);
+    } else if (const auto* stop = std::get_if<StopOrder>(&aQueued.m_order)) {
+      SendStop(*stop, aQueued.m_withdrawn, aDone);
+    } else if (const auto* hold = std::get_if<HoldOrder>(&aQueued.m_order)) {
+      SendHold(*hold, aPath, aDone);
     }
   }
 
@@ -241,7 +257,7 @@
       [this, aOrder](JobTargetModel& aTarget) {
         return aTarget.Start(aOrder, m_cell.m_now);
       },
-      StartTimeOf(aOrder.m_to),
+      SlowTime(aOrder.m_to, m_cell.m_faults.m_slowStart),
       [this, aOrder, aDone](const OrderAnswer& aAnswer) {
         if (aAnswer.m_status == OrderStatus::kUnknown) {
           m_unanswered[aOrder.m_to.m_target] = aOrder.m_to.m_fence;
@@ -261,7 +277,7 @@
       [this, aOrder](JobTargetModel& aTarget) {
         return aTarget.Stop(aOrder, m_cell.m_now);
       },
-      Duration::zero(),
+      SlowTime(aOrder.m_to, m_cell.m_faults.m_slowStop),
       [this, aOrder, aDone](const OrderAnswer& aAnswer) {
         m_scheduler.OnStopAnswer(aOrder, aAnswer, m_cell.m_now);
         aDone();
@@ -287,16 +303,18 @@
     return m_cell.m_targets[found->second].get();
   }
 
-  // Returns how long the target takes to answer a start.
-  Duration StartTimeOf(const OrderAddress& aTo)
+  // Returns how long the target takes to answer an order for which every second
+  // target takes aTime.
+  Duration SlowTime(const OrderAddress& aTo, Duration aTime)
   {
     std::size_t index = 0;
     const bool isSlow = TargetAt(aTo, &index) != nullptr && index % 2 == 1;
-    return isSlow ? m_cell.m_faults.m_slowStart : Duration::zero();
+    return isSlow ? aTime : Duration::zero();
   }
 
   // Carries an order there and its answer back, with the cell's faults. The
-  // target answers aAnswerTime after it has carried out the order.
+  // target answers aAnswerTime after it has carried out the order, which is no
+  // answer if that is longer than kOrderTimeout.
   template<class Answer>
   void Carry(const OrderAddress& aTo,
              std::function<Answer(JobTargetModel&)> aOrder,
@@ -340,7 +358,7 @@
         return;
       }
       const Answer answer = aOrder(*target);
-      if (lost || m_cell.m_cut[index]) {
+      if (lost || m_cell.m_cut[index] || aAnswerTime > kOrderTimeout) {
         silent();
         return;
       }
@@ -384,7 +402,7 @@
         m_cell.m_ledger.OnReported(aOrder.m_to.m_target, answer);
         return answer;
       },
-      Duration::zero(),
+      SlowTime(aOrder.m_to, m_cell.m_faults.m_slowHold),
       [this, aOrder, aPath, aDone](const HoldAnswer& aAnswer) {
         m_scheduler.OnHoldAnswer(aOrder, aPath, aAnswer, m_cell.m_now);
         aDone();
