Store the address of each target that is given work

The start had been sent by one host, and another one led when the job was cancelled.

Cause: a new leader finds the target of a run in the job's progress, and its address only in the platform's list. A target that lives while its row is away has no address for every leader but the one that was there before, so that it is never taken and gets no stop. The class: what is needed to undo a decision is kept only in the memory of the host that made it.

Why it works: TargetDirectory stores the address in a row of the table target-addresses at the latest with the first dispatch to the target, in the same transaction or an earlier one. A new leader reads the table before it acts, takes every target in it, listed or not, and so also finds runs that no job has. A target that is not listed gets no work. The row goes when the leader has not needed the target for the longest lease.

Until the platform's list is read, the number of these rows says whether the fleet is large, so that a new leader of a large fleet opens no direct connections.

--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -213,6 +213,12 @@
   const std::vector<std::string> jobPartitions = JobPartitions();
   m_watches.push_back(Watch(
     kProgressTable, unpartitioned, Duration::zero(), &Leader::OnProgressRows));
+  m_progressWatch = m_watches.back().get();
+  m_watches.push_back(Watch(kTargetAddressTable,
+                            unpartitioned,
+                            Duration::zero(),
+                            &Leader::OnAddressRows));
+  m_addressWatch = m_watches.back().get();
   m_watches.push_back(
     Watch(kJobTable, jobPartitions, Duration::zero(), &Leader::OnJobRows));
   m_watches.push_back(Watch(
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -141,14 +141,16 @@
   void OnJobRows(const std::vector<Row>& aRows);
   void OnCancelRows(const std::vector<Row>& aRows);
   void OnProgressRows(const std::vector<Row>& aRows);
+  void OnAddressRows(const std::vector<Row>& aRows);
   void OnTargetRows(const std::vector<Row>& aRows);
   void OnHostRows(const std::vector<Row>& aRows);
-  // Hands the stored rows to the scheduler once all three tables were read.
+  // Hands the stored rows to the scheduler once all four tables were read.
   void LoadIfComplete();
   void AddJobs(const std::vector<Row>& aRows);
   void AddProgress(const std::vector<Row>& aRows,
                    const std::vector<Row>& aJobRows);
   void AddCancels(const std::vector<Row>& aRows);
+  void AddAddresses(const std::vector<Row>& aRows);
   void ApplyTargets(const TargetChanges& aChanges);
   // Lets the scheduler start tasks only while this host knows of the newest
   // cancellations.
@@ -173,6 +175,8 @@
   bool CanSendOrders();
   // Returns true if the fleet is so large that other hosts carry its orders.
   bool IsLargeFleet() const;
+  // Returns the target's data centre; empty if it is not known.
+  DataCentreName DataCentreOf(const TargetId& aTarget) const;
   // Returns m_orderDispatcher if the fleet is large and a carrier is available,
   // and closes the direct connection to the target then. Otherwise returns the
   // direct connection.
@@ -200,20 +204,24 @@
   // True while the cancellations that were read are too old to start tasks.
   bool m_startsSuspended = false;
 
-  // True once the tables of jobs, cancellations and progress were read.
+  // True once the tables of jobs, cancellations, progress and targets'
+  // addresses were read.
   bool m_loaded = false;
   TimePoint m_loadedAt;
   const TimePoint m_leadingSince;
   // True once scheduling may start: the fleet is small, enough carriers have
   // replied to heartbeats, or the wait for carriers is over.
   bool m_mayStartScheduling = false;
-  // Rows read so far of each table, until all three tables were read.
+  // Rows read so far of each table, until all four tables were read.
   std::optional<std::vector<Row>> m_jobRows;
   std::optional<std::vector<Row>> m_cancelRows;
   std::optional<std::vector<Row>> m_progressRows;
+  std::optional<std::vector<Row>> m_addressRows;
 
   JobRowReader m_jobRowReader;
   TargetList m_targets;
+  // True once the platform's list of targets was read.
+  bool m_targetsRead = false;
   PeerHosts m_hosts;
   // When the next heartbeats are sent, and when the waiting jobs are next
   // counted for the leader row.
@@ -224,6 +232,9 @@
   // Closed connections whose threads may still run.
   std::vector<std::unique_ptr<TargetConnection>> m_closedConnections;
   std::vector<std::unique_ptr<TableWatch>> m_watches;
+  // Those of m_watches that read progress and addresses, once.
+  TableWatch* m_progressWatch = nullptr;
+  TableWatch* m_addressWatch = nullptr;
   // The one of m_watches that reads cancellations.
   const TableWatch* m_cancelWatch = nullptr;
 };
--- a/src/jobhost/leader_orders.cpp
+++ b/src/jobhost/leader_orders.cpp
@@ -40,7 +40,18 @@
 
 bool Leader::IsLargeFleet() const
 {
-  return m_targets.UsableTargetCount() > kMaxDirectTargets;
+  // Until the platform's list is read, the stored addresses say how large the
+  // fleet is.
+  const std::size_t targets = m_targetsRead
+                                ? m_targets.UsableTargetCount()
+                                : m_scheduler.Targets().Targets().size();
+  return targets > kMaxDirectTargets;
+}
+
+DataCentreName Leader::DataCentreOf(const TargetId& aTarget) const
+{
+  const TargetState* target = m_scheduler.Targets().Find(aTarget);
+  return target != nullptr ? target->m_record.m_dataCentre : DataCentreName();
 }
 
 void Leader::Start(const StartOrder& aOrder)
@@ -93,10 +104,7 @@
   if (!IsLargeFleet()) {
     return DirectConnectionTo(aTarget);
   }
-  const TargetRecord* record = m_targets.Find(aTarget);
-  const DataCentreName dataCentre =
-    record != nullptr ? record->m_dataCentre : DataCentreName();
-  if (!m_orderDispatcher.Assign(aTarget, dataCentre, m_now)) {
+  if (!m_orderDispatcher.Assign(aTarget, DataCentreOf(aTarget), m_now)) {
     return DirectConnectionTo(aTarget);
   }
   CloseDirectConnection(aTarget);
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -64,28 +64,40 @@
 {
   if (!m_loaded && !m_progressRows) {
     m_progressRows = aRows;
-    m_watches.front()->Stop(); // only the leader changes progress
+    m_progressWatch->Stop(); // only the leader changes progress
+    LoadIfComplete();
+  }
+}
+
+void Leader::OnAddressRows(const std::vector<Row>& aRows)
+{
+  if (!m_loaded && !m_addressRows) {
+    m_addressRows = aRows;
+    m_addressWatch->Stop(); // only the leader changes addresses
     LoadIfComplete();
   }
 }
 
 void Leader::LoadIfComplete()
 {
-  if (!m_jobRows || !m_cancelRows || !m_progressRows) {
+  if (!m_jobRows || !m_cancelRows || !m_progressRows || !m_addressRows) {
     return;
   }
   m_loaded = true;
   m_loadedAt = m_now;
+  AddAddresses(*m_addressRows);
   AddJobs(*m_jobRows);
   AddProgress(*m_progressRows, *m_jobRows);
   AddCancels(*m_cancelRows);
   LogUnlimited("leader-loaded",
                "jobs=" + std::to_string(m_jobRows->size()) +
                  " progress=" + std::to_string(m_progressRows->size()) +
-                 " cancels=" + std::to_string(m_cancelRows->size()));
+                 " cancels=" + std::to_string(m_cancelRows->size()) +
+                 " addresses=" + std::to_string(m_addressRows->size()));
   m_jobRows.reset();
   m_cancelRows.reset();
   m_progressRows.reset();
+  m_addressRows.reset();
   for (const TargetRecord& record : m_targets.UsableTargets()) {
     m_scheduler.OnTargetRecord(record, m_now);
   }
@@ -152,8 +164,22 @@
   }
 }
 
+void Leader::AddAddresses(const std::vector<Row>& aRows)
+{
+  for (const Row& row : aRows) {
+    const auto address = DecodeTargetAddress(row);
+    if (address) {
+      m_scheduler.OnStoredAddress(*address);
+    } else {
+      Log("target-address-malformed", "target=" + row.m_key.m_key);
+      m_scheduler.RemoveRow(row.m_key);
+    }
+  }
+}
+
 void Leader::OnTargetRows(const std::vector<Row>& aRows)
 {
+  m_targetsRead = true;
   const TargetChanges changes =
     m_targets.OnRows(aRows, m_dependencies.m_documents);
   for (const TargetId& target : changes.m_malformed) {
--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -90,7 +90,7 @@
   }
   RemoveOldJobs(aNow);
   RemoveRowsWithoutJob(aNow);
-  if (m_changes.Empty() && m_removals.empty() &&
+  if (m_changes.Empty() && m_removals.empty() && !m_directory.HasChanges() &&
       !m_keeper.NeedsFencingToken()) {
     return;
   }
@@ -99,12 +99,20 @@
     m_endsSnapshot = m_changes.NextSequence();
   }
   m_commit = PendingCommit();
-  std::vector<RowKey> removals = TakeRemovals();
-  const std::size_t rowsLeft =
-    m_maxCommitRows - std::min(m_maxCommitRows, removals.size());
-  std::vector<RowWrite> writes;
-  if (rowsLeft > 0) {
-    writes = TakeChanges(rowsLeft);
+  TargetDirectory::Changes addresses = m_directory.TakeChanges(m_maxCommitRows);
+  m_commit.m_addressRows = addresses.Count();
+  std::vector<RowWrite> writes = std::move(addresses.m_writes);
+  std::vector<RowKey> removals = std::move(addresses.m_removals);
+  // No dispatch is stored before the address of its target.
+  if (!m_directory.HasChanges()) {
+    const std::size_t rowsLeft = m_maxCommitRows - m_commit.m_addressRows;
+    std::vector<RowKey> others = TakeRemovals(rowsLeft);
+    const std::size_t rowsForChanges =
+      rowsLeft - std::min(rowsLeft, others.size());
+    removals.insert(removals.end(), others.begin(), others.end());
+    if (rowsForChanges > 0) {
+      Append(writes, TakeChanges(rowsForChanges));
+    }
   }
   TakeDispatches();
   m_commit.m_storesEnds = !m_changes.AnyBefore(*m_endsSnapshot);
@@ -113,13 +121,16 @@
   m_effects.Commit(std::move(writes), std::move(removals));
 }
 
-std::vector<RowKey> JobScheduler::TakeRemovals()
+std::vector<RowKey> JobScheduler::TakeRemovals(std::size_t aMaxRows)
 {
   std::vector<RowKey> removals;
-  const std::size_t limit = std::min(kRemovalsPerCommit, m_maxCommitRows);
+  const std::size_t limit = std::min(kRemovalsPerCommit, aMaxRows);
+  // A group that is larger than the limit is removed by itself.
+  const bool mayExceed = aMaxRows == m_maxCommitRows;
   while (!m_removals.empty()) {
     RowGroup& group = m_removals.front();
-    if (!removals.empty() && removals.size() + group.size() > limit) {
+    const bool fits = removals.size() + group.size() <= limit;
+    if (!fits && !(mayExceed && removals.empty())) {
       break;
     }
     removals.insert(removals.end(), group.begin(), group.end());
@@ -336,6 +347,7 @@
     return;
   }
   m_nextRemovalCheck = aNow + kRemovalCheckPeriod;
+  RemoveOldAddresses(aNow);
   for (auto it = m_withdrawals.begin(); it != m_withdrawals.end();) {
     const bool due = it->second <= aNow;
     if (due) {
@@ -353,6 +365,17 @@
   }
 }
 
+void JobScheduler::RemoveOldAddresses(TimePoint aNow)
+{
+  // By then a lease that was extended before the target left has expired.
+  m_directory.RemoveUnneeded(
+    [this](const TargetId& aTarget) {
+      return m_keeper.Find(aTarget) != nullptr;
+    },
+    m_settings.m_targets.m_longestLease,
+    aNow);
+}
+
 Duration JobScheduler::StoreClock(TimePoint aNow) const
 {
   return m_storeClock + (aNow - m_storeClockAt);
@@ -367,6 +390,7 @@
   m_storeClockAt = aNow;
   m_maxCommitRows = std::min(kMaxCommitRows, m_maxCommitRows * 2);
   m_keeper.SetFencingToken(aFence);
+  m_directory.OnCommitted();
   if (m_commit.m_storesEnds) {
     m_keeper.NoteCommitDone();
     m_endsSnapshot.reset();
@@ -391,6 +415,7 @@
 {
   m_committing = false;
   ReduceCommits();
+  m_directory.OnCommitRejected();
   m_changes.PutBack(m_commit.m_changes);
   m_removals.insert(
     m_removals.begin(), m_commit.m_removals.begin(), m_commit.m_removals.end());
@@ -407,9 +432,11 @@
   const std::size_t removals = m_commit.m_removals.size();
   m_effects.Log("commit-rejected",
                 "changes=" + std::to_string(changes) +
-                  " removals=" + std::to_string(removals));
-  if (changes + removals > 1) {
-    m_maxCommitRows = std::max<std::size_t>(1, (changes + removals) / 2);
+                  " removals=" + std::to_string(removals) +
+                  " addresses=" + std::to_string(m_commit.m_addressRows));
+  const std::size_t rows = changes + removals + m_commit.m_addressRows;
+  if (rows > 1) {
+    m_maxCommitRows = std::max<std::size_t>(1, rows / 2);
     return;
   }
   m_maxCommitRows = 1;
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -12,11 +12,12 @@
 namespace lycheestep {
 
 // The tables that store jobs. Rows of jobs and cancellations are written once,
-// by the host that received the caller's request; rows of progress are written
-// only by the leader.
+// by the host that received the caller's request; rows of progress and of
+// targets' addresses are written only by the leader.
 constexpr const char* kJobTable = "jobs";
 constexpr const char* kCancelTable = "cancels";
 constexpr const char* kProgressTable = "progress";
+constexpr const char* kTargetAddressTable = "target-addresses";
 constexpr const char* kLeaderTable = "leader";
 constexpr const char* kHostTable = "hosts";
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -184,6 +184,12 @@
   m_placementDue = true;
 }
 
+void JobScheduler::OnStoredAddress(const TargetAddress& aAddress)
+{
+  m_directory.OnRead(aAddress);
+  m_keeper.OnTargetRemembered(aAddress);
+}
+
 void JobScheduler::OnTargetGone(const TargetId& aTarget, TimePoint aNow)
 {
   m_keeper.OnTargetUnlisted(aTarget, aNow);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -22,6 +22,7 @@
 #include "progress_rows.h"
 #include "removed_jobs.h"
 #include "run_listener.h"
+#include "target_directory.h"
 #include "target_manager.h"
 
 namespace lycheestep {
@@ -96,11 +97,16 @@
                   const StoredProgress& aProgress,
                   TimePoint aNow);
 
+  // Notes the address of a target to which an earlier leader gave work. Called
+  // before the first Tick.
+  void OnStoredAddress(const TargetAddress& aAddress);
+
   // Returns true if the next Tick has placements or commits to make even if no
   // further event arrives.
   bool IsBusy() const
   {
-    return (m_mayStart && m_placementDue) || !m_changes.Empty();
+    return (m_mayStart && m_placementDue) || !m_changes.Empty() ||
+           m_directory.HasChanges();
   }
 
   // Sets whether tasks may be placed and started. They may not while the
@@ -325,13 +331,15 @@
   {
     std::vector<ChangedRows::Taken> m_changes;
     std::vector<RowGroup> m_removals;
+    // The number of rows of targets' addresses.
+    std::size_t m_addressRows = 0;
     // True if all run ends of m_endsSnapshot are stored with this commit.
     bool m_storesEnds = false;
   };
 
   void CommitIfDue(TimePoint aNow);
   // Move rows into the commit as long as they fit.
-  std::vector<RowKey> TakeRemovals();
+  std::vector<RowKey> TakeRemovals(std::size_t aMaxRows);
   std::vector<RowWrite> TakeChanges(std::size_t aMaxRows);
   // Moves the dispatches whose rows are in the commit to m_dispatchesInCommit.
   void TakeDispatches();
@@ -354,6 +362,8 @@
   void RemoveJob(const JobId& aJob);
   // Removes the withdrawals and cancellations that are no longer needed.
   void RemoveRowsWithoutJob(TimePoint aNow);
+  // Removes the addresses of targets that have left.
+  void RemoveOldAddresses(TimePoint aNow);
   // Estimates the store's clock.
   Duration StoreClock(TimePoint aNow) const;
   // Makes the next commits smaller after one was rejected.
@@ -362,6 +372,7 @@
   const JobSchedulerSettings m_settings;
   JobEffects& m_effects;
   TargetManager m_keeper;
+  TargetDirectory m_directory;
   AdviceCache m_advice;
   GangReservations m_gangReservations;
   PlacementMonitor m_monitor;
--- /dev/null
+++ b/src/jobs/target_address.cpp
@@ -0,0 +1,39 @@
+#include "target_address.h"
+
+#include "job_rows.h"
+#include "jobs.pb.h"
+
+namespace lycheestep {
+
+TargetAddress AddressOf(const TargetRecord& aRecord)
+{
+  return TargetAddress{ aRecord.m_target,
+                        aRecord.m_address,
+                        aRecord.m_dataCentre };
+}
+
+RowKey TargetAddressKey(const TargetId& aTarget)
+{
+  return RowKey{ kTargetAddressTable, "", aTarget.Text() };
+}
+
+std::string EncodeTargetAddress(const TargetAddress& aAddress)
+{
+  proto::TargetAddressRow row;
+  row.set_address(aAddress.m_address);
+  row.set_data_centre(aAddress.m_dataCentre.Text());
+  return row.SerializeAsString();
+}
+
+std::optional<TargetAddress> DecodeTargetAddress(const Row& aRow)
+{
+  proto::TargetAddressRow row;
+  if (!row.ParseFromString(aRow.m_value) || row.address().empty()) {
+    return std::nullopt;
+  }
+  return TargetAddress{ TargetId(aRow.m_key.m_key),
+                        row.address(),
+                        DataCentreName(row.data_centre()) };
+}
+
+} // namespace lycheestep
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -237,16 +237,26 @@
                 "target=" + aTarget.m_record.m_target.Text() + " task=" +
                   TaskText(aRun.m_task) + " run=" + std::to_string(aRun.m_run));
   TargetRun run;
-  // The demand of the run is unknown, so it counts as the whole capacity and no
-  // other run is sent to the target until this one has ended.
-  run.m_demand = aTarget.m_record.m_capacity;
   run.m_sent = true;
   run.m_confirmed = true;
   run.m_confirmedAt = TimePoint::max();
   run.m_ofUnknownJob = true;
   RequestStop(aTarget, aRun, run, aNow);
   aTarget.m_runs.emplace(aRun, run);
-  aTarget.m_used += run.m_demand;
+  UpdateUnknownRuns(aTarget);
+}
+
+// No other run is sent to the target until the unknown ones have ended. The
+// capacity of a target that is not listed yet becomes known later.
+void TargetManager::UpdateUnknownRuns(TargetState& aTarget)
+{
+  for (auto& [name, run] : aTarget.m_runs) {
+    if (run.m_ofUnknownJob) {
+      aTarget.m_used -= run.m_demand;
+      run.m_demand = aTarget.m_record.m_capacity;
+      aTarget.m_used += run.m_demand;
+    }
+  }
 }
 
 void TargetManager::DropAbsentRuns(TargetState& aTarget,
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -42,6 +42,7 @@
   const bool beginsToDrain = aRecord.m_draining && !target.m_record.m_draining;
   target.m_record = aRecord;
   target.m_listed = true;
+  UpdateUnknownRuns(target);
   if (beginsToDrain) {
     WithdrawStarts(target);
   }
@@ -70,6 +71,21 @@
   }
 }
 
+void TargetManager::OnTargetRemembered(const TargetAddress& aAddress)
+{
+  const auto [found, isNew] = m_targets.try_emplace(aAddress.m_target);
+  TargetState& target = found->second;
+  if (isNew) {
+    target.m_formerLeaseExpiry = m_formerLeaseExpiry;
+  }
+  target.m_remembered = true;
+  if (!target.m_listed) {
+    target.m_record.m_target = aAddress.m_target;
+    target.m_record.m_address = aAddress.m_address;
+    target.m_record.m_dataCentre = aAddress.m_dataCentre;
+  }
+}
+
 void TargetManager::OnTargetUnlisted(const TargetId& aTarget,
                                      TimePoint /*aNow*/)
 {
@@ -115,9 +131,7 @@
   for (auto it = m_targets.begin(); it != m_targets.end();) {
     TargetState& target = it->second;
     DropExpiredRuns(target, aNow);
-    const bool needed = target.m_listed || !target.m_runs.empty() ||
-                        target.m_lastEndSeen != target.m_lastEndStored;
-    if (!needed) {
+    if (!IsNeeded(target, aNow)) {
       m_effects.Forget(it->first);
       it = m_targets.erase(it);
       continue;
@@ -136,6 +150,15 @@
   m_stopMonitor.Tick(m_targets, aNow);
 }
 
+bool TargetManager::IsNeeded(const TargetState& aTarget, TimePoint aNow)
+{
+  const bool mayHaveRuns = aTarget.m_remembered &&
+                           aTarget.m_phase != TargetPhase::kHeld &&
+                           aTarget.m_formerLeaseExpiry > aNow;
+  return aTarget.m_listed || mayHaveRuns || !aTarget.m_runs.empty() ||
+         aTarget.m_lastEndSeen != aTarget.m_lastEndStored;
+}
+
 Resources TargetManager::ListedCapacity() const
 {
   Resources sum;
@@ -165,7 +188,7 @@
   aTarget.m_phase = TargetPhase::kTaking;
   aTarget.m_takeHoldInFlight = true;
   HoldOrder order;
-  order.m_to = AddressOf(aTarget);
+  order.m_to = OrderAddressOf(aTarget);
   if (aTarget.m_clockKnown && aTarget.m_holdFailures == 0) {
     order.m_leaseEnd = ExtendLeaseEnd(aTarget, aNow);
   }
@@ -196,7 +219,7 @@
 void TargetManager::SendHold(TargetState& aTarget, TimePoint aNow)
 {
   HoldOrder order;
-  order.m_to = AddressOf(aTarget);
+  order.m_to = OrderAddressOf(aTarget);
   if (aTarget.m_holdFailures == 0) {
     // An unanswered hold may have extended the lease. The next one must not
     // extend it again, or the lease of a lost target would never expire.
@@ -242,7 +265,7 @@
   return aTarget.m_leaseEnd;
 }
 
-OrderAddress TargetManager::AddressOf(const TargetState& aTarget) const
+OrderAddress TargetManager::OrderAddressOf(const TargetState& aTarget) const
 {
   return OrderAddress{ aTarget.m_record.m_target,
                        aTarget.m_record.m_address,
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -7,6 +7,7 @@
 
 #include "job_effects.h"
 #include "stop_monitor.h"
+#include "target_address.h"
 #include "target_state.h"
 
 namespace lycheestep {
@@ -48,6 +49,11 @@
   void OnTargetListed(const TargetRecord& aRecord, TimePoint aNow);
   void OnTargetUnlisted(const TargetId& aTarget, TimePoint aNow);
 
+  // Notes the address of a target to which an earlier leader gave work. Until
+  // the target is listed, it gets no new runs, but it is taken and its runs are
+  // stopped or watched.
+  void OnTargetRemembered(const TargetAddress& aAddress);
+
   // Accounts for a run that an earlier leader may have started on the target.
   // aEstimate is the estimated run time of the whole task.
   void ExpectRun(const TargetId& aTarget,
@@ -157,6 +163,8 @@
   void DetectMissingRuns(TargetState& aTarget,
                          const std::set<RunName>& aListed);
   void AddUnknownRun(TargetState& aTarget, const RunName& aRun, TimePoint aNow);
+  // Lets runs whose demand is unknown count as the whole capacity.
+  static void UpdateUnknownRuns(TargetState& aTarget);
   // Drops all runs whose start was sent and tells the listener.
   void DropSentRuns(TargetState& aTarget);
   // Drops the sent runs that a freshly taken target does not list, and tells
@@ -170,12 +178,14 @@
                    TargetRun& aRun,
                    TimePoint aNow);
   void ResendStops(TargetState& aTarget, TimePoint aNow);
+  // Returns true if the target is listed, or may have runs.
+  static bool IsNeeded(const TargetState& aTarget, TimePoint aNow);
   bool HoldIsDue(const TargetState& aTarget, TimePoint aNow) const;
   // Moves aTarget.m_leaseEnd to one lease after the target's estimated time at
   // aNow (TargetState::ClockLowerBound) and returns it. Both times are by the
   // target's clock. A lease end that is already later stays as it is.
   TargetTime ExtendLeaseEnd(TargetState& aTarget, TimePoint aNow) const;
-  OrderAddress AddressOf(const TargetState& aTarget) const;
+  OrderAddress OrderAddressOf(const TargetState& aTarget) const;
   static std::uint64_t LastEndToForget(const TargetState& aTarget);
 
   const TargetManagerSettings m_settings;
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -95,7 +95,7 @@
     return false;
   }
   StartOrder order;
-  order.m_to = AddressOf(target);
+  order.m_to = OrderAddressOf(target);
   order.m_run = aRun;
   order.m_payload = aPayload;
   order.m_checkpoint = aCheckpoint;
@@ -337,7 +337,7 @@
     if (run.m_stopRequested && aNow - run.m_stopSentAt >= kStopRetryInterval) {
       run.m_stopSentAt = aNow;
       ++run.m_stopsSent;
-      m_effects.Stop(StopOrder{ AddressOf(aTarget), name });
+      m_effects.Stop(StopOrder{ OrderAddressOf(aTarget), name });
     }
   }
 }
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -63,6 +63,8 @@
   TargetRecord m_record;
   // True if the target is in the platform's list.
   bool m_listed = false;
+  // True if an earlier leader gave work to the target.
+  bool m_remembered = false;
   TargetPhase m_phase = TargetPhase::kUntaken;
   FencingToken m_fence = 0;
   // True if the target has to be taken under a higher token than m_fence next
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -191,6 +191,9 @@
 
 void JobCellModel::RestoreStoredRows(Term& aTerm)
 {
+  for (const Row& row : m_table.Rows(kTargetAddressTable)) {
+    aTerm.Scheduler().OnStoredAddress(*DecodeTargetAddress(row));
+  }
   const StoredProgressTable table =
     ReadProgressRows(m_table.Rows(kProgressTable));
   for (const auto& [id, progress] : table.m_jobs) {
--- a/src/standin/takeover_world.cpp
+++ b/src/standin/takeover_world.cpp
@@ -93,6 +93,9 @@
   m_scheduler->SetTime(m_now, wall);
   m_scheduler->Targets().SetFormerLeaseExpiry(m_now + kFormerLeases);
   m_scheduler->OnCommitted(++m_version, m_now - TimePoint(), m_now);
+  for (const Row& row : m_table.Rows(kTargetAddressTable)) {
+    m_scheduler->OnStoredAddress(*DecodeTargetAddress(row));
+  }
   for (const auto& [id, job] : m_jobs) {
     m_scheduler->OnJob(id, job, 0, m_now);
   }
