Send stops to targets that are not taken, and repeat only those that failed

Cause: a stop left only while its target was held, so that it waited for the hold which takes the target, for a new token if another one was needed, and for ever if a target was not taken. And a stop that the target had answered was sent again every 400 ms until its end was listed, so that slow answers kept the queue full of stops that had taken effect. The class: an order that is always safe waits for a condition that only other orders need.

A stop needs no list of runs: it can only end a run that is to end. It leaves now under the token of the take, or under the leader's newest token if the target is not taken yet; the target is never taken under a lower one. A stop is sent again 400 ms after it failed, 1.5 s after it left without any report, and 2 s after the target took it. A target that no connection reaches gets one stop at a time, so that a data centre which is cut off does not use up what sends stops.

--- a/src/jobs/stop_monitor.cpp
+++ b/src/jobs/stop_monitor.cpp
@@ -77,11 +77,17 @@
   if (aRun.m_stopsSent == 0) {
     return StopObstacle::kNotSent;
   }
-  if (!aRun.m_stopAnswer || *aRun.m_stopAnswer == OrderStatus::kUnknown) {
-    return StopObstacle::kNotAnswered;
+  switch (aRun.m_stopAnswer.value_or(OrderStatus::kUnknown)) {
+    case OrderStatus::kUnknown:
+      return StopObstacle::kNotAnswered;
+    case OrderStatus::kNotSent:
+    case OrderStatus::kWithdrawn:
+      return StopObstacle::kNotSent;
+    case OrderStatus::kDone:
+      return StopObstacle::kNotEnded;
+    default:
+      return StopObstacle::kRefused;
   }
-  return *aRun.m_stopAnswer == OrderStatus::kDone ? StopObstacle::kNotEnded
-                                                  : StopObstacle::kRefused;
 }
 
 StopMonitor::StopMonitor(JobEffects& aEffects)
--- a/src/jobs/stop_monitor.h
+++ b/src/jobs/stop_monitor.h
@@ -18,7 +18,7 @@
 enum class StopObstacle : std::uint8_t
 {
   kNoAddress,   // the address of its target is not known
-  kNotSent,     // no stop was sent yet
+  kNotSent,     // no stop has left, or the last one found no connection
   kNotAnswered, // the target did not answer the last stop
   kRefused,     // the target refused the last stop
   kNotEnded,    // the target took the stop, and lists no end yet
--- a/src/jobs/stop_monitor_test.cpp
+++ b/src/jobs/stop_monitor_test.cpp
@@ -99,6 +99,8 @@
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kRefused);
   run.m_stopAnswer = OrderStatus::kDone;
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNotEnded);
+  run.m_stopAnswer = OrderStatus::kNotSent;
+  EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNotSent);
   m_target.m_record.m_address.clear();
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNoAddress);
 }
--- /dev/null
+++ b/src/jobs/stop_orders_test.cpp
@@ -0,0 +1,268 @@
+// Tests of when TargetManager sends stops.
+#include "target_manager.h"
+
+#include <chrono>
+#include <vector>
+
+#include <gmock/gmock.h>
+
+#include "mock_job_effects.h"
+#include "mock_run_listener.h"
+
+namespace lycheestep {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::_;
+using testing::Each;
+using testing::ElementsAre;
+using testing::Field;
+using testing::IsEmpty;
+using testing::NiceMock;
+using testing::SizeIs;
+
+constexpr FencingToken kToken = 5;
+
+RunName MakeRun(std::uint32_t aIndex)
+{
+  RunName run;
+  run.m_task.m_step.m_job = JobId("a");
+  run.m_task.m_index = aIndex;
+  run.m_run = 1;
+  return run;
+}
+
+// A new leader that expects runs of a former one on a target.
+class StopOrdersTest : public testing::Test
+{
+protected:
+  StopOrdersTest()
+    : m_manager(TargetManagerSettings(), m_effects, m_listener)
+  {
+    m_record.m_target = TargetId("t");
+    m_record.m_address = "address";
+    m_record.m_capacity = Resources(8000, 8000, 0, 0, 0);
+    ON_CALL(m_effects, Stop(_)).WillByDefault([this](const StopOrder& aOrder) {
+      m_stops.push_back(aOrder);
+    });
+    ON_CALL(m_effects, Hold(_, HoldPath::kOrders))
+      .WillByDefault(
+        [this](const HoldOrder& aOrder, HoldPath) { m_take = aOrder; });
+    m_manager.SetFencingToken(kToken);
+    m_manager.SetFormerLeaseExpiry(m_now + seconds(9));
+  }
+
+  void ExpectRuns(std::uint32_t aCount)
+  {
+    for (std::uint32_t i = 0; i < aCount; ++i) {
+      m_manager.ExpectRun(m_record.m_target,
+                          MakeRun(i),
+                          Resources(100, 100, 0, 0, 0),
+                          seconds(9));
+    }
+  }
+
+  void StopRuns(std::uint32_t aCount)
+  {
+    for (std::uint32_t i = 0; i < aCount; ++i) {
+      m_manager.Stop(m_record.m_target, MakeRun(i), m_now);
+    }
+  }
+
+  void Remember() { m_manager.OnTargetRemembered(AddressOf(m_record)); }
+
+  void Pass(Duration aTime)
+  {
+    m_now += aTime;
+    m_manager.Tick(m_now);
+  }
+
+  // Answers the stops that were sent, and forgets them.
+  void AnswerStops(OrderStatus aStatus)
+  {
+    const std::vector<StopOrder> stops = std::move(m_stops);
+    m_stops.clear();
+    for (const StopOrder& stop : stops) {
+      OrderAnswer answer;
+      answer.m_status = aStatus;
+      m_manager.OnStopAnswer(stop, answer, m_now);
+    }
+  }
+
+  // Answers the hold that takes the target. Its runs are still there.
+  void AnswerTake(std::uint32_t aRuns)
+  {
+    HoldAnswer answer;
+    answer.m_status = OrderStatus::kDone;
+    answer.m_targetClock = TargetTime(100);
+    for (std::uint32_t i = 0; i < aRuns; ++i) {
+      RunningTask task;
+      task.m_run = MakeRun(i);
+      answer.m_running.push_back(task);
+    }
+    m_manager.OnHoldAnswer(m_take, HoldPath::kOrders, answer, m_now);
+  }
+
+  TimePoint m_now{ seconds(1000) };
+  TargetRecord m_record;
+  NiceMock<MockJobEffects> m_effects;
+  NiceMock<MockRunListener> m_listener;
+  TargetManager m_manager;
+  std::vector<StopOrder> m_stops;
+  HoldOrder m_take;
+};
+
+} // namespace
+
+// Guards against a new leader that can't stop the runs of a former one because
+// the platform's list lacks their target.
+TEST_F(StopOrdersTest, TargetThatIsNotListedGetsItsStops)
+{
+  Remember();
+  ExpectRuns(1);
+  StopRuns(1);
+  Pass(milliseconds(10));
+  ASSERT_THAT(m_stops, SizeIs(1));
+  EXPECT_EQ(m_stops[0].m_to.m_address, "address");
+  EXPECT_EQ(m_stops[0].m_to.m_fence, kToken);
+}
+
+TEST_F(StopOrdersTest, TargetThatIsNotListedIsTakenAndGetsNoWork)
+{
+  Remember();
+  ExpectRuns(1);
+  Pass(milliseconds(10));
+  AnswerTake(1);
+  const TargetState* target = m_manager.Find(m_record.m_target);
+  ASSERT_NE(target, nullptr);
+  EXPECT_EQ(target->m_phase, TargetPhase::kHeld);
+  EXPECT_FALSE(target->TakesWork(m_now));
+}
+
+// Guards against runs that no leader knows of on a target that is not listed.
+TEST_F(StopOrdersTest, UnknownRunOfATargetThatIsNotListedIsStopped)
+{
+  Remember();
+  Pass(milliseconds(10));
+  AnswerTake(1);
+  Pass(milliseconds(10));
+  EXPECT_THAT(m_stops, SizeIs(1));
+  m_manager.OnTargetListed(m_record, m_now);
+  const TargetState* target = m_manager.Find(m_record.m_target);
+  EXPECT_EQ(target->Free().Get(ResourceKind::kProcessors), 0);
+}
+
+TEST_F(StopOrdersTest, TargetThatIsNotListedAndRunsNothingIsForgotten)
+{
+  Remember();
+  Pass(milliseconds(10));
+  AnswerTake(0);
+  EXPECT_CALL(m_effects, Forget(m_record.m_target));
+  Pass(milliseconds(10));
+  EXPECT_EQ(m_manager.Find(m_record.m_target), nullptr);
+}
+
+TEST_F(StopOrdersTest, TargetThatCantBeReachedIsForgottenWithItsLeases)
+{
+  Remember();
+  Pass(seconds(8));
+  EXPECT_NE(m_manager.Find(m_record.m_target), nullptr);
+  Pass(seconds(2));
+  EXPECT_EQ(m_manager.Find(m_record.m_target), nullptr);
+}
+
+// Guards against stops that wait for a target that is slow to be taken.
+TEST_F(StopOrdersTest, StopsDoNotWaitUntilTheTargetIsTaken)
+{
+  m_manager.OnTargetListed(m_record, m_now);
+  ExpectRuns(3);
+  StopRuns(3);
+  Pass(milliseconds(10));
+  EXPECT_THAT(m_stops, SizeIs(3));
+  EXPECT_EQ(m_manager.Find(m_record.m_target)->m_phase, TargetPhase::kTaking);
+}
+
+TEST_F(StopOrdersTest, TargetIsTakenUnderNoLowerTokenThanItsStops)
+{
+  ExpectRuns(1);
+  StopRuns(1);
+  m_manager.SetFencingToken(9);
+  Remember();
+  Pass(milliseconds(10));
+  ASSERT_THAT(m_stops, SizeIs(1));
+  EXPECT_GE(m_take.m_to.m_fence, m_stops[0].m_to.m_fence);
+}
+
+// Guards against answered stops that are repeated and hold up others.
+TEST_F(StopOrdersTest, StopThatTheTargetTookIsNotRepeatedWhileTheRunEnds)
+{
+  m_manager.OnTargetListed(m_record, m_now);
+  ExpectRuns(1);
+  StopRuns(1);
+  Pass(milliseconds(10));
+  AnswerStops(OrderStatus::kDone);
+  for (int i = 0; i < 19; ++i) {
+    Pass(milliseconds(100));
+  }
+  EXPECT_THAT(m_stops, IsEmpty());
+  Pass(milliseconds(100));
+  EXPECT_THAT(m_stops, SizeIs(1));
+}
+
+TEST_F(StopOrdersTest, StopWithoutAnswerIsRepeated)
+{
+  m_manager.OnTargetListed(m_record, m_now);
+  ExpectRuns(1);
+  StopRuns(1);
+  Pass(milliseconds(10));
+  AnswerStops(OrderStatus::kUnknown);
+  Pass(milliseconds(390));
+  EXPECT_THAT(m_stops, IsEmpty());
+  Pass(milliseconds(10));
+  EXPECT_THAT(m_stops, SizeIs(1));
+}
+
+// Guards against a stop that is lost between hosts.
+TEST_F(StopOrdersTest, StopWithoutAnyReportIsRepeated)
+{
+  m_manager.OnTargetListed(m_record, m_now);
+  ExpectRuns(1);
+  StopRuns(1);
+  Pass(milliseconds(10));
+  Pass(milliseconds(1490));
+  EXPECT_THAT(m_stops, SizeIs(1));
+  Pass(milliseconds(10));
+  EXPECT_THAT(m_stops, SizeIs(2));
+}
+
+// Guards against targets that are cut off and use up the senders of stops.
+TEST_F(StopOrdersTest, TargetWithoutConnectionGetsOneStopAtATime)
+{
+  m_manager.OnTargetListed(m_record, m_now);
+  ExpectRuns(8);
+  StopRuns(8);
+  Pass(milliseconds(10));
+  AnswerStops(OrderStatus::kNotSent);
+  Pass(milliseconds(400));
+  EXPECT_THAT(m_stops, SizeIs(1));
+  AnswerStops(OrderStatus::kDone);
+  Pass(milliseconds(10));
+  EXPECT_THAT(m_stops, SizeIs(7));
+}
+
+TEST_F(StopOrdersTest, NoStopIsSentWithoutAToken)
+{
+  TargetManager manager(TargetManagerSettings(), m_effects, m_listener);
+  manager.SetFormerLeaseExpiry(m_now + seconds(9));
+  manager.OnTargetRemembered(AddressOf(m_record));
+  manager.ExpectRun(
+    m_record.m_target, MakeRun(0), Resources(100, 100, 0, 0, 0), seconds(9));
+  manager.Stop(m_record.m_target, MakeRun(0), m_now);
+  manager.Tick(m_now);
+  EXPECT_THAT(m_stops, IsEmpty());
+  EXPECT_TRUE(manager.NeedsFencingToken());
+}
+
+} // namespace lycheestep
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -144,7 +144,7 @@
     } else if (reachable && HoldIsDue(target, aNow)) {
       SendHold(target, aNow);
     }
-    ResendStops(target, aNow);
+    SendStops(target, aNow);
     ++it;
   }
   m_stopMonitor.Tick(m_targets, aNow);
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -177,7 +177,12 @@
                    const RunName& aName,
                    TargetRun& aRun,
                    TimePoint aNow);
-  void ResendStops(TargetState& aTarget, TimePoint aNow);
+  // Sends the stops that are due, also to a target that is not taken: a stop is
+  // safe whatever runs there. A target that can't be connected to gets one at a
+  // time.
+  void SendStops(TargetState& aTarget, TimePoint aNow);
+  // Returns true if a stop was sent to the target and not reported.
+  static bool IsAnyStopUnderWay(const TargetState& aTarget, TimePoint aNow);
   // Returns true if the target is listed, or may have runs.
   static bool IsNeeded(const TargetState& aTarget, TimePoint aNow);
   bool HoldIsDue(const TargetState& aTarget, TimePoint aNow) const;
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -32,17 +32,18 @@
   // m_confirmedAt says when.
   bool m_confirmed = false;
   TimePoint m_confirmedAt;
-  // True once a stop was requested. The stop order is sent again until the
-  // target lists the end of the run.
+  // True once a stop was requested, and since when. The stop order is sent
+  // again until the target lists the end of the run.
   bool m_stopRequested = false;
   // True if the target listed the run, but no job of this leader has it.
   bool m_ofUnknownJob = false;
   TimePoint m_stopRequestedAt;
   TimePoint m_stopSentAt;
-  // The number of stop orders that were sent, and the answer to the last one
-  // that was answered or given up.
+  // The number of stop orders that were sent, and what was reported of the last
+  // one, and when; nothing while it is on its way.
   std::uint32_t m_stopsSent = 0;
   std::optional<OrderStatus> m_stopAnswer;
+  TimePoint m_stopAnsweredAt;
   // The run's progress in percent, and when the target reported it.
   std::uint32_t m_percentDone = 0;
   TimePoint m_percentAt;
@@ -111,6 +112,9 @@
   // TargetManager::LastEndToForget).
   bool m_answersHolds = false;
 
+  // False if the last stop found no connection to the target.
+  bool m_isConnected = true;
+
   // No starts are sent before this time, because the target refused some, tasks
   // failed there in a row or a task made no progress.
   TimePoint m_quarantinedUntil;
--- a/src/jobs/withdrawn_start_test.cpp
+++ b/src/jobs/withdrawn_start_test.cpp
@@ -7,7 +7,7 @@
 #include <gmock/gmock.h>
 
 #include "mock_job_effects.h"
-#include "run_listener.h"
+#include "mock_run_listener.h"
 
 namespace lycheestep {
 
@@ -19,23 +19,6 @@
 using testing::Field;
 using testing::NiceMock;
 
-class MockRunListener : public RunListener
-{
-public:
-  MOCK_METHOD(void,
-              OnRunProgress,
-              (const TargetId&, const RunningTask&, TimePoint),
-              (override));
-  MOCK_METHOD(void,
-              OnRunEnded,
-              (const TargetId&, const EndedTask&, TimePoint),
-              (override));
-  MOCK_METHOD(void,
-              OnRunLost,
-              (const TargetId&, const RunName&, OrderStatus),
-              (override));
-};
-
 RunName MakeRun(std::uint32_t aIndex)
 {
   RunName run;
