Take a target again after an answer to its take that does not count

Callers would see: a target that gets no work, no stop and no longer lease until the leases there have expired or the target starts anew; runs of cancelled jobs on it go on.

Cause: an answer from another address, or of an earlier life of the target, was ignored with the phase left at kTaking, in which neither a take nor a hold is due. The class: a state that waits for a reply, left when the reply is dropped.

The two tests failed before: no further hold was sent.

--- a/src/jobs/stop_orders_test.cpp
+++ b/src/jobs/stop_orders_test.cpp
@@ -92,9 +92,10 @@
   }
 
   // Answers the hold that takes the target. Its runs are still there.
-  void AnswerTake(std::uint32_t aRuns)
+  void AnswerTake(std::uint32_t aRuns, WallTime aStarted = WallTime(0))
   {
     HoldAnswer answer;
+    answer.m_started = aStarted;
     answer.m_status = OrderStatus::kDone;
     answer.m_targetClock = TargetTime(100);
     for (std::uint32_t i = 0; i < aRuns; ++i) {
@@ -252,6 +253,31 @@
   EXPECT_THAT(m_stops, SizeIs(7));
 }
 
+// Guards against a target that is never taken again because an answer to its
+// take was ignored.
+TEST_F(StopOrdersTest, TargetWhoseAddressChangesIsTakenAtTheNewOne)
+{
+  m_manager.OnTargetListed(m_record, m_now);
+  Pass(milliseconds(10));
+  m_record.m_address = "other";
+  m_manager.OnTargetListed(m_record, m_now);
+  AnswerTake(0);
+  Pass(seconds(1));
+  EXPECT_EQ(m_take.m_to.m_address, "other");
+  AnswerTake(0);
+  EXPECT_EQ(m_manager.Find(m_record.m_target)->m_phase, TargetPhase::kHeld);
+}
+
+TEST_F(StopOrdersTest, TargetOfWhichAnEarlierLifeAnsweredIsTakenAgain)
+{
+  m_record.m_started = WallTime(2000);
+  m_manager.OnTargetListed(m_record, m_now);
+  Pass(milliseconds(10));
+  AnswerTake(0, WallTime(1000));
+  EXPECT_CALL(m_effects, Hold(_, HoldPath::kOrders));
+  Pass(seconds(1));
+}
+
 TEST_F(StopOrdersTest, NoStopIsSentWithoutAToken)
 {
   TargetManager manager(TargetManagerSettings(), m_effects, m_listener);
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -51,9 +51,11 @@
     if (knownStart < aAnswer.m_started) {
       ResetForNewIncarnation(target, aAnswer.m_started, aNow);
     }
+    RetryTake(target, aOrder, aPath, aNow);
     return;
   }
   if (aOrder.m_to.m_address != target.m_record.m_address) {
+    RetryTake(target, aOrder, aPath, aNow);
     return;
   }
   target.m_holdFailures = 0;
@@ -82,6 +84,20 @@
                   " ended=" + std::to_string(aAnswer.m_ended.size()));
 }
 
+void TargetManager::RetryTake(TargetState& aTarget,
+                              const HoldOrder& aOrder,
+                              HoldPath aPath,
+                              TimePoint aNow)
+{
+  const bool wasTaking = aPath == HoldPath::kOrders &&
+                         aTarget.m_phase == TargetPhase::kTaking &&
+                         aOrder.m_to.m_fence == aTarget.m_fence;
+  if (wasTaking) {
+    MarkUncertain(aTarget, "another target answered");
+    aTarget.m_retryAt = aNow + kInitialHoldRetry;
+  }
+}
+
 void TargetManager::OnHoldFailed(TargetState& aTarget,
                                  const HoldOrder& aOrder,
                                  OrderStatus aStatus,
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -147,6 +147,11 @@
                               TimePoint aNow);
   // Removes targets with other ids that started earlier on the same machine.
   void RetireEarlierIncarnations(const TargetRecord& aRecord);
+  // Lets the target be taken again after an answer that does not count.
+  void RetryTake(TargetState& aTarget,
+                 const HoldOrder& aOrder,
+                 HoldPath aPath,
+                 TimePoint aNow);
   void OnHoldFailed(TargetState& aTarget,
                     const HoldOrder& aOrder,
                     OrderStatus aStatus,
