Test what excuses a run that goes on, and say how late cancelled runs end

check_gone had no test of its excuses in the calm series: only a change of the lead, for LEAD_S after it, and late reads; among faults any host or the store, and not the lead alone.

The summary counts the ends of cancelled runs and names the latest one. Without that, a series in which nothing could be judged looked like one in which all went well.

--- a/testsuite/soak/ledger.py
+++ b/testsuite/soak/ledger.py
@@ -88,6 +88,7 @@
         self.lead = Calm()
         self.starts = 0
         self.timed_starts = 0  # after a cancelling, with no excuse
+        self.cancelled_ends = 0  # of runs, after a cancelling, the same
         self.resumes = 0
         self.latest = {}  # kind -> longest time without an excuse
         self.counts = {}  # kind -> breaches
@@ -181,16 +182,27 @@
         job = self.jobs.get(task.split(".")[0])
         if job is None or not job.cancel_acked or late_way(worker):
             return False
-        hosts_calm = self.lead.since + LEAD_S if self.in_calm_series \
-            else self.calm.since + CONTACT_S
-        since = max(job.cancel_acked, hosts_calm, self.reads.since + CONTACT_S)
-        if time.monotonic() < since + CANCEL_S + STOP_S:
+        if time.monotonic() < self.stops_since(job) + CANCEL_S + STOP_S:
             return False
         self.timed("run that goes on after a cancelling",
                    "%s run %d on %s" % (task, run, worker.name),
                    job.cancel_acked, 0)
         return True
 
+    def stops_since(self, job):
+        """From when on the job's cancelling counts without an excuse."""
+        hosts_calm = self.lead.since + LEAD_S if self.in_calm_series \
+            else self.calm.since + CONTACT_S
+        return max(job.cancel_acked, hosts_calm, self.reads.since + CONTACT_S)
+
+    def note_cancelled_end(self, worker, job):
+        """How late it was; whether too late is judged while the run works."""
+        if job is None or not job.cancel_acked or late_way(worker):
+            return
+        self.cancelled_ends += 1
+        self.timed("end of a cancelled run", worker.name,
+                   self.stops_since(job), float("inf"))
+
     def on_saved(self, task, checkpoint):
         with self.lock:
             entry = self.jobs[task.split(".")[0]].steps[
@@ -201,6 +213,7 @@
         with self.lock:
             self.running.get(task, set()).discard((worker.name, worker.born,
                                                    run))
+            self.note_cancelled_end(worker, self.jobs.get(task.split(".")[0]))
             if how != "done":
                 return
             job_id, occurrence, step, _ = task.split(".")
@@ -269,8 +282,10 @@
                                             self.latest.get(kind, 0.0))
                  for kind in sorted(set(self.counts) | set(self.latest))]
         return "\n".join(lines + ["%d starts after a cancelling judged by "
-                                  "time, %d starts from a checkpoint" %
-                                  (self.timed_starts, self.resumes)])
+                                  "time, %d starts from a checkpoint, %d "
+                                  "ends of cancelled runs" %
+                                  (self.timed_starts, self.resumes,
+                                   self.cancelled_ends)])
 
 
 def owner(task, entry):
--- a/testsuite/soak/ledger_test.py
+++ b/testsuite/soak/ledger_test.py
@@ -8,7 +8,8 @@
 from unittest import mock
 
 import ledger
-from ledger import CANCEL_S, CONTACT_S, DRAIN_S, LATE_S, STOP_S, Job, Ledger
+from ledger import (CANCEL_S, CONTACT_S, DRAIN_S, LATE_S, LEAD_S, STOP_S, Job,
+                    Ledger)
 
 ID = "00000000000000aa"
 TASK = ID + ".0.0.0"
@@ -133,6 +134,69 @@
         self.assertTrue(self.ledger.check_gone(self.worker, TASK, 1))
         self.expect(run_that_goes_on_after_a_cancelling=1)
 
+    def goes_on(self, seconds):
+        """Whether a run is found to go on so long after the last event."""
+        self.now += seconds
+        return self.ledger.check_gone(self.worker, TASK, 1)
+
+    def test_a_change_of_the_lead_excuses_only_for_a_while(self):
+        self.start()
+        self.ledger.in_calm_series = True
+        self.cancelled()
+        self.now += CANCEL_S
+        self.ledger.lead.disturb()
+        self.assertFalse(self.goes_on(LEAD_S + CANCEL_S + STOP_S - 0.1))
+        self.assertTrue(self.goes_on(0.2))
+        self.expect(run_that_goes_on_after_a_cancelling=1)
+
+    def test_an_earlier_change_of_the_lead_excuses_nothing(self):
+        self.start()
+        self.ledger.in_calm_series = True
+        self.ledger.lead.disturb()
+        self.now += LEAD_S
+        self.cancelled()
+        self.assertFalse(self.goes_on(CANCEL_S + STOP_S - 0.1))
+        self.assertTrue(self.goes_on(0.2))
+
+    def test_no_other_host_excuses_a_run_in_the_calm_series(self):
+        self.start()
+        self.ledger.in_calm_series = True
+        self.cancelled()
+        self.ledger.calm.disturb(100)
+        self.assertTrue(self.goes_on(CANCEL_S + STOP_S + 0.1))
+
+    def test_any_host_excuses_a_run_among_faults(self):
+        self.start()
+        self.cancelled()
+        self.ledger.calm.disturb()
+        excused = CONTACT_S + CANCEL_S + STOP_S
+        self.assertFalse(self.goes_on(excused - 0.1))
+        self.assertTrue(self.goes_on(0.2))
+
+    def test_the_lead_alone_excuses_no_run_among_faults(self):
+        self.start()
+        self.cancelled()
+        self.ledger.lead.disturb(100)
+        self.assertTrue(self.goes_on(CANCEL_S + STOP_S + 0.1))
+
+    def test_late_reads_excuse_a_run_in_the_calm_series(self):
+        self.start()
+        self.ledger.in_calm_series = True
+        self.cancelled()
+        self.ledger.reads.disturb()
+        excused = CONTACT_S + CANCEL_S + STOP_S
+        self.assertFalse(self.goes_on(excused - 0.1))
+        self.assertTrue(self.goes_on(0.2))
+
+    def test_end_of_a_cancelled_run(self):
+        self.start()
+        self.cancelled()
+        self.now += 2.5
+        self.ledger.on_end(self.worker, TASK, 1, "stopped")
+        self.expect()
+        self.assertEqual(self.ledger.cancelled_ends, 1)
+        self.assertEqual(self.ledger.latest["end of a cancelled run"], 2.5)
+
     def test_start_while_draining(self):
         self.worker.drained_at = self.now
         self.now += DRAIN_S - 0.1
