Lose rows, services and the lead in the soak in more ways, with long tasks

Changes now leave nine seconds.

The tasks of the default series took less than a second, so that no run could go on for 3.9 s there either, but at a worker that hangs.

New: a frozen leader and two changes within two seconds (lead); damaged rows (damaged); a configuration that doesn't name the workers' service while the lead changes (service); starts that are carried out late. The faults series and the calm one play slow stops, the faults series also slow holds, rows of single workers that are away, damaged or name another address, and a service that is left for a while. Of these only a change of the lead excuses anything, as before. A worker counts as draining only once a row says so.

--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -1,6 +1,8 @@
 """Faults from outside, in series that overlap."""
+import contextlib
 import random
 import signal
+import subprocess
 import threading
 import time
 
@@ -8,12 +10,22 @@
 
 # The time that slow workers take to answer a start, in seconds.
 SLOW_S = (0.1, 0.6)
+# ... a stop or a hold.
+SLOW_STOP_S = (0.1, 0.65)
 # The rows of workers that live are away for so long.
 ROWS_AWAY_S = 9
 # Before that, work begins everywhere.
 WORK_BEGINS_AFTER_S = 3
 # A new leader is chosen this long after the rows went away.
 LEAD_CHANGES_AFTER_S = 0.5
+# The row of a single worker is lost for so long, among other faults.
+ROW_LOST_S = (1, 8)
+# A frozen leader is back after this.
+FROZEN_S = 4.5
+# Changes of the lead leave time in which a run that goes on has no excuse.
+LEAD_STAYS_S = 9
+# A second change comes so soon after the first.
+LEAD_AGAIN_S = 2
 
 
 class Faults:
@@ -32,7 +44,8 @@
 
     def of_calm_times(self):
         """Those that excuse nothing."""
-        return [self.slow_worker, self.slow_worker, self.drain_worker]
+        return [self.slow_worker, self.slow_worker, self.drain_worker,
+                self.slow_stops]
 
     def all(self):
         return self.of_calm_times() + [
@@ -40,7 +53,8 @@
             self.reload, self.cut_store_way, self.cut_store_way,
             self.cut_worker_way, self.store_down, self.store_loses,
             self.store_slow, self.store_forgets, self.store_reads_late,
-            self.crash_worker, self.hang_worker]
+            self.crash_worker, self.hang_worker, self.slow_holds,
+            self.lose_row]
 
     def later(self, seconds, action, *arguments):
         timer = threading.Timer(seconds, action, arguments)
@@ -169,7 +183,9 @@
         host.stopping_at = time.monotonic()
         self.ledger.lead.disturb()
         host.send(signal.SIGTERM)
-        self.restart(host)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            host.process.wait(GRACE_S)
+        self.end_and_restart(host, host.process)
 
     def kill_leader(self):
         host = self.leading_host()
@@ -178,23 +194,72 @@
             host.send(signal.SIGKILL)
             self.restart(host)
 
+    def freeze_leader(self):
+        host = self.leading_host()
+        if host is not None:
+            self.ledger.lead.disturb()
+            host.send(signal.SIGSTOP)
+            self.later(FROZEN_S, host.send, signal.SIGCONT)
+
+    def change_lead(self):
+        self.random.choice([self.stop_leader, self.kill_leader])()
+
+    def of_the_lead(self):
+        return [self.lead_changes, self.lead_freezes, self.lead_changes_twice]
+
+    def lead_changes(self):
+        self.change_lead()
+        time.sleep(LEAD_STAYS_S)
+
+    def lead_freezes(self):
+        self.freeze_leader()
+        time.sleep(LEAD_STAYS_S)
+
+    def lead_changes_twice(self):
+        first, end = self.leading_host(), time.monotonic() + LEAD_AGAIN_S
+        self.change_lead()
+        while self.leading_host() is first and time.monotonic() < end:
+            time.sleep(0.05)
+        self.change_lead()
+        time.sleep(LEAD_STAYS_S)
+
     def rows_away(self):
-        """The rows of every second worker are away while the lead changes."""
+        self.lose_rows("away")
+
+    def rows_damaged(self):
+        self.lose_rows("damaged")
+
+    def lose_rows(self, how):
+        """The rows of every second worker, while the lead changes."""
         time.sleep(WORK_BEGINS_AFTER_S)
         for worker in self.workers[1::2]:
-            worker.keep_row_away(True)
-            self.later(ROWS_AWAY_S, worker.keep_row_away, False)
+            worker.keep_row(how)
+            self.later(ROWS_AWAY_S, worker.keep_row, "whole")
         time.sleep(LEAD_CHANGES_AFTER_S)
-        self.random.choice([self.stop_leader, self.kill_leader])()
+        self.change_lead()
         time.sleep(ROWS_AWAY_S)
 
+    def lose_row(self):
+        worker = self.random.choice(self.workers)
+        worker.keep_row(self.random.choice(["away", "away", "damaged",
+                                            "moved"]))
+        self.later(self.random.uniform(*ROW_LOST_S), worker.keep_row, "whole")
+
     def slow_worker(self):
+        self.slow_down("answer_s", SLOW_S)
+
+    def slow_stops(self):
+        self.slow_down("stop_answer_s", SLOW_STOP_S)
+
+    def slow_holds(self):
+        self.slow_down("hold_answer_s", SLOW_STOP_S)
+
+    def slow_down(self, kind, seconds):
         """For a while, or for good."""
         worker = self.random.choice(self.workers)
-        worker.answer_s = self.random.uniform(*SLOW_S)
+        setattr(worker, kind, self.random.uniform(*seconds))
         if self.random.random() < 0.7:
-            self.later(self.random.uniform(2, 6), setattr, worker, "answer_s",
-                       0.0)
+            self.later(self.random.uniform(2, 6), setattr, worker, kind, 0.0)
 
     def drain_worker(self):
         worker = self.random.choice(self.workers)
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -2,9 +2,9 @@
 """Runs hosts as separate processes among faults and checks their promises.
 
 Usage: soak.py PROGRAM [--seed N] [--seconds S] [--calm S] [--hosts N]
-[--workers N] [--slow S] [--slow-stop S] [--slow-hold S] [--work LEAST MOST]
-[--load X] [--cancelled-within S] [--retention-ms N] [--forgets-after S]
-[--logs FOLDER]
+[--workers N] [--slow S] [--slow-stop S] [--slow-hold S] [--late-start S]
+[--work LEAST MOST] [--load X] [--cancelled-within S] [--retention-ms N]
+[--forgets-after S] [--logs FOLDER]
 
 First a calm series: nothing but slow workers, workers that drain and waves of
 cancellations, so that no check with a time bound has an excuse. Then faults
@@ -22,12 +22,13 @@
 import time
 
 from callers import CANCELLED_WITHIN_S, Callers
-from faults import Faults
+from faults import (LEAD_CHANGES_AFTER_S, ROWS_AWAY_S, WORK_BEGINS_AFTER_S,
+                    Faults)
 from hosts import GRACE_S, PORTS_PER_HOST, Host, free_ports
 from ledger import CONTACT_S, Ledger
 from proxy import Proxy
 from store import Store
-from targets import WORK_S, Worker
+from targets import Worker
 from web import call
 
 # After the last fault every accepted job ends within this.
@@ -67,13 +68,20 @@
         self.faults = Faults(self.hosts, self.workers, self.worker_ways,
                              self.store, self.ledger, arguments.seed)
 
-    def configure(self):
-        self.version += self.random.randint(1, 4)
-        queue = dict(QUEUE, target_latency_ms=1000 + self.version)
-        self.store.put("op", "config", {
-            "version": self.version, "routes": [queue],
-            "services": [{"name": "desk", "admission_check": False}],
-            "limits": {"max_body_bytes": 262144}})
+    def configure(self, service="desk"):
+        with self.store.lock:
+            self.version += self.random.randint(1, 4)
+            queue = dict(QUEUE, target_latency_ms=1000 + self.version,
+                         service=service)
+            self.store.put("op", "config", {
+                "version": self.version, "routes": [queue],
+                "services": [{"name": service, "admission_check": False}],
+                "limits": {"max_body_bytes": 262144}})
+
+    def leave_service(self):
+        """For a while, no queue leads to the workers' service."""
+        self.configure("spare")
+        self.faults.later(self.random.uniform(1, 6), self.configure)
 
     def play(self):
         for host in self.hosts:
@@ -83,7 +91,8 @@
         self.callers.start()
         self.play_calm_series()
         self.faults.play(self.arguments.seconds,
-                         self.faults.all() + [self.configure])
+                         self.faults.all() + [self.configure,
+                                              self.leave_service])
         self.callers.stop()
         self.settle()
         self.ledger.judge()
@@ -94,21 +103,34 @@
             worker.answer_s = arguments.slow
             worker.stop_answer_s = arguments.slow_stop
             worker.hold_answer_s = arguments.slow_hold
+            worker.start_late_s = arguments.late_start
         for worker in self.workers:
-            worker.work_s = arguments.work
+            if arguments.work:
+                worker.work_s, worker.long_share = arguments.work, 0
         if arguments.forgets_after:
             time.sleep(arguments.forgets_after)
             print("the store forgets", flush=True)
             self.faults.forget_often(arguments.calm, arguments.read_delay)
         faults = {"mixed": self.faults.of_calm_times(),
                   "drain": [self.faults.drain_worker],
-                  "lead": [self.faults.stop_leader, self.faults.kill_leader],
+                  "lead": self.faults.of_the_lead(),
                   "rows": [self.faults.rows_away],
+                  "damaged": [self.faults.rows_damaged],
+                  "service": [self.lose_service],
                   "none": [self.faults.nothing]}[arguments.calm_faults]
         self.ledger.in_calm_series = True
         self.faults.play(arguments.calm, faults)
         self.ledger.in_calm_series = False
 
+    def lose_service(self):
+        """The same, longer and while the lead changes."""
+        time.sleep(WORK_BEGINS_AFTER_S)
+        self.configure("spare")
+        time.sleep(LEAD_CHANGES_AFTER_S)
+        self.faults.change_lead()
+        time.sleep(ROWS_AWAY_S)
+        self.configure()
+
     def await_ready(self):
         end = time.monotonic() + SETTLE_S
         while time.monotonic() < end:
@@ -149,7 +171,8 @@
     parser.add_argument("--calm", type=float, default=10,
                         help="seconds of the calm series before the faults")
     parser.add_argument("--calm-faults", default="mixed",
-                        choices=["mixed", "drain", "lead", "rows", "none"])
+                        choices=["mixed", "drain", "lead", "rows", "damaged",
+                                 "service", "none"])
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--slow", type=float, default=0.3,
@@ -159,8 +182,11 @@
                         help="the same of a stop")
     parser.add_argument("--slow-hold", type=float, default=0,
                         help="the same of a hold")
-    parser.add_argument("--work", type=float, nargs=2, default=WORK_S,
-                        help="the least and most seconds that a task works")
+    parser.add_argument("--late-start", type=float, default=0,
+                        help="seconds before they carry a start out")
+    parser.add_argument("--work", type=float, nargs=2,
+                        help="the least and most seconds that a task works, "
+                        "all of them; else most are short and a share long")
     parser.add_argument("--load", type=float, default=1,
                         help="share of the callers beside the waves")
     parser.add_argument("--cancelled-within", type=float,
--- a/testsuite/soak/targets.py
+++ b/testsuite/soak/targets.py
@@ -3,8 +3,9 @@
 A worker obeys no fencing token below the highest it has seen, kills all that
 runs when its lease is over by its own clock, which may be slow, and lists ends
 until they may be forgotten. It may take long to answer each kind of order, and
-its row may be away from the store while it lives. It does not guard its room:
-the ledger does, and names each promise that was broken.
+while it lives its row may be away from the store, damaged, or name another
+address. It does not guard its room: the ledger does, and names each promise
+that was broken.
 """
 import random
 import threading
@@ -18,6 +19,9 @@
 CHECKPOINT_S = 0.15
 # How long a task works, unless the soak says otherwise.
 WORK_S = (0.1, 0.9)
+# A share of the tasks works longer than a cancelled run may go on.
+LONG_SHARE = 0.1
+LONG_WORK_S = (5, 8)
 
 
 class Run:
@@ -41,7 +45,8 @@
 class Worker:
     def __init__(self, name, port, address, store, ledger, seed):
         self.name = name
-        self.address = address
+        self.port = port
+        self.address = address  # of the way to the port
         self.store = store
         self.ledger = ledger
         self.random = random.Random(seed)
@@ -53,7 +58,9 @@
         self.stop_answer_s = 0.0  # ... a stop, which takes effect at once
         self.hold_answer_s = 0.0  # ... a hold, beyond the wait for an end
         self.work_s = WORK_S
-        self.row_away = False
+        self.long_share = LONG_SHARE
+        self.start_late_s = 0.0  # before a start is carried out
+        self.row = "whole"  # or "away", "damaged", "moved"
         self.hangs = False
         self.gone = False
         self.disturbed_at = time.monotonic() - LATE_S  # its way, last
@@ -78,24 +85,34 @@
         return int((time.monotonic() - self.start) * 1000 * self.rate)
 
     def register(self):
-        away = self.gone or self.row_away
-        self.store.put("servers", self.name, None if away else {
-            "service": "desk", "address": "127.0.0.1:%d" % self.address,
+        with self.lock:
+            if self.gone or self.row == "away":
+                self.store.put("servers", self.name, None)
+            elif self.row == "damaged":
+                self.store.put("servers", self.name, "no entry")
+            else:
+                self.report()
+
+    def report(self):
+        address = self.port if self.row == "moved" else self.address
+        self.store.put("servers", self.name, {
+            "service": "desk", "address": "127.0.0.1:%d" % address,
             "zone": "z1", "version": "1", "slots": 8, "cold_left_ms": 0,
             "state": "draining" if self.draining else "ready", "seq": 1,
             "capacity": {"cpu": self.capacity, "mem_mb": 64000},
             "labels": ["k1", "r1"], "machine": "m-" + self.name,
             "born": self.born})
+        if self.draining and self.drained_at is None:
+            self.drained_at = time.monotonic()
 
-    def keep_row_away(self, away):
-        self.row_away = away
+    def keep_row(self, how):
+        self.row = how
         self.register()
 
     def drain(self, draining):
         self.draining = draining
         self.drained_at = None
         self.register()
-        self.drained_at = time.monotonic() if draining else None
 
     def restart(self):
         """A crash: nothing is left of what was before."""
@@ -145,6 +162,8 @@
         if headers.get("Expect-Instance", self.name) != self.name or \
                 self.gone:
             return 421, {}
+        if path.endswith("/run-start"):
+            time.sleep(self.start_late_s)
         answer = self.obey(path, body)
         time.sleep({"/run-start": self.answer_s,
                     "/run-stop": self.stop_answer_s,
@@ -181,12 +200,15 @@
         entry = self.ledger.on_start(self, body["task"], body["run"],
                                      body["spec"], checkpoint) or {}
         fails = self.random.random() < 0.03
-        self.runs[key] = Run(self.random.uniform(*self.work_s), fails, entry,
-                             checkpoint)
+        self.runs[key] = Run(self.work_time(), fails, entry, checkpoint)
         if sum(run.cpu for run in self.runs.values()) > self.capacity:
             self.ledger.breach("%s was given more than it has" % self.name)
         return 200, {"clock_ms": self.clock()}
 
+    def work_time(self):
+        is_long = self.random.random() < self.long_share
+        return self.random.uniform(*(LONG_WORK_S if is_long else self.work_s))
+
     def run_stop(self, body):
         key = (body["task"], body["run"])
         if key in self.runs:
