Let the cell model send stops as connections do: slow_stop_test passes

The model sent one order at a time to a target, stops too, as the connection did before stops left on threads of their own.

--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -138,8 +138,13 @@
   {
     OrderQueue m_queue;
     bool m_isSending = false;
+    // The number of stops that wait for their answers.
+    std::size_t m_stopsUnderWay = 0;
   };
 
+  // The most stops that are on their way to one target, as StopSenders has it.
+  static constexpr std::size_t kMaxStopsUnderWay = 16;
+
   // A leader waits this long for an answer.
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
   // When orders that are carried out late arrive.
@@ -201,15 +206,33 @@
   // Sends the orders that need not wait for an answer to another one.
   void SendWaiting(Connection& aConnection, HoldPath aPath)
   {
+    SendStops(aConnection, aPath);
     SendNext(aConnection, aPath);
   }
 
+  void SendStops(Connection& aConnection, HoldPath aPath)
+  {
+    while (aConnection.m_stopsUnderWay < kMaxStopsUnderWay) {
+      const auto stop =
+        aConnection.m_queue.Take(Duration::zero(), OrderSelection::kStops);
+      if (!stop) {
+        return;
+      }
+      ++aConnection.m_stopsUnderWay;
+      SendOrder(*stop, aPath, [this, &aConnection, aPath] {
+        --aConnection.m_stopsUnderWay;
+        SendWaiting(aConnection, aPath);
+      });
+    }
+  }
+
   // Sends the next order unless another one waits for its answer. Reports the
   // withdrawn ones.
   void SendNext(Connection& aConnection, HoldPath aPath)
   {
     while (!aConnection.m_isSending) {
-      const auto queued = aConnection.m_queue.Take(Duration::zero());
+      const auto queued = aConnection.m_queue.Take(
+        Duration::zero(), OrderSelection::kAllButStops);
       if (!queued) {
         return;
       }
