Send the stops of a target at the same time, not one by one

Starts, stops and the take of a target left on one thread, each after the answer to the last, so that a target which answered after 0.5 s got one stop each 0.5 s. Carriers used the same queue.

They are taken from the same queue, so its rules stay: a stop withdraws the start of its run, and withdrawn orders are reported once, by the order thread. A stop may overtake its start; the target then refuses the start. Carriers find the id of a stop by all that it says, as answers come in any order.

--- a/src/jobhost/order_carrier.cpp
+++ b/src/jobhost/order_carrier.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <deque>
+#include <tuple>
 #include <utility>
 
 #include "boot_clock.h"
@@ -28,9 +29,11 @@
 } // namespace
 
 // The ids of the orders to one target that are in flight. Starts and stops are
-// found by their run, since a connection does not report them in the order in
-// which they came. Orders of one kind for one run are reported in that order,
-// and so are the holds of one path.
+// found by what they say, since a connection does not report them in the order
+// in which they came. Starts of one run are reported in that order, and so are
+// the holds of one path. Stops of one run are not, as several may be on their
+// way: those that differ are told apart, and of those that are equal it makes
+// no difference to the leader which one an answer belongs to.
 class PendingOrderIds
 {
 public:
@@ -40,10 +43,10 @@
     m_starts.emplace(aRun, aId);
   }
 
-  void AddStop(const RunName& aRun, std::uint64_t aId)
+  void AddStop(const StopOrder& aOrder, std::uint64_t aId)
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_stops.emplace(aRun, aId);
+    m_stops.emplace(KeyOf(aOrder), aId);
   }
 
   void AddHold(HoldPath aPath, std::uint64_t aId)
@@ -58,10 +61,10 @@
     return TakeOldest(m_starts, aRun);
   }
 
-  std::uint64_t TakeStop(const RunName& aRun)
+  std::uint64_t TakeStop(const StopOrder& aOrder)
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    return TakeOldest(m_stops, aRun);
+    return TakeOldest(m_stops, KeyOf(aOrder));
   }
 
   std::uint64_t TakeHold(HoldPath aPath)
@@ -74,11 +77,19 @@
   }
 
 private:
-  using IdsByRun = std::multimap<RunName, std::uint64_t>;
+  // What a stop says, but for the target, which is the same for all.
+  using StopKey = std::tuple<RunName, FencingToken, std::string>;
 
-  static std::uint64_t TakeOldest(IdsByRun& aIds, const RunName& aRun)
+  static StopKey KeyOf(const StopOrder& aOrder)
   {
-    const auto oldest = aIds.lower_bound(aRun);
+    return { aOrder.m_run, aOrder.m_to.m_fence, aOrder.m_to.m_address };
+  }
+
+  template<typename Key>
+  static std::uint64_t TakeOldest(std::multimap<Key, std::uint64_t>& aIds,
+                                  const Key& aKey)
+  {
+    const auto oldest = aIds.lower_bound(aKey);
     const std::uint64_t id = oldest->second;
     aIds.erase(oldest);
     return id;
@@ -90,8 +101,8 @@
   }
 
   std::mutex m_mutex;
-  IdsByRun m_starts;
-  IdsByRun m_stops;
+  std::multimap<RunName, std::uint64_t> m_starts;
+  std::multimap<StopKey, std::uint64_t> m_stops;
   std::deque<std::uint64_t> m_watchHolds;
   std::deque<std::uint64_t> m_orderHolds;
 };
@@ -212,7 +223,7 @@
     };
     answers.m_stopped = [answer, &ids](const StopOrder& aOrder,
                                        const OrderAnswer& aAnswer) {
-      answer(ids.TakeStop(aOrder.m_run), aAnswer);
+      answer(ids.TakeStop(aOrder), aAnswer);
     };
     answers.m_held = [answer, &ids](const HoldOrder&,
                                     HoldPath aPath,
@@ -254,7 +265,7 @@
     }
     case proto::CarriedOrder::kStop: {
       const StopOrder stop = DecodeStop(aOrder);
-      aConnection.m_ids.AddStop(stop.m_run, aOrder.id());
+      aConnection.m_ids.AddStop(stop, aOrder.id());
       aConnection.m_sender->Stop(stop);
       return;
     }
--- a/src/jobhost/order_carrier.h
+++ b/src/jobhost/order_carrier.h
@@ -27,10 +27,10 @@
 
 // Sends orders to targets on behalf of the leader and returns the replies, so
 // that the connections to a large fleet are distributed over the hosts. Makes
-// no decisions: it sends each order that it receives, one at a time on each
-// connection, as long as the leader's right to send orders lasts. Each leading
-// process has its own connections here, so that no leader waits for the orders
-// of another one.
+// no decisions: it sends each order that it receives as long as the leader's
+// right to send orders lasts. TargetConnection says which orders to a target
+// wait for each other. Each leading process has its own connections here, so
+// that no leader waits for the orders of another one.
 class OrderCarrier
 {
 public:
@@ -60,7 +60,7 @@
   // The connections and replies of one leading process.
   struct LeaderSession;
   struct SessionState;
-  // The pair of connections to one target.
+  // The connections to one target.
   struct Connection;
 
   // Returns the session's connection to a target; opens one if there is none.
--- a/src/jobhost/target_connection.cpp
+++ b/src/jobhost/target_connection.cpp
@@ -44,12 +44,16 @@
                                    EventLog& aLog,
                                    MetricsSink& aMetrics,
                                    std::function<bool()> aMaySend,
-                                   OrderAnswerHandlers aAnswers)
+                                   OrderAnswerHandlers aAnswers,
+                                   SenderLimit& aLimit)
   : m_orders(aOrders)
   , m_log(aLog)
   , m_metrics(aMetrics)
   , m_maySend(std::move(aMaySend))
   , m_answers(std::move(aAnswers))
+  , m_stopSenders(m_orderQueue, aLimit, [this](const QueuedOrder& aQueued) {
+    Send(aQueued, HoldPath::kOrders);
+  })
 {
   m_watchThread = std::thread([this] { Run(m_watchQueue, HoldPath::kWatch); });
   pthread_setname_np(m_watchThread.native_handle(), "target-watch");
@@ -72,6 +76,7 @@
 void TargetConnection::Stop(const StopOrder& aOrder)
 {
   m_orderQueue.Add(aOrder, BootClockNow());
+  m_stopSenders.AddIfNeeded();
 }
 
 void TargetConnection::Pace(const PaceOrder& aOrder)
@@ -101,26 +106,37 @@
   return m_watchQueue.IsEmpty() && m_orderQueue.IsEmpty();
 }
 
+bool TargetConnection::IsFinished() const
+{
+  return m_running == 0 && m_stopSenders.IsFinished();
+}
+
 void TargetConnection::Run(OrderQueue& aQueue, HoldPath aPath)
 {
   while (!aQueue.IsDrained()) {
-    const std::optional<QueuedOrder> queued = aQueue.Take(kIdle);
-    if (!queued) {
-      continue;
-    }
-    if (const auto* start = std::get_if<StartOrder>(&queued->m_order)) {
-      m_answers.m_started(*start, SendStart(*start, *queued));
-    } else if (const auto* stop = std::get_if<StopOrder>(&queued->m_order)) {
-      m_answers.m_stopped(*stop, SendStop(*stop, *queued));
-    } else if (const auto* hold = std::get_if<HoldOrder>(&queued->m_order)) {
-      m_answers.m_held(*hold, aPath, SendHold(*hold, *queued));
-    } else if (const auto* pace = std::get_if<PaceOrder>(&queued->m_order)) {
-      SendPace(*pace, *queued);
+    const std::optional<QueuedOrder> queued =
+      aQueue.Take(kIdle, OrderSelection::kAllButStops);
+    if (queued) {
+      Send(*queued, aPath);
     }
+    m_stopSenders.JoinEnded();
   }
   --m_running;
 }
 
+void TargetConnection::Send(const QueuedOrder& aQueued, HoldPath aPath)
+{
+  if (const auto* start = std::get_if<StartOrder>(&aQueued.m_order)) {
+    m_answers.m_started(*start, SendStart(*start, aQueued));
+  } else if (const auto* stop = std::get_if<StopOrder>(&aQueued.m_order)) {
+    m_answers.m_stopped(*stop, SendStop(*stop, aQueued));
+  } else if (const auto* hold = std::get_if<HoldOrder>(&aQueued.m_order)) {
+    m_answers.m_held(*hold, aPath, SendHold(*hold, aQueued));
+  } else if (const auto* pace = std::get_if<PaceOrder>(&aQueued.m_order)) {
+    SendPace(*pace, aQueued);
+  }
+}
+
 OrderStatus TargetConnection::CheckSendable(const QueuedOrder& aQueued) const
 {
   if (aQueued.m_withdrawn) {
--- a/src/jobhost/target_connection.h
+++ b/src/jobhost/target_connection.h
@@ -7,27 +7,35 @@
 
 #include "order_queue.h"
 #include "order_sender.h"
+#include "sender_limit.h"
+#include "stop_senders.h"
 
 namespace lycheestep {
 
 class EventLog;
 class MetricsSink;
 
-// Sends a leader's orders to one target over two connections, each with a
-// thread of its own: one for holds that wait until a run ends, the other for
-// all orders that must not wait behind such a hold. OrderQueue decides in which
-// order the orders of one connection leave, and which of them are withdrawn.
+// Sends a leader's orders to one target over several connections, each with a
+// thread of its own: one for holds that wait until a run ends, one for starts,
+// pace orders and holds that must not wait behind such a hold, and as many for
+// stops as are waiting for an answer, so that no run goes on because the target
+// is slow to answer another order. OrderQueue decides in which order the orders
+// leave, and which of them are withdrawn.
 class TargetConnection : public OrderSender
 {
 public:
-  // Starts the threads. aMaySend returns true while orders may be sent, and is
-  // called right before each order. aAnswers are called on these threads. aLog
-  // and aMetrics are told how long starts and stops wait in the queue.
+  // Starts the threads for holds and starts; those for stops are started when
+  // they are needed. aMaySend returns true while orders may be sent, and is
+  // called right before each order. aAnswers are called on these threads, and
+  // may be called on several at the same time. aLog and aMetrics are told how
+  // long starts and stops wait in the queue. aLimit bounds the threads for
+  // stops of all connections.
   TargetConnection(TargetOrders& aOrders,
                    EventLog& aLog,
                    MetricsSink& aMetrics,
                    std::function<bool()> aMaySend,
-                   OrderAnswerHandlers aAnswers);
+                   OrderAnswerHandlers aAnswers,
+                   SenderLimit& aLimit = SenderLimit::OfHost());
   ~TargetConnection() override;
   TargetConnection(const TargetConnection&) = delete;
   TargetConnection& operator=(const TargetConnection&) = delete;
@@ -47,13 +55,16 @@
   // Returns true if no order waits.
   bool IsIdle() const;
 
-  // Returns true if both threads have ended, so that the destructor does not
+  // Returns true if all threads have ended, so that the destructor does not
   // wait.
-  bool IsFinished() const { return m_running == 0; }
+  bool IsFinished() const;
 
 private:
-  // Sends and reports the orders of one queue until it is closed.
+  // Sends and reports the orders of one queue but stops until it is closed.
+  // Reports withdrawn stops as well.
   void Run(OrderQueue& aQueue, HoldPath aPath);
+  // Sends an order if it may be sent, and reports it.
+  void Send(const QueuedOrder& aQueued, HoldPath aPath);
   // Send an order if it may be sent, and return what is reported of it.
   OrderAnswer SendStart(const StartOrder& aOrder, const QueuedOrder& aQueued);
   OrderAnswer SendStop(const StopOrder& aOrder, const QueuedOrder& aQueued);
@@ -79,7 +90,9 @@
   // The fencing token of the last start without a reply. Used by the order
   // thread only.
   FencingToken m_unansweredFence = 0;
-  // Number of threads that have not ended.
+  // Sends the stops of m_orderQueue.
+  StopSenders m_stopSenders;
+  // Number of threads that have not ended, without those of m_stopSenders.
   std::atomic<int> m_running{ 2 };
   std::thread m_watchThread;
   std::thread m_orderThread;
--- a/src/jobs/order_queue.cpp
+++ b/src/jobs/order_queue.cpp
@@ -30,6 +30,14 @@
   return order != nullptr && order->m_run == aRun;
 }
 
+// Returns true if aQueued, which is to be sent, belongs to aSelection.
+bool BelongsTo(const QueuedOrder& aQueued, OrderSelection aSelection)
+{
+  const bool isStop = std::holds_alternative<StopOrder>(aQueued.m_order);
+  return aSelection == OrderSelection::kAll ||
+         isStop == (aSelection == OrderSelection::kStops);
+}
+
 } // namespace
 
 void OrderQueue::Add(const StartOrder& aOrder, TimePoint aNow)
@@ -82,33 +90,85 @@
   });
 }
 
-std::optional<QueuedOrder> OrderQueue::Take(Duration aMaxWait)
+std::optional<QueuedOrder> OrderQueue::Take(Duration aMaxWait,
+                                            OrderSelection aSelection)
 {
   std::unique_lock<std::mutex> lock(m_mutex);
-  const auto hasOrders = [this] {
-    return !m_withdrawn.empty() || !m_urgent.empty() || !m_others.empty();
-  };
   if (aMaxWait > Duration::zero()) {
-    m_ready.wait_for(lock, aMaxWait, [&] { return m_closed || hasOrders(); });
-  }
-  std::deque<QueuedOrder>& queue = NextQueue();
-  if (queue.empty()) {
-    return std::nullopt;
+    Takers& takers = TakersOf(aSelection);
+    ++takers.m_waiting;
+    takers.m_ready.wait_for(
+      lock, aMaxWait, [&] { return m_closed || CanTake(aSelection); });
+    --takers.m_waiting;
   }
-  m_urgentInARow = &queue == &m_urgent ? m_urgentInARow + 1 : 0;
-  QueuedOrder order = std::move(queue.front());
-  queue.pop_front();
-  return order;
+  return RemoveNext(aSelection);
+}
+
+bool OrderQueue::HasUnattendedStop() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto stops = std::count_if(
+    m_urgent.begin(), m_urgent.end(), [](const QueuedOrder& aQueued) {
+      return BelongsTo(aQueued, OrderSelection::kStops);
+    });
+  const auto index = static_cast<std::size_t>(OrderSelection::kStops);
+  return static_cast<std::size_t>(stops) > m_takers[index].m_waiting;
+}
+
+OrderQueue::Takers& OrderQueue::TakersOf(OrderSelection aSelection)
+{
+  return m_takers[static_cast<std::size_t>(aSelection)];
+}
+
+bool OrderQueue::CanTake(OrderSelection aSelection) const
+{
+  const bool othersWait = !m_withdrawn.empty() || !m_others.empty();
+  return HasUrgent(aSelection) ||
+         (othersWait && aSelection != OrderSelection::kStops);
 }
 
-std::deque<QueuedOrder>& OrderQueue::NextQueue()
+bool OrderQueue::HasUrgent(OrderSelection aSelection) const
 {
-  if (!m_withdrawn.empty()) {
-    return m_withdrawn;
+  return std::any_of(
+    m_urgent.begin(), m_urgent.end(), [&](const QueuedOrder& aQueued) {
+      return BelongsTo(aQueued, aSelection);
+    });
+}
+
+std::optional<QueuedOrder> OrderQueue::RemoveNext(OrderSelection aSelection)
+{
+  if (!CanTake(aSelection)) {
+    return std::nullopt;
+  }
+  if (aSelection == OrderSelection::kStops) {
+    return RemoveUrgent(aSelection);
   }
   const bool othersAreDue =
     !m_others.empty() && m_urgentInARow >= kMaxUrgentInARow;
-  return m_urgent.empty() || othersAreDue ? m_others : m_urgent;
+  if (m_withdrawn.empty() && !othersAreDue && HasUrgent(aSelection)) {
+    ++m_urgentInARow;
+    return RemoveUrgent(aSelection);
+  }
+  m_urgentInARow = 0;
+  return RemoveFirst(m_withdrawn.empty() ? m_others : m_withdrawn);
+}
+
+QueuedOrder OrderQueue::RemoveFirst(std::deque<QueuedOrder>& aQueue)
+{
+  QueuedOrder order = std::move(aQueue.front());
+  aQueue.pop_front();
+  return order;
+}
+
+QueuedOrder OrderQueue::RemoveUrgent(OrderSelection aSelection)
+{
+  const auto found = std::find_if(
+    m_urgent.begin(), m_urgent.end(), [&](const QueuedOrder& aQueued) {
+      return BelongsTo(aQueued, aSelection);
+    });
+  QueuedOrder order = std::move(*found);
+  m_urgent.erase(found);
+  return order;
 }
 
 void OrderQueue::Close()
@@ -120,7 +180,9 @@
     WithdrawFrom(m_urgent, all);
     WithdrawFrom(m_others, all);
   }
-  m_ready.notify_all();
+  for (Takers& takers : m_takers) {
+    takers.m_ready.notify_all();
+  }
 }
 
 bool OrderQueue::IsDrained() const
@@ -139,8 +201,18 @@
 {
   const bool withdrawn = m_closed || &aQueue == &m_withdrawn;
   aOrder.m_withdrawn = withdrawn;
-  (withdrawn ? m_withdrawn : aQueue).push_back(std::move(aOrder));
-  m_ready.notify_one();
+  std::deque<QueuedOrder>& queue = withdrawn ? m_withdrawn : aQueue;
+  queue.push_back(std::move(aOrder));
+  NotifyOne(queue);
+}
+
+void OrderQueue::NotifyOne(const std::deque<QueuedOrder>& aQueue)
+{
+  const bool isStop =
+    &aQueue == &m_urgent && BelongsTo(aQueue.back(), OrderSelection::kStops);
+  TakersOf(OrderSelection::kAll).m_ready.notify_one();
+  TakersOf(isStop ? OrderSelection::kStops : OrderSelection::kAllButStops)
+    .m_ready.notify_one();
 }
 
 bool OrderQueue::WithdrawFrom(
@@ -158,7 +230,7 @@
   }
   aQueue.erase(kept, aQueue.end());
   if (any) {
-    m_ready.notify_one();
+    NotifyOne(m_withdrawn);
   }
   return any;
 }
--- a/src/jobs/order_queue.h
+++ b/src/jobs/order_queue.h
@@ -1,7 +1,9 @@
 #ifndef LYCHEESTEP_ORDER_QUEUE_H
 #define LYCHEESTEP_ORDER_QUEUE_H
 
+#include <array>
 #include <condition_variable>
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <mutex>
@@ -22,11 +24,22 @@
   bool m_withdrawn = false;
 };
 
-// The orders that wait for one connection to a target. Stops and holds leave
-// before starts and pace orders, but not without end, and each kind leaves in
-// the order of the calls. An order that makes a queued start pointless
-// withdraws it: a stop of the same run, or a hold under a higher fencing token,
-// after which the leader decides anew. Withdrawn orders leave first.
+// The orders that a call of OrderQueue::Take may return.
+enum class OrderSelection
+{
+  kAll,
+  // All orders that are to be sent but stops, and all that are withdrawn.
+  kAllButStops,
+  // Stops that are to be sent.
+  kStops,
+};
+
+// The orders that wait to be sent to a target. Stops and holds leave before
+// starts and pace orders, but not without end, and each kind leaves in the
+// order of the calls. An order that makes a queued start pointless withdraws
+// it: a stop of the same run, or a hold under a higher fencing token, after
+// which the leader decides anew. Withdrawn orders leave first. Stops can be
+// taken apart from the other orders, so that neither waits for the other.
 // Thread-safe.
 class OrderQueue
 {
@@ -45,8 +58,15 @@
   void Withdraw(const WithdrawOrder& aOrder);
 
   // Removes and returns the next order. If there is none, waits up to aMaxWait
-  // for one, or until Close; the result may then be empty.
-  std::optional<QueuedOrder> Take(Duration aMaxWait);
+  // for one, or until Close; the result may then be empty. Only orders of
+  // aSelection are returned.
+  std::optional<QueuedOrder> Take(
+    Duration aMaxWait,
+    OrderSelection aSelection = OrderSelection::kAll);
+
+  // Returns true if more stops are to be sent than calls of Take wait for
+  // OrderSelection::kStops.
+  bool HasUnattendedStop() const;
 
   // Withdraws all queued orders and those that are added later. Take no longer
   // waits.
@@ -58,9 +78,26 @@
   bool IsEmpty() const;
 
 private:
+  // The calls of Take that wait for orders of one selection.
+  struct Takers
+  {
+    std::condition_variable m_ready;
+    std::size_t m_waiting = 0;
+  };
+
   void AddTo(std::deque<QueuedOrder>& aQueue, QueuedOrder aOrder);
-  // Returns the queue whose first order leaves next; empty if none waits.
-  std::deque<QueuedOrder>& NextQueue();
+  Takers& TakersOf(OrderSelection aSelection);
+  // Return true if there is an order of aSelection.
+  bool CanTake(OrderSelection aSelection) const;
+  bool HasUrgent(OrderSelection aSelection) const;
+  // Removes and returns the next order of aSelection, if there is one.
+  std::optional<QueuedOrder> RemoveNext(OrderSelection aSelection);
+  // Remove and return the first order of a queue, or the first one in m_urgent
+  // that belongs to aSelection. There must be one.
+  static QueuedOrder RemoveFirst(std::deque<QueuedOrder>& aQueue);
+  QueuedOrder RemoveUrgent(OrderSelection aSelection);
+  // Wakes a call of Take that may return an order which was added to aQueue.
+  void NotifyOne(const std::deque<QueuedOrder>& aQueue);
   // Moves the orders of aQueue for which aIsPointless is true to m_withdrawn.
   // Returns true if there are any.
   bool WithdrawFrom(
@@ -68,13 +105,15 @@
     const std::function<bool(const QueuedOrder&)>& aIsPointless);
 
   mutable std::mutex m_mutex;
-  std::condition_variable m_ready;
+  // Indexed by OrderSelection.
+  std::array<Takers, 3> m_takers;
   std::deque<QueuedOrder> m_withdrawn;
   // Stops and holds.
   std::deque<QueuedOrder> m_urgent;
   // Starts and pace orders.
   std::deque<QueuedOrder> m_others;
-  // The number of orders that left m_urgent since one left m_others.
+  // The number of orders that left m_urgent since one left m_others. Does not
+  // count those taken as OrderSelection::kStops.
   int m_urgentInARow = 0;
   bool m_closed = false;
 };
