Notice that a remembered target has started again

Callers would see: a job that never ends, or a task that runs again after its end was lost.

Cause: a target that a new leader knows by its stored address only has no start time, and without one no answer or record is taken for another life. So the leader went on with the numbers of ends, the clock and the lease of the former life. The class: a value that is not known yet is taken for one that never differs.

--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -58,6 +58,9 @@
     RetryTake(target, aOrder, aPath, aNow);
     return;
   }
+  if (knownStart.count() == 0) {
+    target.m_record.m_started = aAnswer.m_started;
+  }
   target.m_holdFailures = 0;
   target.m_answersHolds = true;
   target.m_lastEndForgotten =
