Count remembered targets for the size of the fleet

Callers would see: a host of a large fleet that runs out of threads when it takes the lead while the platform's list is empty, or no configuration is known.

Cause: once the list was read, only the usable targets in it said whether other hosts carry the orders, while a leader now also calls targets by their stored addresses, on two threads each. All targets that the leader calls count now.

--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -220,8 +220,6 @@
 
   JobRowReader m_jobRowReader;
   TargetList m_targets;
-  // True once the platform's list of targets was read.
-  bool m_targetsRead = false;
   PeerHosts m_hosts;
   // When the next heartbeats are sent, and when the waiting jobs are next
   // counted for the leader row.
--- a/src/jobhost/leader_orders.cpp
+++ b/src/jobhost/leader_orders.cpp
@@ -40,11 +40,9 @@
 
 bool Leader::IsLargeFleet() const
 {
-  // Until the platform's list is read, the stored addresses say how large the
-  // fleet is.
-  const std::size_t targets = m_targetsRead
-                                ? m_targets.UsableTargetCount()
-                                : m_scheduler.Targets().Targets().size();
+  // Targets that the list lacks get orders as well, by their stored addresses.
+  const std::size_t targets = std::max(m_targets.UsableTargetCount(),
+                                       m_scheduler.Targets().Targets().size());
   return targets > kMaxDirectTargets;
 }
 
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -179,7 +179,6 @@
 
 void Leader::OnTargetRows(const std::vector<Row>& aRows)
 {
-  m_targetsRead = true;
   const TargetChanges changes =
     m_targets.OnRows(aRows, m_dependencies.m_documents);
   for (const TargetId& target : changes.m_malformed) {
