--- a/src/jobs/stop_orders_test.cpp
+++ b/src/jobs/stop_orders_test.cpp
@@ -278,6 +278,22 @@
   Pass(seconds(1));
 }
 
+// Guards against a take that is refused because of a stop of the same leader.
+TEST_F(StopOrdersTest, StopBesideATakeHasItsToken)
+{
+  m_record.m_started = WallTime(1000);
+  m_manager.OnTargetListed(m_record, m_now);
+  ExpectRuns(1);
+  Pass(milliseconds(10));
+  m_manager.SetFencingToken(9);
+  m_record.m_started = WallTime(2000);
+  m_manager.OnTargetListed(m_record, m_now);
+  StopRuns(1);
+  Pass(milliseconds(10));
+  ASSERT_THAT(m_stops, SizeIs(1));
+  EXPECT_EQ(m_stops[0].m_to.m_fence, m_take.m_to.m_fence);
+}
+
 TEST_F(StopOrdersTest, NoStopIsSentWithoutAToken)
 {
   TargetManager manager(TargetManagerSettings(), m_effects, m_listener);
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -357,7 +357,8 @@
 void TargetManager::SendStops(TargetState& aTarget, TimePoint aNow)
 {
   OrderAddress to = OrderAddressOf(aTarget);
-  if (aTarget.m_phase == TargetPhase::kUntaken) {
+  const bool isUntaken = aTarget.m_phase == TargetPhase::kUntaken;
+  if (isUntaken && !aTarget.m_takeHoldInFlight) {
     // No lower token will be used to take the target.
     to.m_fence = std::max(to.m_fence, m_nextFencingToken);
   }
