Remove unreadable rows of addresses through the directory

Callers would see nothing at first: the row of a target's address that can't be read was removed by itself, and could be written and removed by one commit, or removed after the address was stored anew, so that a later leader could not stop runs there. The directory now decides about each row: it is written or removed, never both. RowThatCantBeReadIsWrittenAnew tests it; the call is new, so it could not fail before.

--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -172,7 +172,7 @@
       m_scheduler.OnStoredAddress(*address);
     } else {
       Log("target-address-malformed", "target=" + row.m_key.m_key);
-      m_scheduler.RemoveRow(row.m_key);
+      m_scheduler.OnUnreadableAddress(TargetId(row.m_key.m_key));
     }
   }
 }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -100,6 +100,11 @@
   // Notes the address of a target to which an earlier leader gave work. Called
   // before the first Tick.
   void OnStoredAddress(const TargetAddress& aAddress);
+  // Handles the row of an address that can't be read.
+  void OnUnreadableAddress(const TargetId& aTarget)
+  {
+    m_directory.OnUnreadable(aTarget);
+  }
 
   // Returns true if the next Tick has placements or commits to make even if no
   // further event arrives.
--- a/src/jobs/target_directory.cpp
+++ b/src/jobs/target_directory.cpp
@@ -16,6 +16,13 @@
   m_entries[aAddress.m_target].m_address = aAddress;
 }
 
+void TargetDirectory::OnUnreadable(const TargetId& aTarget)
+{
+  Entry& entry = m_entries[aTarget];
+  entry.m_isRemoved = true;
+  MarkChanged(entry);
+}
+
 void TargetDirectory::Add(const TargetAddress& aAddress)
 {
   const bool isStorable = !aAddress.m_address.empty() &&
--- a/src/jobs/target_directory.h
+++ b/src/jobs/target_directory.h
@@ -30,6 +30,9 @@
   // Notes an address that an earlier leader stored.
   void OnRead(const TargetAddress& aAddress);
 
+  // Removes a row that can't be read, unless an address is added.
+  void OnUnreadable(const TargetId& aTarget);
+
   // Stores the address with one of the next commits, unless it is stored. Does
   // nothing if the address is empty or longer than a network address can be.
   void Add(const TargetAddress& aAddress);
--- a/src/jobs/target_directory_test.cpp
+++ b/src/jobs/target_directory_test.cpp
@@ -129,6 +129,22 @@
   EXPECT_THAT(Commit().m_writes, SizeIs(1));
 }
 
+TEST_F(TargetDirectoryTest, RowThatCantBeReadIsRemoved)
+{
+  m_directory.OnUnreadable(TargetId("t"));
+  EXPECT_THAT(Commit().m_removals, SizeIs(1));
+}
+
+// Guards against a row that is written and removed at the same time.
+TEST_F(TargetDirectoryTest, RowThatCantBeReadIsWrittenAnew)
+{
+  m_directory.OnUnreadable(TargetId("t"));
+  m_directory.Add(MakeAddress("t"));
+  const TargetDirectory::Changes changes = Commit();
+  EXPECT_THAT(changes.m_removals, IsEmpty());
+  EXPECT_THAT(changes.m_writes, SizeIs(1));
+}
+
 TEST_F(TargetDirectoryTest, TextThatIsNoAddressIsNotStored)
 {
   m_directory.Add(MakeAddress("t", ""));
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -192,7 +192,12 @@
 void JobCellModel::RestoreStoredRows(Term& aTerm)
 {
   for (const Row& row : m_table.Rows(kTargetAddressTable)) {
-    aTerm.Scheduler().OnStoredAddress(*DecodeTargetAddress(row));
+    const auto address = DecodeTargetAddress(row);
+    if (address) {
+      aTerm.Scheduler().OnStoredAddress(*address);
+    } else {
+      aTerm.Scheduler().OnUnreadableAddress(TargetId(row.m_key.m_key));
+    }
   }
   const StoredProgressTable table =
     ReadProgressRows(m_table.Rows(kProgressTable));
