Store the addresses of all targets with runs, also of earlier releases

Cause: an address was stored only with a dispatch. Runs that a leader of an earlier release had started, which stores none, and targets whose address changed while they had runs, were left to the platform's list again. Each record of a target that has runs now stores its address.

Addresses go first in a commit, and rows that are more than the limit are written without them.

--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -99,20 +99,17 @@
     m_endsSnapshot = m_changes.NextSequence();
   }
   m_commit = PendingCommit();
+  // Addresses go first, as many as fit, so that no dispatch is stored before
+  // the address of its target.
   TargetDirectory::Changes addresses = m_directory.TakeChanges(m_maxCommitRows);
   m_commit.m_addressRows = addresses.Count();
   std::vector<RowWrite> writes = std::move(addresses.m_writes);
   std::vector<RowKey> removals = std::move(addresses.m_removals);
-  // No dispatch is stored before the address of its target.
-  if (!m_directory.HasChanges()) {
-    const std::size_t rowsLeft = m_maxCommitRows - m_commit.m_addressRows;
-    std::vector<RowKey> others = TakeRemovals(rowsLeft);
-    const std::size_t rowsForChanges =
-      rowsLeft - std::min(rowsLeft, others.size());
-    removals.insert(removals.end(), others.begin(), others.end());
-    if (rowsForChanges > 0) {
-      Append(writes, TakeChanges(rowsForChanges));
-    }
+  const std::size_t rowsLeft = m_maxCommitRows - m_commit.m_addressRows;
+  const std::vector<RowKey> others = TakeRemovals(rowsLeft);
+  removals.insert(removals.end(), others.begin(), others.end());
+  if (others.size() < rowsLeft) {
+    Append(writes, TakeChanges(rowsLeft - others.size()));
   }
   TakeDispatches();
   m_commit.m_storesEnds = !m_changes.AnyBefore(*m_endsSnapshot);
@@ -126,7 +123,7 @@
   std::vector<RowKey> removals;
   const std::size_t limit = std::min(kRemovalsPerCommit, aMaxRows);
   // A group that is larger than the limit is removed by itself.
-  const bool mayExceed = aMaxRows == m_maxCommitRows;
+  const bool mayExceed = m_commit.m_addressRows == 0;
   while (!m_removals.empty()) {
     RowGroup& group = m_removals.front();
     const bool fits = removals.size() + group.size() <= limit;
@@ -156,7 +153,9 @@
     }
     const bool fits = writes.size() + rows.size() <= aMaxRows &&
                       bytes + rowBytes <= kBytesPerCommit;
-    if (!writes.empty() && !fits) {
+    // Rows that are more than the limit are written by themselves.
+    const bool mayExceed = writes.empty() && m_commit.m_addressRows == 0;
+    if (!fits && !mayExceed) {
       break;
     }
     const ChangedRows::Taken taken = m_changes.Take();
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -182,6 +182,12 @@
 {
   m_keeper.OnTargetListed(aRecord, aNow);
   m_placementDue = true;
+  // A run may have been sent by a release that stored no address, or before the
+  // address changed.
+  const TargetState* target = m_keeper.Find(aRecord.m_target);
+  if (target != nullptr && !target->m_runs.empty()) {
+    m_directory.Add(AddressOf(target->m_record));
+  }
 }
 
 void JobScheduler::OnStoredAddress(const TargetAddress& aAddress)
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -176,6 +176,7 @@
            [this] { m_scheduler.OnCommitRejected(m_cell.m_now); });
       return;
     }
+    CheckAddressesStored(aWrites);
     for (const RowWrite& write : aWrites) {
       if (write.m_key.m_table != kProgressTable) {
         continue;
@@ -195,6 +196,33 @@
     });
   }
 
+  // Checks that the store has the address of each target to which a dispatch
+  // was just stored.
+  void CheckAddressesStored(const std::vector<RowWrite>& aWrites)
+  {
+    std::vector<Row> rows;
+    for (const RowWrite& write : aWrites) {
+      if (write.m_key.m_table == kProgressTable) {
+        Row row;
+        row.m_key = write.m_key;
+        row.m_value = write.m_value;
+        rows.push_back(row);
+      }
+    }
+    for (const auto& [job, progress] : ReadProgressRows(rows).m_jobs) {
+      for (const StoredTask& task : progress.m_tasks) {
+        const bool isMissing =
+          progress.m_state < JobState::kDone &&
+          task.m_task.m_state == TaskState::kDispatched &&
+          m_cell.m_table.Find(TargetAddressKey(task.m_task.m_target)) ==
+            nullptr;
+        if (isMissing) {
+          m_cell.Break("DISPATCHED WITHOUT ADDRESS " + TaskText(task.m_name));
+        }
+      }
+    }
+  }
+
   template<class Order>
   void QueueOrder(const Order& aOrder, HoldPath aPath)
   {
