Give the stop of a run a type and the stops of a target a file of their own

No change of behaviour. The fields that name a run and its target in log lines stood in nine places and are RunFields now. run-unknown keeps its own order of fields.

--- a/src/jobhost/target_connection.cpp
+++ b/src/jobhost/target_connection.cpp
@@ -33,8 +33,7 @@
                        const TargetId& aTarget,
                        Duration aWait)
 {
-  return "task=" + TaskText(aRun.m_task) +
-         " run=" + std::to_string(aRun.m_run) + " target=" + aTarget.Text() +
+  return RunFields(aRun, aTarget) +
          " waited_ms=" + std::to_string(ToMilliseconds(aWait));
 }
 
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -81,9 +81,7 @@
     return;
   }
   m_effects.Log("run-stalled",
-                "task=" + TaskText(aRunning.m_run.m_task) +
-                  " run=" + std::to_string(aRunning.m_run.m_run) +
-                  " target=" + aTarget.Text() +
+                RunFields(aRunning.m_run, aTarget) +
                   " percent=" + std::to_string(task.m_percent));
   task.m_progressAt = aNow;
   m_keeper.Quarantine(aTarget, aNow);
@@ -113,10 +111,9 @@
   m_now = aNow;
   m_placementDue = true;
   const TaskName& name = aTask.m_run.m_task;
-  m_effects.Log(
-    "run-ended",
-    "task=" + TaskText(name) + " run=" + std::to_string(aTask.m_run.m_run) +
-      " target=" + aTarget.Text() + " end=" + ToString(aTask.m_end));
+  m_effects.Log("run-ended",
+                RunFields(aTask.m_run, aTarget) +
+                  " end=" + ToString(aTask.m_end));
   TaskRef ref = FindTask(name);
   if (ref.m_task == nullptr || ref.m_job->IsOver() ||
       ref.m_task->m_state == TaskState::kDone) {
@@ -159,9 +156,7 @@
 {
   m_placementDue = true;
   m_effects.Log("run-over",
-                "task=" + TaskText(aRun.m_task) +
-                  " run=" + std::to_string(aRun.m_run) +
-                  " target=" + aTarget.Text() + " status=" + ToString(aStatus));
+                RunFields(aRun, aTarget) + " status=" + ToString(aStatus));
   TaskRef ref = FindTask(aRun.m_task);
   if (ref.m_task == nullptr || ref.m_job->IsOver() ||
       ref.m_task->m_run != aRun.m_run ||
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -207,9 +207,7 @@
 {
   if (aAnswer.m_status != OrderStatus::kDone) {
     m_effects.Log("start-refused",
-                  "task=" + TaskText(aOrder.m_run.m_task) +
-                    " run=" + std::to_string(aOrder.m_run.m_run) +
-                    " target=" + aOrder.m_to.m_target.Text() +
+                  RunFields(aOrder.m_run, aOrder.m_to.m_target) +
                     " status=" + ToString(aAnswer.m_status));
   } else {
     NoteStarted(aOrder.m_run, aNow);
--- a/src/jobs/job_starts.cpp
+++ b/src/jobs/job_starts.cpp
@@ -129,9 +129,7 @@
                                   ref.m_task->m_checkpoint,
                                   permission,
                                   aNow);
-  m_effects.Log(sent ? "run-sent" : "run-held-back",
-                "task=" + TaskText(aRun.m_task) + " run=" +
-                  std::to_string(aRun.m_run) + " target=" + target.Text());
+  m_effects.Log(sent ? "run-sent" : "run-held-back", RunFields(aRun, target));
   if (!sent) {
     RequeueTask(ref, aRun.m_task);
   }
--- /dev/null
+++ b/src/jobs/run_stop.cpp
@@ -0,0 +1,46 @@
+#include "run_stop.h"
+
+#include <chrono>
+
+namespace lycheestep {
+
+namespace {
+
+// An order that failed is sent again after this time.
+constexpr Duration kRetryInterval = std::chrono::milliseconds(400);
+
+// An order without any report counts as lost after this time. It is longer than
+// the timeout of an order.
+constexpr Duration kReportTimeout = std::chrono::milliseconds(1500);
+
+// A run whose target took the order ends within 0.9 s. If it is not listed as
+// ended after this time, the order is sent again.
+constexpr Duration kEndTimeout = std::chrono::seconds(2);
+
+} // namespace
+
+bool RunStop::IsUnderWay(TimePoint aNow) const
+{
+  return m_sentCount > 0 && !m_answer && aNow - m_sentAt < kReportTimeout;
+}
+
+bool RunStop::IsDue(TimePoint aNow) const
+{
+  if (!m_isRequested || IsUnderWay(aNow)) {
+    return false;
+  }
+  if (!m_answer) {
+    return true; // none was sent yet, or the last one is lost
+  }
+  const bool wasTaken = *m_answer == OrderStatus::kDone;
+  return aNow - m_answeredAt >= (wasTaken ? kEndTimeout : kRetryInterval);
+}
+
+void RunStop::NoteSent(TimePoint aNow)
+{
+  m_sentAt = aNow;
+  m_answer.reset();
+  ++m_sentCount;
+}
+
+} // namespace lycheestep
--- a/src/jobs/run_text.cpp
+++ b/src/jobs/run_text.cpp
@@ -38,6 +38,12 @@
   return StepText(aTask.m_step) + "." + std::to_string(aTask.m_index);
 }
 
+std::string RunFields(const RunName& aRun, const TargetId& aTarget)
+{
+  return "task=" + TaskText(aRun.m_task) +
+         " run=" + std::to_string(aRun.m_run) + " target=" + aTarget.Text();
+}
+
 std::optional<TaskName> ParseTaskText(const std::string& aText)
 {
   std::string remaining = aText;
--- a/src/jobs/run_text.h
+++ b/src/jobs/run_text.h
@@ -16,6 +16,10 @@
 // "JOB.OCCURRENCE.STEP.INDEX".
 std::string TaskText(const TaskName& aTask);
 
+// Returns the fields of a log line that name a run and its target:
+// "task=TASK run=NUMBER target=ID".
+std::string RunFields(const RunName& aRun, const TargetId& aTarget);
+
 // Parses the text of a task's name. Returns nothing if it is malformed.
 std::optional<TaskName> ParseTaskText(const std::string& aText);
 
--- a/src/jobs/stop_monitor.cpp
+++ b/src/jobs/stop_monitor.cpp
@@ -27,7 +27,7 @@
   Duration m_since = Duration::zero();
   RunName m_run;
   TargetId m_target;
-  std::uint32_t m_stopsSent = 0;
+  std::uint32_t m_sentCount = 0;
   StopObstacle m_obstacle = StopObstacle::kNotSent;
 };
 
@@ -42,11 +42,9 @@
 
 std::string Fields(const OverdueStop& aStop)
 {
-  return "task=" + TaskText(aStop.m_run.m_task) +
-         " run=" + std::to_string(aStop.m_run.m_run) +
-         " target=" + aStop.m_target.Text() +
+  return RunFields(aStop.m_run, aStop.m_target) +
          " since_ms=" + std::to_string(ToMilliseconds(aStop.m_since)) +
-         " stops_sent=" + std::to_string(aStop.m_stopsSent) +
+         " stops_sent=" + std::to_string(aStop.m_sentCount) +
          " reason=" + ToString(aStop.m_obstacle);
 }
 
@@ -74,10 +72,10 @@
   if (aTarget.m_record.m_address.empty()) {
     return StopObstacle::kNoAddress;
   }
-  if (aRun.m_stopsSent == 0) {
+  if (aRun.m_stop.m_sentCount == 0) {
     return StopObstacle::kNotSent;
   }
-  switch (aRun.m_stopAnswer.value_or(OrderStatus::kUnknown)) {
+  switch (aRun.m_stop.m_answer.value_or(OrderStatus::kUnknown)) {
     case OrderStatus::kUnknown:
       return StopObstacle::kNotAnswered;
     case OrderStatus::kNotSent:
@@ -97,9 +95,9 @@
 
 void StopMonitor::OnRunEnded(const TargetRun& aRun, TimePoint aNow)
 {
-  if (aRun.m_stopRequested) {
+  if (aRun.m_stop.m_isRequested) {
     m_effects.Metrics().Observe(
-      "lycheestep_stop_seconds", "", aNow - aRun.m_stopRequestedAt);
+      "lycheestep_stop_seconds", "", aNow - aRun.m_stop.m_requestedAt);
   }
 }
 
@@ -115,15 +113,15 @@
   std::vector<OverdueStop> overdue;
   for (const auto& [id, target] : aTargets) {
     for (const auto& [name, run] : target.m_runs) {
-      if (!run.m_stopRequested) {
+      if (!run.m_stop.m_isRequested) {
         continue;
       }
-      const Duration since = aNow - run.m_stopRequestedAt;
+      const Duration since = aNow - run.m_stop.m_requestedAt;
       ++waiting;
       oldest = std::max(oldest, since);
       if (since > kOverdueAfter) {
         overdue.push_back(OverdueStop{
-          since, name, id, run.m_stopsSent, ObstacleOf(target, run) });
+          since, name, id, run.m_stop.m_sentCount, ObstacleOf(target, run) });
       }
     }
   }
--- a/src/jobs/stop_monitor_test.cpp
+++ b/src/jobs/stop_monitor_test.cpp
@@ -41,8 +41,8 @@
   {
     TargetRun run;
     run.m_sent = true;
-    run.m_stopRequested = true;
-    run.m_stopRequestedAt = m_now;
+    run.m_stop.m_isRequested = true;
+    run.m_stop.m_requestedAt = m_now;
     m_target.m_runs.emplace(MakeRun(aIndex), run);
   }
 
@@ -93,13 +93,13 @@
 {
   TargetRun run;
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNotSent);
-  run.m_stopsSent = 1;
+  run.m_stop.m_sentCount = 1;
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNotAnswered);
-  run.m_stopAnswer = OrderStatus::kFenced;
+  run.m_stop.m_answer = OrderStatus::kFenced;
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kRefused);
-  run.m_stopAnswer = OrderStatus::kDone;
+  run.m_stop.m_answer = OrderStatus::kDone;
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNotEnded);
-  run.m_stopAnswer = OrderStatus::kNotSent;
+  run.m_stop.m_answer = OrderStatus::kNotSent;
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNotSent);
   m_target.m_record.m_address.clear();
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNoAddress);
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -1,43 +1,17 @@
 // The part of TargetManager that accounts for runs: reserves their capacity,
-// sends their starts and stops, drops those that are over, and quarantines the
-// targets on which they fail.
+// sends their starts, drops those that are over, and quarantines the targets on
+// which they fail.
 #include <algorithm>
 #include <vector>
 
 #include "job_effects.h"
 #include "run_listener.h"
-#include "run_text.h"
 #include "target_manager.h"
 
 namespace lycheestep {
 
 namespace {
 
-// A stop that failed is sent again after this time.
-constexpr Duration kStopRetryInterval = std::chrono::milliseconds(400);
-
-// A stop without any report counts as lost after this time. It is longer than
-// the timeout of an order.
-constexpr Duration kStopReportTimeout = std::chrono::milliseconds(1500);
-
-// A run whose target took the stop ends within 0.9 s. If it is not listed as
-// ended after this time, the stop is sent again.
-constexpr Duration kStopEndTimeout = std::chrono::seconds(2);
-
-// Returns true if no stop of the run is on its way and one has to be sent.
-bool StopIsDue(const TargetRun& aRun, TimePoint aNow)
-{
-  if (!aRun.m_stopRequested || aRun.m_stopsSent == 0) {
-    return aRun.m_stopRequested;
-  }
-  if (!aRun.m_stopAnswer) {
-    return aNow - aRun.m_stopSentAt >= kStopReportTimeout;
-  }
-  const bool taken = *aRun.m_stopAnswer == OrderStatus::kDone;
-  return aNow - aRun.m_stopAnsweredAt >=
-         (taken ? kStopEndTimeout : kStopRetryInterval);
-}
-
 // Quarantine of a target that refused a start. It doubles with each further
 // refusal in a row, at most kMaxQuarantineDoublings times.
 constexpr Duration kRefusalQuarantine = std::chrono::milliseconds(300);
@@ -130,37 +104,6 @@
   return true;
 }
 
-void TargetManager::Stop(const TargetId& aTarget,
-                         const RunName& aRun,
-                         TimePoint aNow)
-{
-  const auto found = m_targets.find(aTarget);
-  if (found == m_targets.end()) {
-    return;
-  }
-  TargetState& target = found->second;
-  const auto run = target.m_runs.find(aRun);
-  if (run == target.m_runs.end()) {
-    m_effects.Log("stop-without-run",
-                  "task=" + TaskText(aRun.m_task) + " run=" +
-                    std::to_string(aRun.m_run) + " target=" + aTarget.Text());
-    return;
-  }
-  if (!run->second.m_sent) {
-    DropRun(target, aRun);
-    return;
-  }
-  RequestStop(target, aRun, run->second, aNow);
-  const bool mayWait = !run->second.m_confirmed;
-  if (target.m_phase == TargetPhase::kHeld) {
-    SendStops(target, aNow);
-  }
-  if (mayWait) {
-    // The stop may go another way than the start, or may not be sent yet.
-    m_effects.Withdraw(WithdrawOrder{ aTarget, aRun });
-  }
-}
-
 void TargetManager::WithdrawStart(const TargetId& aTarget, const RunName& aRun)
 {
   const TargetState* target = Find(aTarget);
@@ -229,38 +172,6 @@
   m_listener.OnRunLost(aOrder.m_to.m_target, aOrder.m_run, aAnswer.m_status);
 }
 
-void TargetManager::OnStopAnswer(const StopOrder& aOrder,
-                                 const OrderAnswer& aAnswer,
-                                 TimePoint aNow)
-{
-  const auto found = m_targets.find(aOrder.m_to.m_target);
-  if (found == m_targets.end()) {
-    return;
-  }
-  TargetState& target = found->second;
-  target.m_isConnected = aAnswer.m_status != OrderStatus::kNotSent;
-  const auto run = target.m_runs.find(aOrder.m_run);
-  if (run != target.m_runs.end()) {
-    run->second.m_stopAnswer = aAnswer.m_status;
-    run->second.m_stopAnsweredAt = aNow;
-  }
-  if (aAnswer.m_status == OrderStatus::kWithdrawn) {
-    return; // a later stop of the run takes its place, or it never started
-  }
-  if (aAnswer.m_status != OrderStatus::kDone) {
-    m_effects.Log("stop-refused",
-                  "task=" + TaskText(aOrder.m_run.m_task) +
-                    " run=" + std::to_string(aOrder.m_run.m_run) +
-                    " target=" + aOrder.m_to.m_target.Text() +
-                    " status=" + ToString(aAnswer.m_status));
-  }
-  const bool current = aOrder.m_to.m_fence >= target.m_fence;
-  if (current && aAnswer.m_status == OrderStatus::kFenced) {
-    m_needsFencingToken = true;
-    MarkUncertain(target, "fenced");
-  }
-}
-
 void TargetManager::NoteTaskDone(const TargetId& aTarget)
 {
   const auto found = m_targets.find(aTarget);
@@ -336,56 +247,4 @@
   DropSentRuns(aTarget);
 }
 
-void TargetManager::RequestStop(TargetState& aTarget,
-                                const RunName& aName,
-                                TargetRun& aRun,
-                                TimePoint aNow)
-{
-  if (aRun.m_stopRequested) {
-    return;
-  }
-  aRun.m_stopRequested = true;
-  aRun.m_stopRequestedAt = aNow;
-  m_effects.Log("stop-requested",
-                "task=" + TaskText(aName.m_task) +
-                  " run=" + std::to_string(aName.m_run) +
-                  " target=" + aTarget.m_record.m_target.Text() +
-                  " phase=" + ToString(aTarget.m_phase) +
-                  " listed=" + (aTarget.m_listed ? "yes" : "no"));
-}
-
-void TargetManager::SendStops(TargetState& aTarget, TimePoint aNow)
-{
-  OrderAddress to = OrderAddressOf(aTarget);
-  const bool isUntaken = aTarget.m_phase == TargetPhase::kUntaken;
-  if (isUntaken && !aTarget.m_takeHoldInFlight) {
-    // No lower token will be used to take the target.
-    to.m_fence = std::max(to.m_fence, m_nextFencingToken);
-  }
-  if (to.m_address.empty() || to.m_fence == 0) {
-    return;
-  }
-  bool maySend = aTarget.m_isConnected || !IsAnyStopUnderWay(aTarget, aNow);
-  for (auto& [name, run] : aTarget.m_runs) {
-    if (maySend && StopIsDue(run, aNow)) {
-      run.m_stopSentAt = aNow;
-      run.m_stopAnswer.reset();
-      ++run.m_stopsSent;
-      m_effects.Stop(StopOrder{ to, name });
-      maySend = aTarget.m_isConnected;
-    }
-  }
-}
-
-bool TargetManager::IsAnyStopUnderWay(const TargetState& aTarget,
-                                      TimePoint aNow)
-{
-  return std::any_of(
-    aTarget.m_runs.begin(), aTarget.m_runs.end(), [aNow](const auto& aRun) {
-      const TargetRun& run = aRun.second;
-      return run.m_stopsSent > 0 && !run.m_stopAnswer &&
-             aNow - run.m_stopSentAt < kStopReportTimeout;
-    });
-}
-
 } // namespace lycheestep
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -3,11 +3,11 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 
 #include "lycheestep/target_orders.h"
 #include "lycheestep/target_record.h"
 #include "lycheestep/time_types.h"
+#include "run_stop.h"
 
 namespace lycheestep {
 
@@ -32,18 +32,9 @@
   // m_confirmedAt says when.
   bool m_confirmed = false;
   TimePoint m_confirmedAt;
-  // True once a stop was requested, and since when. The stop order is sent
-  // again until the target lists the end of the run.
-  bool m_stopRequested = false;
   // True if the target listed the run, but no job of this leader has it.
   bool m_ofUnknownJob = false;
-  TimePoint m_stopRequestedAt;
-  TimePoint m_stopSentAt;
-  // The number of stop orders that were sent, and what was reported of the last
-  // one, and when; nothing while it is on its way.
-  std::uint32_t m_stopsSent = 0;
-  std::optional<OrderStatus> m_stopAnswer;
-  TimePoint m_stopAnsweredAt;
+  RunStop m_stop;
   // The run's progress in percent, and when the target reported it.
   std::uint32_t m_percentDone = 0;
   TimePoint m_percentAt;
