--- a/src/jobs/remembered_target_test.cpp
+++ b/src/jobs/remembered_target_test.cpp
@@ -42,8 +42,8 @@
       m_record.m_target, RunName(), Resources(100, 100, 0, 0, 0), seconds(9));
     m_manager.Tick(m_now);
     HoldAnswer answer = MakeAnswer(WallTime(1000));
-    answer.m_running.push_back(RunningTask());
-    answer.m_ended.push_back(EndedTask());
+    answer.m_running.emplace_back();
+    answer.m_ended.emplace_back();
     answer.m_ended.front().m_number = 7;
     answer.m_ended.front().m_run.m_run = 3;
     m_manager.OnHoldAnswer(m_hold, HoldPath::kOrders, answer, m_now);
