Tell by any one host's log who leads, and leave no line about failed work out

Added, decisions unchanged: leader-known by each host that does not lead, at each change and every five seconds, and leader-silent; the former leader and the incarnation in leading; ended-job-has-runs; the fencing token in run-sent; a limit of their own for lines about work that did not end well; the time of the event in each line.

Jobs that ended in the last ten seconds are named also if their runs have ended, as their rows keep them.

--- a/src/jobhost/event_log.cpp
+++ b/src/jobhost/event_log.cpp
@@ -5,9 +5,10 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <pthread.h>
 
+#include <chrono>
 #include <utility>
 
 #include "boot_clock.h"
@@ -17,9 +18,11 @@
 
 namespace {
 
-// Maximum numbers of lines in the queue and of lines accepted per second.
+// Maximum numbers of lines in the queue, and of routine and of notable lines
+// accepted per second.
 constexpr std::size_t kMaxQueuedLines = 4096;
-constexpr std::size_t kMaxLinesPerSecond = 600;
+constexpr std::size_t kMaxRoutineLinesPerSecond = 600;
+constexpr std::size_t kMaxNotableLinesPerSecond = 600;
 
 // The writer waits this long for further lines, so that it wakes seldom.
 constexpr Duration kBatchDelay = std::chrono::milliseconds(50);
@@ -37,10 +40,33 @@
   return logger;
 }
 
+// Appends a line whose time is that of the event, not that of the writing.
+void Append(const log4cplus::Logger& aLogger,
+            log4cplus::LogLevel aLevel,
+            std::chrono::system_clock::time_point aTime,
+            const std::string& aText)
+{
+  const log4cplus::helpers::Time time =
+    std::chrono::time_point_cast<log4cplus::helpers::Duration>(aTime);
+  aLogger.callAppenders(log4cplus::spi::InternalLoggingEvent(
+    aLogger.getName(),
+    aLevel,
+    "",
+    log4cplus::MappedDiagnosticContextMap(),
+    aText,
+    "",
+    "",
+    time,
+    "",
+    0));
+}
+
 } // namespace
 
 EventLog::EventLog(const std::string& aHost, MetricsSink& aMetrics)
   : m_metrics(aMetrics)
+  , m_routineLimit(kMaxRoutineLinesPerSecond)
+  , m_notableLimit(kMaxNotableLinesPerSecond)
 {
   log4cplus::initialize();
   MakeLogger(aHost);
@@ -67,23 +93,32 @@
 }
 
 void EventLog::Write(const std::string& aEvent, const std::string& aFields)
+{
+  WriteWithin(m_routineLimit, aEvent, aFields);
+}
+
+void EventLog::WriteNotable(const std::string& aEvent,
+                            const std::string& aFields)
+{
+  WriteWithin(m_notableLimit, aEvent, aFields);
+}
+
+void EventLog::WriteUnlimited(const std::string& aEvent,
+                              const std::string& aFields)
 {
   m_metrics.Count("lycheestep_events_total", "event=\"" + aEvent + '"', 1);
-  const TimePoint now = BootClockNow();
   const std::lock_guard<std::mutex> lock(m_mutex);
-  if (!AdmitLine(now)) {
-    ++m_dropped;
-    return;
-  }
   Queue(aEvent, aFields);
 }
 
-void EventLog::WriteUnlimited(const std::string& aEvent,
-                              const std::string& aFields)
+void EventLog::WriteWithin(LineLimit& aLimit,
+                           const std::string& aEvent,
+                           const std::string& aFields)
 {
   m_metrics.Count("lycheestep_events_total", "event=\"" + aEvent + '"', 1);
+  const TimePoint now = BootClockNow();
   const std::lock_guard<std::mutex> lock(m_mutex);
-  if (m_lines.size() >= kMaxQueuedLines) {
+  if (!aLimit.Admit(now)) {
     ++m_dropped;
     return;
   }
@@ -92,26 +127,17 @@
 
 void EventLog::Queue(const std::string& aEvent, const std::string& aFields)
 {
-  m_lines.push_back("event=" + aEvent + " " + aFields);
+  if (m_lines.size() >= kMaxQueuedLines) {
+    ++m_dropped;
+    return;
+  }
+  m_lines.push_back(Line{ std::chrono::system_clock::now(),
+                          "event=" + aEvent + " " + aFields });
   if (m_lines.size() == 1) {
     m_lineReady.notify_one();
   }
 }
 
-bool EventLog::AdmitLine(TimePoint aNow)
-{
-  if (aNow - m_secondStart >= std::chrono::seconds(1)) {
-    m_secondStart = aNow;
-    m_linesInSecond = 0;
-  }
-  if (m_linesInSecond >= kMaxLinesPerSecond ||
-      m_lines.size() >= kMaxQueuedLines) {
-    return false;
-  }
-  ++m_linesInSecond;
-  return true;
-}
-
 void EventLog::Run()
 {
   const log4cplus::Logger logger = log4cplus::Logger::getInstance("events");
@@ -121,16 +147,18 @@
     if (!m_stopping) {
       m_lineReady.wait_for(lock, kBatchDelay, [this] { return m_stopping; });
     }
-    std::deque<std::string> lines;
+    std::deque<Line> lines;
     lines.swap(m_lines);
     const std::uint64_t dropped = std::exchange(m_dropped, 0);
     lock.unlock();
-    for (const std::string& line : lines) {
-      LOG4CPLUS_INFO_STR(logger, line);
+    for (const Line& line : lines) {
+      Append(logger, log4cplus::INFO_LOG_LEVEL, line.m_time, line.m_text);
     }
     if (dropped > 0) {
-      LOG4CPLUS_WARN_STR(
-        logger, "event=log-lines-left-out count=" + std::to_string(dropped));
+      Append(logger,
+             log4cplus::WARN_LOG_LEVEL,
+             std::chrono::system_clock::now(),
+             "event=log-lines-left-out count=" + std::to_string(dropped));
     }
     std::fflush(stdout);
     lock.lock();
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -254,7 +254,12 @@
       if (m_leader->IsBetterLedByAnother()) {
         ReleaseLead("a larger host can lead");
       }
-    } else if (m_election.ShouldReadRow(BootClockNow())) {
+      continue;
+    }
+    if (const auto fields = m_leaderSighting.CheckSilence(BootClockNow())) {
+      m_log.WriteUnlimited("leader-silent", *fields);
+    }
+    if (m_election.ShouldReadRow(BootClockNow())) {
       TryToLead();
     }
   }
@@ -330,7 +335,11 @@
 {
   const std::uint64_t term = ++m_term;
   const TimePoint now = BootClockNow();
-  m_log.WriteUnlimited("leading", "term=" + std::to_string(term));
+  m_log.WriteUnlimited("leading",
+                       "term=" + std::to_string(term) +
+                         " incarnation=" + std::to_string(m_incarnation) +
+                         " former=" + aRecord.m_host);
+  m_leaderSighting.OnReleased();
   m_controlLoad.Begin(now);
   m_leader =
     std::make_unique<Leader>(MakeLeaderDependencies(term),
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -17,6 +17,7 @@
 #include "job_request_handler.h"
 #include "leader.h"
 #include "leader_election.h"
+#include "leader_sighting.h"
 #include "lycheestep/job_host_settings.h"
 #include "lycheestep/platform_documents.h"
 #include "metrics_registry.h"
@@ -92,6 +93,10 @@
   void OnConfigRows(const std::vector<Row>& aRows);
   void OnPeerMessage(const proto::JobPeerMessage& aMessage);
   void OnHeartbeat(const proto::JobPeerMessage& aMessage);
+  // Logs who leads, if that is news or was not logged for a while.
+  void NoteLeader(const std::string& aHost,
+                  std::uint64_t aIncarnation,
+                  bool aReleased);
   void AnswerHeartbeat(const std::string& aLeaderAddress);
   // Calls the advisor for the host that sent the message.
   void ServeAdviceCall(const proto::JobPeerMessage& aMessage);
@@ -138,6 +143,7 @@
   // heartbeat.
   std::uint64_t m_leaderIncarnation = 0;
   std::string m_leaderAddress;
+  LeaderSighting m_leaderSighting;
 
   std::thread m_thread;
 };
--- a/src/jobhost/job_host_peers.cpp
+++ b/src/jobhost/job_host_peers.cpp
@@ -79,16 +79,18 @@
   relays.insert(relays.begin(), aMessage.address());
   m_store.SetRelays(std::move(relays));
   if (heartbeat.released()) {
-    m_log.Write("leader-released", "peer=" + aMessage.from());
+    m_log.WriteUnlimited("leader-released", "peer=" + aMessage.from());
   }
   m_queue.Add([this,
                successors,
                renewedAgo,
                released = heartbeat.released(),
+               host = aMessage.from(),
                address = aMessage.address(),
                leader = aMessage.incarnation()] {
     m_election.OnHeartbeat(successors, renewedAgo, released, BootClockNow());
     m_registration.OnHeartbeat(BootClockNow());
+    NoteLeader(host, leader, released);
     const bool newLeader = leader != m_leaderIncarnation;
     m_leaderIncarnation = leader;
     m_leaderAddress = address;
@@ -99,6 +101,21 @@
   });
 }
 
+void JobHost::NoteLeader(const std::string& aHost,
+                         std::uint64_t aIncarnation,
+                         bool aReleased)
+{
+  if (aReleased) {
+    m_leaderSighting.OnReleased();
+    return;
+  }
+  const auto fields =
+    m_leaderSighting.OnHeartbeat(aHost, aIncarnation, BootClockNow());
+  if (fields) {
+    m_log.WriteUnlimited("leader-known", *fields);
+  }
+}
+
 void JobHost::AnswerHeartbeat(const std::string& aLeaderAddress)
 {
   proto::JobPeerMessage answer;
--- a/src/jobhost/job_request_handler.cpp
+++ b/src/jobhost/job_request_handler.cpp
@@ -152,8 +152,8 @@
     std::this_thread::sleep_for(m_settings.m_retryDelay);
   } while (BootClockNow() < until);
   const JobRequestStatus result = status.value_or(JobRequestStatus::kNotServed);
-  m_log.Write("job-cancelled",
-              "job=" + aJob.Text() + " outcome=" + ToString(result));
+  m_log.WriteNotable("job-cancelled",
+                     "job=" + aJob.Text() + " outcome=" + ToString(result));
   return result;
 }
 
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -432,6 +432,11 @@
   m_dependencies.m_log.Write(aEvent, aFields);
 }
 
+void Leader::LogNotable(const std::string& aEvent, const std::string& aFields)
+{
+  m_dependencies.m_log.WriteNotable(aEvent, aFields);
+}
+
 void Leader::LogUnlimited(const std::string& aEvent, const std::string& aFields)
 {
   m_dependencies.m_log.WriteUnlimited(aEvent, aFields);
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -123,6 +123,8 @@
   void Ask(const AdviceRequest& aRequest, Duration aServiceTime) override;
   AdvisorUse GetAdvisorUse() const override;
   void Log(const std::string& aEvent, const std::string& aFields) override;
+  void LogNotable(const std::string& aEvent,
+                  const std::string& aFields) override;
   void LogUnlimited(const std::string& aEvent,
                     const std::string& aFields) override;
   MetricsSink& Metrics() override { return m_dependencies.m_metrics; }
--- /dev/null
+++ b/src/jobhost/leader_sighting.cpp
@@ -0,0 +1,52 @@
+#include "leader_sighting.h"
+
+#include <chrono>
+
+namespace lycheestep {
+
+namespace {
+
+// How often a leader that stays is logged.
+constexpr Duration kRepeatPeriod = std::chrono::seconds(5);
+
+// Four heartbeats in a row are missing.
+constexpr Duration kSilence = std::chrono::seconds(1);
+
+} // namespace
+
+std::optional<std::string> LeaderSighting::OnHeartbeat(
+  const std::string& aHost,
+  std::uint64_t aIncarnation,
+  TimePoint aNow)
+{
+  const bool isNew = !m_leader || m_leader->m_incarnation != aIncarnation;
+  if (isNew) {
+    m_leader = Leader{ aHost, aIncarnation, aNow, aNow, aNow, false };
+  }
+  const bool wasSilent = m_leader->m_isSilent;
+  m_leader->m_heartbeatAt = aNow;
+  m_leader->m_isSilent = false;
+  const bool isDue = aNow - m_leader->m_loggedAt >= kRepeatPeriod;
+  if (!isNew && !wasSilent && !isDue) {
+    return std::nullopt;
+  }
+  m_leader->m_loggedAt = aNow;
+  return "leader=" + m_leader->m_host +
+         " incarnation=" + std::to_string(m_leader->m_incarnation) +
+         " since_ms=" +
+         std::to_string(ToMilliseconds(aNow - m_leader->m_since));
+}
+
+std::optional<std::string> LeaderSighting::CheckSilence(TimePoint aNow)
+{
+  const bool begins = m_leader && !m_leader->m_isSilent &&
+                      aNow - m_leader->m_heartbeatAt >= kSilence;
+  if (!begins) {
+    return std::nullopt;
+  }
+  m_leader->m_isSilent = true;
+  return "leader=" + m_leader->m_host + " silent_ms=" +
+         std::to_string(ToMilliseconds(aNow - m_leader->m_heartbeatAt));
+}
+
+} // namespace lycheestep
--- a/src/jobhost/target_connection.cpp
+++ b/src/jobhost/target_connection.cpp
@@ -212,8 +212,8 @@
 {
   m_metrics.Observe("lycheestep_stop_queue_seconds", "", aWait);
   if (aWait >= kLoggedWait) {
-    m_log.Write("stop-left-late",
-                WaitFields(aOrder.m_run, aOrder.m_to.m_target, aWait));
+    m_log.WriteNotable("stop-left-late",
+                       WaitFields(aOrder.m_run, aOrder.m_to.m_target, aWait));
   }
 }
 
--- a/src/jobs/job_effects.h
+++ b/src/jobs/job_effects.h
@@ -65,6 +65,11 @@
   // are "name=value" pairs.
   virtual void Log(const std::string& aEvent, const std::string& aFields) = 0;
 
+  // As Log, but the line is not left out in favour of those of Log. For events
+  // about work that did not end well.
+  virtual void LogNotable(const std::string& aEvent,
+                          const std::string& aFields) = 0;
+
   // As Log, but the line is written even if the log is over its rate limit. For
   // events that sum up or explain many others.
   virtual void LogUnlimited(const std::string& aEvent,
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -80,9 +80,9 @@
   if (!stalled) {
     return;
   }
-  m_effects.Log("run-stalled",
-                RunFields(aRunning.m_run, aTarget) +
-                  " percent=" + std::to_string(task.m_percent));
+  m_effects.LogNotable("run-stalled",
+                       RunFields(aRunning.m_run, aTarget) +
+                         " percent=" + std::to_string(task.m_percent));
   task.m_progressAt = aNow;
   m_keeper.Quarantine(aTarget, aNow);
   m_keeper.Stop(aTarget, aRunning.m_run, aNow);
@@ -111,10 +111,12 @@
   m_now = aNow;
   m_placementDue = true;
   const TaskName& name = aTask.m_run.m_task;
-  m_effects.Log("run-ended",
-                RunFields(aTask.m_run, aTarget) +
-                  " end=" + ToString(aTask.m_end));
   TaskRef ref = FindTask(name);
+  const bool endedWell = aTask.m_end == RunEnd::kDone &&
+                         ref.m_task != nullptr && !ref.m_job->IsOver();
+  LogOutcome(endedWell,
+             "run-ended",
+             RunFields(aTask.m_run, aTarget) + " end=" + ToString(aTask.m_end));
   if (ref.m_task == nullptr || ref.m_job->IsOver() ||
       ref.m_task->m_state == TaskState::kDone) {
     return; // the job or the task is over already
@@ -150,13 +152,24 @@
   RequeueTask(ref, name);
 }
 
+void JobScheduler::LogOutcome(bool aEndedWell,
+                              const char* aEvent,
+                              const std::string& aFields)
+{
+  if (aEndedWell) {
+    m_effects.Log(aEvent, aFields);
+  } else {
+    m_effects.LogNotable(aEvent, aFields);
+  }
+}
+
 void JobScheduler::OnRunLost(const TargetId& aTarget,
                              const RunName& aRun,
                              OrderStatus aStatus)
 {
   m_placementDue = true;
-  m_effects.Log("run-over",
-                RunFields(aRun, aTarget) + " status=" + ToString(aStatus));
+  m_effects.LogNotable(
+    "run-over", RunFields(aRun, aTarget) + " status=" + ToString(aStatus));
   TaskRef ref = FindTask(aRun.m_task);
   if (ref.m_task == nullptr || ref.m_job->IsOver() ||
       ref.m_task->m_run != aRun.m_run ||
@@ -332,10 +345,11 @@
   aJob.m_state = aState;
   aJob.m_endedAt = StoreClock(aNow);
   m_segmentedJobs.erase(aJob.m_id);
-  m_effects.Log("job-ended",
-                "job=" + aJob.m_id.Text() + " state=" +
-                  std::to_string(static_cast<int>(aState)) + " after_ms=" +
-                  std::to_string(ToMilliseconds(aNow - aJob.m_acceptedAt)));
+  LogOutcome(aState == JobState::kDone,
+             "job-ended",
+             "job=" + aJob.m_id.Text() + " state=" +
+               std::to_string(static_cast<int>(aState)) + " after_ms=" +
+               std::to_string(ToMilliseconds(aNow - aJob.m_acceptedAt)));
   StopAllRuns(aJob, aNow);
   m_advice.RemoveJob(aJob.m_id, aNow);
   m_finishedJobs.emplace(aNow + m_settings.m_retention, aJob.m_id);
--- a/src/jobs/job_recovery.cpp
+++ b/src/jobs/job_recovery.cpp
@@ -78,6 +78,7 @@
     RestoreGang(job, step, gang);
   }
   if (job.IsOver()) {
+    LogRunsToStop(job);
     StopAllRuns(job, aNow);
     const Duration left =
       std::max(Duration::zero(), m_settings.m_retention - sinceEnd);
@@ -90,6 +91,22 @@
   RefreshReady(job);
 }
 
+void JobScheduler::LogRunsToStop(const Job& aJob)
+{
+  std::uint32_t runs = 0;
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (const StepProgress& step : occurrence.m_steps) {
+      runs += step.m_dispatched;
+    }
+  }
+  if (runs > 0) {
+    m_effects.LogNotable("ended-job-has-runs",
+                         "job=" + aJob.m_id.Text() + " state=" +
+                           std::to_string(static_cast<int>(aJob.m_state)) +
+                           " runs=" + std::to_string(runs));
+  }
+}
+
 // A gang may have been stored partly when the former leader ended.
 void JobScheduler::RestoreGang(Job& aJob,
                                const StepName& aStep,
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -209,6 +209,11 @@
     StepRank m_rank;
   };
 
+  // Logs the end of a run or of a job. Lines about those that did not end well
+  // are not left out in favour of routine ones.
+  void LogOutcome(bool aEndedWell,
+                  const char* aEvent,
+                  const std::string& aFields);
   void AddJob(const ReadJob& aRead, TimePoint aNow);
   TaskRef FindTask(const TaskName& aName);
   void MarkRunning(const JobId& aJob);
@@ -227,6 +232,8 @@
   // otherwise the time at which the job was accepted.
   TimePoint DueAt(const Job& aJob, std::uint32_t aOccurrence) const;
 
+  // Logs a job that an earlier leader ended and that may still have runs.
+  void LogRunsToStop(const Job& aJob);
   // Restores what the members of a gang share.
   void RestoreGang(Job& aJob, const StepName& aStep, const StoredGang& aGang);
   void StopIncompleteGangs(Job& aJob);
--- a/src/jobs/job_starts.cpp
+++ b/src/jobs/job_starts.cpp
@@ -129,7 +129,10 @@
                                   ref.m_task->m_checkpoint,
                                   permission,
                                   aNow);
-  m_effects.Log(sent ? "run-sent" : "run-held-back", RunFields(aRun, target));
+  const TargetState* state = m_keeper.Find(target);
+  const FencingToken fence = state != nullptr ? state->m_fence : 0;
+  m_effects.Log(sent ? "run-sent" : "run-held-back",
+                RunFields(aRun, target) + " fence=" + std::to_string(fence));
   if (!sent) {
     RequeueTask(ref, aRun.m_task);
   }
--- a/src/jobs/mock_job_effects.h
+++ b/src/jobs/mock_job_effects.h
@@ -34,6 +34,10 @@
   MOCK_METHOD(void, Ask, (const AdviceRequest&, Duration), (override));
   MOCK_METHOD(AdvisorUse, GetAdvisorUse, (), (const, override));
   MOCK_METHOD(void, Log, (const std::string&, const std::string&), (override));
+  MOCK_METHOD(void,
+              LogNotable,
+              (const std::string&, const std::string&),
+              (override));
   MOCK_METHOD(void,
               LogUnlimited,
               (const std::string&, const std::string&),
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -252,9 +252,10 @@
                                   const RunName& aRun,
                                   TimePoint aNow)
 {
-  m_effects.Log("run-unknown",
-                "target=" + aTarget.m_record.m_target.Text() + " task=" +
-                  TaskText(aRun.m_task) + " run=" + std::to_string(aRun.m_run));
+  m_effects.LogNotable("run-unknown",
+                       "target=" + aTarget.m_record.m_target.Text() +
+                         " task=" + TaskText(aRun.m_task) +
+                         " run=" + std::to_string(aRun.m_run));
   TargetRun run;
   run.m_sent = true;
   run.m_confirmed = true;
--- a/src/jobs/target_stops.cpp
+++ b/src/jobs/target_stops.cpp
@@ -18,7 +18,7 @@
   TargetState& target = found->second;
   const auto run = target.m_runs.find(aRun);
   if (run == target.m_runs.end()) {
-    m_effects.Log("stop-without-run", RunFields(aRun, aTarget));
+    m_effects.LogNotable("stop-without-run", RunFields(aRun, aTarget));
     return;
   }
   if (!run->second.m_sent) {
@@ -55,9 +55,9 @@
     return; // a later stop of the run takes its place, or it never started
   }
   if (aAnswer.m_status != OrderStatus::kDone) {
-    m_effects.Log("stop-refused",
-                  RunFields(aOrder.m_run, aOrder.m_to.m_target) +
-                    " status=" + ToString(aAnswer.m_status));
+    m_effects.LogNotable("stop-refused",
+                         RunFields(aOrder.m_run, aOrder.m_to.m_target) +
+                           " status=" + ToString(aAnswer.m_status));
   }
   const bool current = aOrder.m_to.m_fence >= target.m_fence;
   if (current && aAnswer.m_status == OrderStatus::kFenced) {
@@ -76,10 +76,10 @@
   }
   aRun.m_stop.m_isRequested = true;
   aRun.m_stop.m_requestedAt = aNow;
-  m_effects.Log("stop-requested",
-                RunFields(aName, aTarget.m_record.m_target) +
-                  " phase=" + ToString(aTarget.m_phase) +
-                  " listed=" + (aTarget.m_listed ? "yes" : "no"));
+  m_effects.LogNotable("stop-requested",
+                       RunFields(aName, aTarget.m_record.m_target) +
+                         " phase=" + ToString(aTarget.m_phase) +
+                         " listed=" + (aTarget.m_listed ? "yes" : "no"));
 }
 
 void TargetManager::SendStops(TargetState& aTarget, TimePoint aNow)
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -117,6 +117,12 @@
     }
   }
 
+  void LogNotable(const std::string& aEvent,
+                  const std::string& aFields) override
+  {
+    Log(aEvent, aFields);
+  }
+
   void LogUnlimited(const std::string& aEvent,
                     const std::string& aFields) override
   {
--- a/src/standin/takeover_world.h
+++ b/src/standin/takeover_world.h
@@ -106,6 +106,11 @@
   void Ask(const AdviceRequest& /*aRequest*/, Duration /*aTime*/) override {}
   AdvisorUse GetAdvisorUse() const override { return AdvisorUse(); }
   void Log(const std::string& aEvent, const std::string& aFields) override;
+  void LogNotable(const std::string& aEvent,
+                  const std::string& aFields) override
+  {
+    Log(aEvent, aFields);
+  }
   void LogUnlimited(const std::string& aEvent,
                     const std::string& aFields) override
   {
