Add failing tests of cancelled runs while the lead changes and stops go astray

The cell model now plays stops that are refused, stops that are lost between hosts, runs that take the whole 0.9 s to end, and rows that name an address at which nobody listens; none of these excuses a run that goes on.

--- /dev/null
+++ b/src/jobs/replaced_target_test.cpp
@@ -0,0 +1,148 @@
+// Tests of targets on whose machine the platform's list has a new target.
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <gmock/gmock.h>
+
+#include "mock_job_effects.h"
+#include "mock_run_listener.h"
+#include "target_manager.h"
+
+namespace lycheestep {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::_;
+using testing::NiceMock;
+
+constexpr std::uint32_t kRuns = 2;
+
+RunName MakeRun(std::uint32_t aIndex)
+{
+  RunName run;
+  run.m_task.m_step.m_job = JobId("a");
+  run.m_task.m_index = aIndex;
+  run.m_run = 1;
+  return run;
+}
+
+// A target that is taken and has runs, and the next one on its machine.
+class ReplacedTargetTest : public testing::Test
+{
+protected:
+  ReplacedTargetTest()
+    : m_manager(TargetManagerSettings(), m_effects, m_listener)
+  {
+    m_record.m_target = TargetId("t");
+    m_record.m_address = "address";
+    m_record.m_machine = MachineName("machine");
+    m_record.m_capacity = Resources(8000, 8000, 0, 0, 0);
+    m_record.m_started = WallTime(1000);
+    m_next = m_record;
+    m_next.m_target = TargetId("next");
+    m_next.m_address = "next address";
+    m_next.m_started = WallTime(2000);
+    ON_CALL(m_effects, Stop(_)).WillByDefault([this](const StopOrder& aOrder) {
+      m_stops.push_back(aOrder);
+    });
+    ON_CALL(m_effects, Hold(_, HoldPath::kOrders))
+      .WillByDefault([this](const HoldOrder& aOrder, HoldPath) {
+        m_takes[aOrder.m_to.m_target] = aOrder;
+      });
+    m_manager.SetFencingToken(5);
+    m_manager.SetFormerLeaseExpiry(m_now + seconds(9));
+    m_manager.OnTargetListed(m_record, m_now);
+    for (std::uint32_t i = 0; i < kRuns; ++i) {
+      m_manager.ExpectRun(m_record.m_target,
+                          MakeRun(i),
+                          Resources(100, 100, 0, 0, 0),
+                          seconds(9));
+    }
+    Pass(milliseconds(10));
+    AnswerTakeWithAllRuns();
+  }
+
+  void Pass(Duration aTime)
+  {
+    m_now += aTime;
+    m_manager.Tick(m_now);
+  }
+
+  // Answers the newest hold that takes the replaced target.
+  void AnswerTakeWithAllRuns()
+  {
+    HoldAnswer answer;
+    answer.m_status = OrderStatus::kDone;
+    answer.m_started = m_record.m_started;
+    answer.m_targetClock = TargetTime(100);
+    for (std::uint32_t i = 0; i < kRuns; ++i) {
+      RunningTask task;
+      task.m_run = MakeRun(i);
+      answer.m_running.push_back(task);
+    }
+    m_manager.OnHoldAnswer(
+      m_takes.at(m_record.m_target), HoldPath::kOrders, answer, m_now);
+  }
+
+  TimePoint m_now{ seconds(1000) };
+  TargetRecord m_record;
+  TargetRecord m_next;
+  NiceMock<MockJobEffects> m_effects;
+  NiceMock<MockRunListener> m_listener;
+  TargetManager m_manager;
+  std::vector<StopOrder> m_stops;
+  std::map<TargetId, HoldOrder> m_takes;
+};
+
+} // namespace
+
+// Guards against runs that are dropped without a stop although their target
+// lives on.
+TEST_F(ReplacedTargetTest, RunsAreStoppedIfTheTargetLives)
+{
+  EXPECT_CALL(m_listener, OnRunLost(m_record.m_target, _, _)).Times(kRuns);
+  m_manager.OnTargetListed(m_next, m_now);
+  m_manager.SetFencingToken(6);
+  Pass(milliseconds(10));
+  AnswerTakeWithAllRuns();
+  Pass(milliseconds(10));
+  ASSERT_EQ(m_stops.size(), kRuns);
+  EXPECT_EQ(m_stops.front().m_to.m_address, "address");
+}
+
+// Guards against stops that are forgotten when the list changes once more.
+TEST_F(ReplacedTargetTest, RunsAreStoppedAlsoWhenTheListChanges)
+{
+  m_manager.OnTargetListed(m_next, m_now);
+  m_manager.SetFencingToken(6);
+  Pass(milliseconds(10));
+  AnswerTakeWithAllRuns();
+  m_next.m_draining = true;
+  m_manager.OnTargetListed(m_next, m_now);
+  Pass(milliseconds(10));
+  EXPECT_EQ(m_stops.size(), kRuns);
+}
+
+TEST_F(ReplacedTargetTest, TargetIsForgottenWithItsLeases)
+{
+  m_manager.OnTargetListed(m_next, m_now);
+  Pass(seconds(9));
+  Pass(seconds(2));
+  EXPECT_EQ(m_manager.Find(m_record.m_target), nullptr);
+  EXPECT_NE(m_manager.Find(m_next.m_target), nullptr);
+}
+
+TEST_F(ReplacedTargetTest, TargetWhoseAddressTheNextOneHasIsForgottenAtOnce)
+{
+  m_next.m_address = m_record.m_address;
+  EXPECT_CALL(m_effects, Forget(m_record.m_target));
+  m_manager.OnTargetListed(m_next, m_now);
+  EXPECT_EQ(m_manager.Find(m_record.m_target), nullptr);
+}
+
+} // namespace lycheestep
--- a/src/jobs/slow_stop_test.cpp
+++ b/src/jobs/slow_stop_test.cpp
@@ -120,6 +120,14 @@
                                           testing::Values(2U, 8U, 32U)),
                          NameOf);
 
+// Many more stops for a target than can be on their way to it at once.
+INSTANTIATE_TEST_SUITE_P(ManyRuns,
+                         SlowStopTest,
+                         testing::Combine(testing::Range(1U, 4U),
+                                          testing::Values(milliseconds(650)),
+                                          testing::Values(60U)),
+                         NameOf);
+
 // Waves of long jobs on six targets, all cancelled 0.5 s to 2.5 s after their
 // submission.
 class SlowStopWavesTest : public testing::TestWithParam<std::uint32_t>
--- a/src/standin/job_cell_checks.cpp
+++ b/src/standin/job_cell_checks.cpp
@@ -172,6 +172,9 @@
 {
   TargetRecord record = m_targets[aTarget]->Record();
   record.m_draining = m_drainingSince.count(record.m_target) > 0;
+  if (m_misplaced[aTarget]) {
+    record.m_address = "nobody";
+  }
   return record;
 }
 
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -81,6 +81,7 @@
   }
   m_cut.resize(aTargets, false);
   m_hidden.resize(aTargets, false);
+  m_misplaced.resize(aTargets, false);
   m_downUntil.resize(aTargets);
   StartTerm();
 }
@@ -268,6 +269,19 @@
   }
 }
 
+void JobCellModel::MisplaceTargetRow(std::size_t aTarget, bool aMisplaced)
+{
+  m_misplaced[aTarget] = aMisplaced;
+  TellListed(aTarget, Way());
+}
+
+void JobCellModel::SetStopTime(Duration aTime)
+{
+  for (const auto& target : m_targets) {
+    target->SetStopTime(aTime);
+  }
+}
+
 void JobCellModel::DrainTarget(std::size_t aTarget)
 {
   m_drainingSince.try_emplace(m_targets[aTarget]->Record().m_target, m_now);
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -32,6 +32,12 @@
   Duration m_slowStart = Duration::zero();
   Duration m_slowStop = Duration::zero();
   Duration m_slowHold = Duration::zero();
+  // The share of stops that every second target refuses with an error, without
+  // any effect.
+  double m_refusedStops = 0;
+  // The number of stops of each run that are lost on the way to their target,
+  // so that the leader gets no report of them at all.
+  std::uint32_t m_vanishingStops = 0;
 };
 
 // How the advisor of the cell answers.
@@ -92,7 +98,12 @@
   void CutTarget(std::size_t aTarget, bool aCut);
   // The platform's list does not have the target, which works on and answers.
   void HideTargetRow(std::size_t aTarget, bool aHidden);
+  // The platform's list names an address at which nobody listens. The target
+  // works on and answers at its own.
+  void MisplaceTargetRow(std::size_t aTarget, bool aMisplaced);
   void DrainTarget(std::size_t aTarget);
+  // Runs take this long to end after their stops, on all targets.
+  void SetStopTime(Duration aTime);
   // All tasks on the target fail.
   void FailOnTarget(std::size_t aTarget) { m_targets[aTarget]->FailAll(true); }
   // Tasks on the target stand still.
@@ -203,6 +214,8 @@
   std::vector<bool> m_cut;
   // Targets that live although the list does not have them.
   std::vector<bool> m_hidden;
+  // Targets whose rows name a wrong address.
+  std::vector<bool> m_misplaced;
   std::vector<TimePoint> m_downUntil;
   // When the targets that drain reported it.
   std::map<TargetId, TimePoint> m_drainingSince;
@@ -225,6 +238,8 @@
   std::map<JobId, TimePoint> m_submittedAt;
   std::map<JobId, TimePoint> m_endedAt;
   std::map<JobId, TimePoint> m_cancelledAt;
+  // The stops of each run that vanished.
+  std::map<RunName, std::uint32_t> m_vanishedStops;
   // Runs that went on after their job was cancelled.
   std::set<RunName> m_outlasting;
   // Tasks that ended well anywhere, and those whose end may be forgotten.
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -329,10 +329,18 @@
     if (aWithdrawn) {
       return; // nothing follows from the report of a withdrawn stop
     }
+    if (Vanishes(aOrder)) {
+      m_cell.At(kOrderTimeout, aDone);
+      return;
+    }
+    const bool isRefused = SlowTime(aOrder.m_to, kTick) > Duration::zero() &&
+                           m_cell.Chance(m_cell.m_faults.m_refusedStops);
     Carry<OrderAnswer>(
       aOrder.m_to,
-      [this, aOrder](JobTargetModel& aTarget) {
-        return aTarget.Stop(aOrder, m_cell.m_now);
+      [this, aOrder, isRefused](JobTargetModel& aTarget) {
+        OrderAnswer refusal;
+        refusal.m_status = OrderStatus::kUnhealthy;
+        return isRefused ? refusal : aTarget.Stop(aOrder, m_cell.m_now);
       },
       SlowTime(aOrder.m_to, m_cell.m_faults.m_slowStop),
       [this, aOrder, aDone](const OrderAnswer& aAnswer) {
@@ -341,6 +349,17 @@
       });
   }
 
+  // Returns true, and counts it, if the stop is lost between hosts.
+  bool Vanishes(const StopOrder& aOrder)
+  {
+    std::uint32_t& vanished = m_cell.m_vanishedStops[aOrder.m_run];
+    if (vanished >= m_cell.m_faults.m_vanishingStops) {
+      return false;
+    }
+    ++vanished;
+    return true;
+  }
+
   void SendHold(const HoldOrder& aOrder, HoldPath aPath, const Done& aDone)
   {
     std::size_t index = 0;
@@ -383,6 +402,14 @@
     const auto silent = [this, aAnswered] {
       Tell(kOrderTimeout, [aAnswered] { aAnswered(Answer()); });
     };
+    if (target != nullptr && aTo.m_address != target->Record().m_address) {
+      Tell(m_cell.Way(), [aAnswered] {
+        Answer answer;
+        answer.m_status = OrderStatus::kNotSent;
+        aAnswered(answer);
+      });
+      return;
+    }
     if (target == nullptr || m_cell.m_cut[index]) {
       silent();
       return;
--- a/src/standin/job_target_model.cpp
+++ b/src/standin/job_target_model.cpp
@@ -9,9 +9,8 @@
 
 namespace {
 
-// The longest lease that the target grants, and what a stop takes.
+// The longest lease that the target grants.
 constexpr TargetTime kLongestLease{ 10000 };
-constexpr Duration kStopTime = std::chrono::milliseconds(300);
 
 // How long a member of a gang waits for the others.
 constexpr Duration kGangPatience = std::chrono::seconds(3);
@@ -84,7 +83,7 @@
     highest = std::max(highest, aOrder.m_run.m_run);
   } else if (!run->second.m_stopping) {
     run->second.m_stopping = true;
-    run->second.m_endsAt = aNow + kStopTime;
+    run->second.m_endsAt = aNow + m_stopTime;
   }
   return answer;
 }
--- a/src/standin/job_target_model.h
+++ b/src/standin/job_target_model.h
@@ -69,6 +69,9 @@
   // What runs here stands still, and what starts here does.
   void Hang(bool aHang) { m_hangs = aHang; }
 
+  // A run takes this long to end after its stop.
+  void SetStopTime(Duration aTime) { m_stopTime = aTime; }
+
   // All that runs here fails.
   void FailAll(bool aFails) { m_failsAll = aFails; }
 
@@ -103,6 +106,7 @@
   const Planner m_planner;
   const OnStart m_onStart;
   TimePoint m_bornAt;
+  Duration m_stopTime = std::chrono::milliseconds(300);
   bool m_hangs = false;
   bool m_failsAll = false;
   TimePoint m_advancedTo;
