Store that the runs of an ended job are over, so that no leader stops them again

When a job had ended, the ends of its runs were not noted: its rows went on naming them as dispatched. Each new leader therefore stopped again every run of every job that had ended in the last ten seconds, in the order of their names, and the stops that mattered waited behind them at targets that were slow to answer. When the lead changed again the queue began anew.

The end of a run of an ended job now takes its task out of those that are dispatched. When the last one is over, the job's row is written once more, without tasks, and the rows of its segments are removed. A job that ended needs one write more, if it had runs.

--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -4,6 +4,17 @@
 
 namespace lycheestep {
 
+std::uint32_t Job::CountDispatched() const
+{
+  std::uint32_t count = 0;
+  for (const auto& [number, occurrence] : m_occurrences) {
+    for (const StepProgress& step : occurrence.m_steps) {
+      count += step.m_dispatched;
+    }
+  }
+  return count;
+}
+
 std::uint64_t CountTasks(const JobSpec& aSpec)
 {
   std::uint64_t tasks = 0;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -128,6 +128,10 @@
     return m_state == JobState::kDone || m_state == JobState::kFailed ||
            m_state == JobState::kCancelled;
   }
+
+  // Returns the number of tasks that are dispatched and whose runs may be on a
+  // target.
+  std::uint32_t CountDispatched() const;
 };
 
 // The most tasks of one occurrence of a job that a host can keep in memory.
--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -282,9 +282,11 @@
 
 void JobScheduler::RemoveOldSegments(Job& aJob)
 {
+  const bool isSettled = aJob.m_state == JobState::kDone ||
+                         (aJob.IsOver() && aJob.CountDispatched() == 0);
   for (auto it = aJob.m_segments.begin(); it != aJob.m_segments.end();) {
-    const bool needed = aJob.m_state != JobState::kDone &&
-                        aJob.m_occurrences.count(it->first.m_occurrence) > 0;
+    const bool needed =
+      !isSettled && aJob.m_occurrences.count(it->first.m_occurrence) > 0;
     if (needed) {
       ++it;
       continue;
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -117,9 +117,12 @@
   LogOutcome(endedWell,
              "run-ended",
              RunFields(aTask.m_run, aTarget) + " end=" + ToString(aTask.m_end));
-  if (ref.m_task == nullptr || ref.m_job->IsOver() ||
-      ref.m_task->m_state == TaskState::kDone) {
-    return; // the job or the task is over already
+  if (ref.m_task == nullptr || ref.m_task->m_state == TaskState::kDone) {
+    return;
+  }
+  if (ref.m_job->IsOver()) {
+    SettleRunOfEndedJob(ref, aTarget, aTask.m_run);
+    return;
   }
   if (IsOfFormerJob(*ref.m_task, aTarget, aTask.m_run.m_run)) {
     return;
@@ -171,11 +174,14 @@
   m_effects.LogNotable(
     "run-over", RunFields(aRun, aTarget) + " status=" + ToString(aStatus));
   TaskRef ref = FindTask(aRun.m_task);
-  if (ref.m_task == nullptr || ref.m_job->IsOver() ||
-      ref.m_task->m_run != aRun.m_run ||
+  if (ref.m_task == nullptr || ref.m_task->m_run != aRun.m_run ||
       ref.m_task->m_state != TaskState::kDispatched) {
     return;
   }
+  if (ref.m_job->IsOver()) {
+    SettleRunOfEndedJob(ref, aTarget, aRun);
+    return;
+  }
   if (aStatus == OrderStatus::kTicketRefused) {
     m_advice.InvalidatePermission(aRun.m_task.m_step, aTarget);
   }
@@ -185,6 +191,25 @@
   RequeueTask(ref, aRun.m_task);
 }
 
+// The next leader stops each run that the rows name. When the last run of the
+// job is over, they are stored anew, so that it has none to stop.
+void JobScheduler::SettleRunOfEndedJob(TaskRef& aRef,
+                                       const TargetId& aTarget,
+                                       const RunName& aRun)
+{
+  JobTask& task = *aRef.m_task;
+  const bool isExpected = task.m_state == TaskState::kDispatched &&
+                          task.m_run == aRun.m_run && task.m_target == aTarget;
+  if (!isExpected) {
+    return;
+  }
+  task.m_state = TaskState::kWaiting;
+  --aRef.m_progress->m_dispatched;
+  if (aRef.m_job->CountDispatched() == 0) {
+    MarkChanged(*aRef.m_job);
+  }
+}
+
 void JobScheduler::NoteStarted(const RunName& aRun, TimePoint aNow)
 {
   const TaskRef ref = FindTask(aRun.m_task);
--- a/src/jobs/job_recovery.cpp
+++ b/src/jobs/job_recovery.cpp
@@ -93,12 +93,7 @@
 
 void JobScheduler::LogRunsToStop(const Job& aJob)
 {
-  std::uint32_t runs = 0;
-  for (const auto& [number, occurrence] : aJob.m_occurrences) {
-    for (const StepProgress& step : occurrence.m_steps) {
-      runs += step.m_dispatched;
-    }
-  }
+  const std::uint32_t runs = aJob.CountDispatched();
   if (runs > 0) {
     m_effects.LogNotable("ended-job-has-runs",
                          "job=" + aJob.m_id.Text() + " state=" +
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -241,6 +241,10 @@
   // Marks all members of a gang as done.
   static void FinishGang(StepProgress& aProgress);
   void FailTask(TaskRef& aRef, const TaskName& aName);
+  // Notes that a run of a job that is over has ended.
+  void SettleRunOfEndedJob(TaskRef& aRef,
+                           const TargetId& aTarget,
+                           const RunName& aRun);
   // Makes a dispatched task wait again. If the task belongs to a gang, the runs
   // of the other members are stopped.
   void RequeueTask(TaskRef& aRef, const TaskName& aName);
--- a/src/jobs/progress_rows.cpp
+++ b/src/jobs/progress_rows.cpp
@@ -237,7 +237,8 @@
       static_cast<std::uint64_t>(ToMilliseconds(aJob.m_endedAt)));
   }
   row.set_occurrences_done(aJob.m_occurrencesDone);
-  if (aJob.m_state == JobState::kDone || aJob.m_segmented) {
+  const bool isSettled = aJob.IsOver() && aJob.CountDispatched() == 0;
+  if (aJob.m_state == JobState::kDone || aJob.m_segmented || isSettled) {
     return row.SerializeAsString(); // nothing reads the tasks of a finished job
   }
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
