Stop the runs of a target on whose machine the list has a new one, if it lives

A machine has one target at a time, so they should be over; but if the earlier one lives on, for whatever reason, its runs went on, also those of cancelled jobs.

Its runs are still given up at once, so that their tasks start elsewhere without a wait. It is now kept until its leases are over, gets no work, and is taken if it answers: what it lists then is stopped. If the new target has its address, it is gone and forgotten as before.

--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -65,12 +65,29 @@
       ++it;
       continue;
     }
+    if (other.m_record.m_address != aRecord.m_address) {
+      Retire(other);
+      ++it;
+      continue;
+    }
     DropSentRuns(other);
     m_effects.Forget(it->first);
     it = m_targets.erase(it);
   }
 }
 
+void TargetManager::Retire(TargetState& aTarget)
+{
+  aTarget.m_listed = false;
+  // It is not retired again with the next change of the list.
+  aTarget.m_record.m_machine = MachineName();
+  aTarget.m_remembered = true;
+  aTarget.m_formerLeaseExpiry = aTarget.LeaseExpiry();
+  aTarget.m_fenceUsed = true;
+  MarkUncertain(aTarget, "another target on its machine");
+  DropSentRuns(aTarget);
+}
+
 void TargetManager::OnTargetRemembered(const TargetAddress& aAddress)
 {
   const auto [found, isNew] = m_targets.try_emplace(aAddress.m_target);
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -145,8 +145,12 @@
   void ResetForNewIncarnation(TargetState& aTarget,
                               WallTime aStarted,
                               TimePoint aNow);
-  // Removes targets with other ids that started earlier on the same machine.
+  // Gives up the runs of targets with other ids that started earlier on the same
+  // machine.
   void RetireEarlierIncarnations(const TargetRecord& aRecord);
+  // Gives up the runs of a target. Until its leases are over it is taken if it
+  // answers, and what it lists is stopped.
+  void Retire(TargetState& aTarget);
   // Lets the target be taken again after an answer that does not count.
   void RetryTake(TargetState& aTarget,
                  const HoldOrder& aOrder,
