Reach a target where it answered when the list names another address

A leader now remembers the address at which a target answered, from its own holds or from the store, and tries the two in turns while holds fail. A target that answers keeps its address until it stops answering there, so that one that has really moved is found after one failed hold. Only an address that answered replaces a stored one. A new life of a target starts with the address in the list.

--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -414,7 +414,7 @@
   progress.m_lastRun = std::max(progress.m_lastRun, aRun);
   const RunName run{ TaskName{ aStep.m_name, aIndex }, aRun };
   m_keeper.Reserve(aTarget, run, DemandOf(step), EstimateOf(step));
-  m_directory.Add(AddressOf(m_keeper.Find(aTarget)->m_record));
+  m_directory.Add(AddressOf(*m_keeper.Find(aTarget)));
   m_unstoredDispatches.push_back(run);
   MarkTaskChanged(run.m_task);
 }
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -182,11 +182,18 @@
 {
   m_keeper.OnTargetListed(aRecord, aNow);
   m_placementDue = true;
-  // A run may have been sent by a release that stored no address, or before the
-  // address changed.
-  const TargetState* target = m_keeper.Find(aRecord.m_target);
-  if (target != nullptr && !target->m_runs.empty()) {
-    m_directory.Add(AddressOf(target->m_record));
+  // A run may have been sent by a release that stored no address.
+  StoreAddressOf(aRecord.m_target);
+}
+
+void JobScheduler::StoreAddressOf(const TargetId& aTarget)
+{
+  const TargetState* target = m_keeper.Find(aTarget);
+  if (target == nullptr || target->m_runs.empty()) {
+    return;
+  }
+  if (target->m_answersHolds || !m_directory.Has(aTarget)) {
+    m_directory.Add(AddressOf(*target));
   }
 }
 
@@ -228,6 +235,7 @@
                                 TimePoint aNow)
 {
   m_keeper.OnHoldAnswer(aOrder, aPath, aAnswer, aNow);
+  StoreAddressOf(aOrder.m_to.m_target);
 }
 
 void JobScheduler::OnAdvice(const AdviceAnswer& aAnswer, TimePoint aNow)
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -217,6 +217,9 @@
   void AddJob(const ReadJob& aRead, TimePoint aNow);
   TaskRef FindTask(const TaskName& aName);
   void MarkRunning(const JobId& aJob);
+  // Stores the address of a target that may have runs: the one at which it
+  // answers, or the one in the list if none is stored.
+  void StoreAddressOf(const TargetId& aTarget);
   // Records that a target has the run; ignored if the run is not the newest.
   void NoteStarted(const RunName& aRun, TimePoint aNow);
   // Include the job's state, or the progress of one task or of all tasks of a
--- a/src/jobs/stop_monitor.cpp
+++ b/src/jobs/stop_monitor.cpp
@@ -69,7 +69,7 @@
 
 StopObstacle ObstacleOf(const TargetState& aTarget, const TargetRun& aRun)
 {
-  if (aTarget.m_record.m_address.empty()) {
+  if (aTarget.Address().empty()) {
     return StopObstacle::kNoAddress;
   }
   if (aRun.m_stop.m_sentCount == 0) {
--- a/src/jobs/stop_orders_test.cpp
+++ b/src/jobs/stop_orders_test.cpp
@@ -268,6 +268,27 @@
   EXPECT_EQ(m_manager.Find(m_record.m_target)->m_phase, TargetPhase::kHeld);
 }
 
+// Guards against a target that moved and is looked for where it was.
+TEST_F(StopOrdersTest, TargetThatMovedAfterItWasTakenIsFound)
+{
+  m_manager.OnTargetListed(m_record, m_now);
+  Pass(milliseconds(10));
+  AnswerTake(0);
+  m_record.m_address = "other";
+  m_manager.OnTargetListed(m_record, m_now);
+  HoldOrder watch;
+  EXPECT_CALL(m_effects, Hold(_, HoldPath::kWatch))
+    .WillRepeatedly(
+      [&watch](const HoldOrder& aOrder, HoldPath) { watch = aOrder; });
+  Pass(milliseconds(10));
+  EXPECT_EQ(watch.m_to.m_address, "address");
+  HoldAnswer refusal;
+  refusal.m_status = OrderStatus::kNotSent;
+  m_manager.OnHoldAnswer(watch, HoldPath::kWatch, refusal, m_now);
+  Pass(milliseconds(200));
+  EXPECT_EQ(watch.m_to.m_address, "other");
+}
+
 TEST_F(StopOrdersTest, TargetOfWhichAnEarlierLifeAnsweredIsTakenAgain)
 {
   m_record.m_started = WallTime(2000);
--- a/src/jobs/target_address.cpp
+++ b/src/jobs/target_address.cpp
@@ -2,6 +2,7 @@
 
 #include "job_rows.h"
 #include "jobs.pb.h"
+#include "target_state.h"
 
 namespace lycheestep {
 
@@ -12,6 +13,13 @@
                         aRecord.m_dataCentre };
 }
 
+TargetAddress AddressOf(const TargetState& aTarget)
+{
+  return TargetAddress{ aTarget.m_record.m_target,
+                        aTarget.Address(),
+                        aTarget.m_record.m_dataCentre };
+}
+
 RowKey TargetAddressKey(const TargetId& aTarget)
 {
   return RowKey{ kTargetAddressTable, "", aTarget.Text() };
--- a/src/jobs/target_address.h
+++ b/src/jobs/target_address.h
@@ -9,6 +9,8 @@
 
 namespace lycheestep {
 
+struct TargetState;
+
 // What a leader stores of a target that it gives work to, so that the next
 // leader can reach the target even if the platform's list lacks it.
 struct TargetAddress
@@ -30,6 +32,9 @@
 // Returns the address of a target in the platform's list.
 TargetAddress AddressOf(const TargetRecord& aRecord);
 
+// Returns the address to which orders to the target go.
+TargetAddress AddressOf(const TargetState& aTarget);
+
 // Returns the key of the row that stores the target's address.
 RowKey TargetAddressKey(const TargetId& aTarget);
 
--- a/src/jobs/target_directory.cpp
+++ b/src/jobs/target_directory.cpp
@@ -23,6 +23,12 @@
   MarkChanged(entry);
 }
 
+bool TargetDirectory::Has(const TargetId& aTarget) const
+{
+  const auto entry = m_entries.find(aTarget);
+  return entry != m_entries.end() && !entry->second.m_isRemoved;
+}
+
 void TargetDirectory::Add(const TargetAddress& aAddress)
 {
   const bool isStorable = !aAddress.m_address.empty() &&
--- a/src/jobs/target_directory.h
+++ b/src/jobs/target_directory.h
@@ -33,6 +33,9 @@
   // Removes a row that can't be read, unless an address is added.
   void OnUnreadable(const TargetId& aTarget);
 
+  // Returns true if an address of the target is stored or will be.
+  bool Has(const TargetId& aTarget) const;
+
   // Stores the address with one of the next commits, unless it is stored. Does
   // nothing if the address is empty or longer than a network address can be.
   void Add(const TargetAddress& aAddress);
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -54,7 +54,7 @@
     RetryTake(target, aOrder, aPath, aNow);
     return;
   }
-  if (aOrder.m_to.m_address != target.m_record.m_address) {
+  if (aOrder.m_to.m_address != target.Address()) {
     RetryTake(target, aOrder, aPath, aNow);
     return;
   }
@@ -63,6 +63,7 @@
   }
   target.m_holdFailures = 0;
   target.m_answersHolds = true;
+  target.m_answeredAddress = aOrder.m_to.m_address;
   target.m_lastEndForgotten =
     std::max(target.m_lastEndForgotten, aOrder.m_forgetEnds);
   NoteClock(target, aAnswer.m_targetClock, aNow);
@@ -122,6 +123,12 @@
                   "target=" + aTarget.m_record.m_target.Text() +
                     " status=" + ToString(aStatus));
   }
+  const bool mayBeElsewhere = aStatus == OrderStatus::kNotSent ||
+                              aStatus == OrderStatus::kUnknown ||
+                              aStatus == OrderStatus::kOtherTarget;
+  if (mayBeElsewhere) {
+    aTarget.TryOtherAddress();
+  }
   aTarget.m_retryAt = aNow + HoldRetryDelay(aTarget.m_holdFailures);
   ++aTarget.m_holdFailures;
 }
@@ -145,6 +152,8 @@
                 "target=" + aTarget.m_record.m_target.Text() +
                   " started=" + std::to_string(aStarted.count()));
   aTarget.m_record.m_started = aStarted;
+  aTarget.m_answeredAddress.clear();
+  aTarget.m_usesAnsweredAddress = false;
   aTarget.m_phase = TargetPhase::kUntaken;
   aTarget.m_clockKnown = false;
   aTarget.m_leaseEnd = TargetTime(0);
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -40,6 +40,10 @@
     return; // a record of an older incarnation, delivered late
   }
   const bool beginsToDrain = aRecord.m_draining && !target.m_record.m_draining;
+  if (aRecord.m_address != target.m_record.m_address) {
+    // The target may have moved, or the row may be wrong.
+    target.m_usesAnsweredAddress = target.m_answersHolds;
+  }
   target.m_record = aRecord;
   target.m_listed = true;
   UpdateUnknownRuns(target);
@@ -96,6 +100,7 @@
     target.m_formerLeaseExpiry = m_formerLeaseExpiry;
   }
   target.m_remembered = true;
+  target.m_answeredAddress = aAddress.m_address;
   if (!target.m_listed) {
     target.m_record.m_target = aAddress.m_target;
     target.m_record.m_address = aAddress.m_address;
@@ -154,7 +159,7 @@
       continue;
     }
     const bool reachable =
-      !target.m_record.m_address.empty() && target.m_retryAt <= aNow;
+      !target.Address().empty() && target.m_retryAt <= aNow;
     if (reachable && target.m_phase == TargetPhase::kUntaken &&
         !target.m_takeHoldInFlight) {
       Take(target, aNow);
@@ -285,7 +290,7 @@
 OrderAddress TargetManager::OrderAddressOf(const TargetState& aTarget) const
 {
   return OrderAddress{ aTarget.m_record.m_target,
-                       aTarget.m_record.m_address,
+                       aTarget.Address(),
                        aTarget.m_fence };
 }
 
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -145,8 +145,8 @@
   void ResetForNewIncarnation(TargetState& aTarget,
                               WallTime aStarted,
                               TimePoint aNow);
-  // Gives up the runs of targets with other ids that started earlier on the same
-  // machine.
+  // Gives up the runs of targets with other ids that started earlier on the
+  // same machine.
   void RetireEarlierIncarnations(const TargetRecord& aRecord);
   // Gives up the runs of a target. Until its leases are over it is taken if it
   // answers, and what it lists is stopped.
--- a/src/jobs/target_state.cpp
+++ b/src/jobs/target_state.cpp
@@ -39,6 +39,13 @@
   return std::max(aNow, started + whole);
 }
 
+void TargetState::TryOtherAddress()
+{
+  const bool hasOther =
+    !m_answeredAddress.empty() && m_answeredAddress != m_record.m_address;
+  m_usesAnsweredAddress = hasOther && !m_usesAnsweredAddress;
+}
+
 bool TargetState::TakesWork(TimePoint aNow) const
 {
   return m_listed && m_phase == TargetPhase::kHeld && m_holdFailures == 0 &&
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 
 #include "lycheestep/target_orders.h"
 #include "lycheestep/target_record.h"
@@ -53,6 +54,10 @@
 struct TargetState
 {
   TargetRecord m_record;
+  // The address at which the target last answered, by this leader or an earlier
+  // one; empty if unknown. Orders go there while the one in m_record fails.
+  std::string m_answeredAddress;
+  bool m_usesAnsweredAddress = false;
   // True if the target is in the platform's list.
   bool m_listed = false;
   // True if an earlier leader gave work to the target.
@@ -112,6 +117,15 @@
   std::uint32_t m_refusals = 0;
   std::uint32_t m_consecutiveFailures = 0;
 
+  // Returns the address to which orders go; empty if none is known.
+  const std::string& Address() const
+  {
+    return m_usesAnsweredAddress ? m_answeredAddress : m_record.m_address;
+  }
+
+  // Chooses the other one of two addresses, if there are two.
+  void TryOtherAddress();
+
   // Returns the free capacity. It is negative if runs whose demand is unknown
   // may be on the target.
   Resources Free() const { return m_record.m_capacity - m_used; }
