--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -26,6 +26,9 @@
 LEAD_STAYS_S = 9
 # A second change comes so soon after the first.
 LEAD_AGAIN_S = 2
+# In a series, planned stops of the leader come after so many seconds.
+LEAD_SERIES_GAP_S = (1, 2)
+LEAD_SERIES_STOPS = 6
 
 
 class Faults:
@@ -45,7 +48,7 @@
     def of_calm_times(self):
         """Those that excuse nothing."""
         return [self.slow_worker, self.slow_worker, self.drain_worker,
-                self.slow_stops]
+                self.slow_stops, self.refuse_stops]
 
     def all(self):
         return self.of_calm_times() + [
@@ -172,28 +175,63 @@
         pass
 
     def leading_host(self):
-        name = self.store.leading(host.name for host in self.hosts)
-        return next((host for host in self.hosts if host.name == name), None)
-
-    def stop_leader(self):
-        """A planned stop, and the process is back at once."""
+        # Longer names first, as a host that was replaced has the former's name
+        # in its own.
+        names = sorted((host.leads_as for host in self.hosts), key=len,
+                       reverse=True)
+        name = self.store.leading(names)
+        return next((host for host in self.hosts if host.leads_as == name),
+                    None)
+
+    def stop_leader(self, replaced=False):
+        """A planned stop, and the process is back at once. If it is replaced,
+        a host of another name comes in its place."""
         host = self.leading_host()
         if host is None:
             return
-        host.stopping_at = time.monotonic()
         self.ledger.lead.disturb()
+        self.begin_stop(host)
+        self.finish_stop(host, replaced)
+
+    def begin_stop(self, host):
+        host.stopping_at = time.monotonic()
         host.send(signal.SIGTERM)
+
+    def finish_stop(self, host, replaced):
         with contextlib.suppress(subprocess.TimeoutExpired):
             host.process.wait(GRACE_S)
+        if replaced:
+            host.rename()
         self.end_and_restart(host, host.process)
 
-    def kill_leader(self):
+    def kill_leader(self, replaced=False):
         host = self.leading_host()
         if host is not None:
             self.ledger.lead.disturb()
             host.send(signal.SIGKILL)
+            if replaced:
+                host.rename()
             self.restart(host)
 
+    def replace_leader(self):
+        """The leader never comes back."""
+        self.random.choice([self.stop_leader, self.kill_leader])(replaced=True)
+        time.sleep(LEAD_STAYS_S)
+
+    def stop_leaders(self):
+        """Planned stops in a row, several within one run. None excuses a run
+        that goes on."""
+        for _ in range(LEAD_SERIES_STOPS):
+            time.sleep(self.random.uniform(*LEAD_SERIES_GAP_S))
+            host = self.leading_host()
+            others = [other for other in self.hosts
+                      if other is not host and other.stopping_at is None]
+            if host is None or host.stopping_at is not None or not others:
+                continue
+            self.begin_stop(host)
+            threading.Thread(target=self.finish_stop, daemon=True,
+                             args=(host, self.random.random() < 0.3)).start()
+
     def freeze_leader(self):
         host = self.leading_host()
         if host is not None:
@@ -205,7 +243,8 @@
         self.random.choice([self.stop_leader, self.kill_leader])()
 
     def of_the_lead(self):
-        return [self.lead_changes, self.lead_freezes, self.lead_changes_twice]
+        return [self.lead_changes, self.lead_freezes, self.lead_changes_twice,
+                self.replace_leader]
 
     def lead_changes(self):
         self.change_lead()
@@ -239,10 +278,19 @@
         self.change_lead()
         time.sleep(ROWS_AWAY_S)
 
+    def rows_misplaced(self):
+        self.lose_rows("misplaced")
+
+    def refuse_stops(self):
+        worker = self.random.choice(self.workers)
+        worker.refused_stops = self.random.uniform(0.3, 1.0)
+        self.later(self.random.uniform(0.5, 1.5), setattr, worker,
+                   "refused_stops", 0.0)
+
     def lose_row(self):
         worker = self.random.choice(self.workers)
         worker.keep_row(self.random.choice(["away", "away", "damaged",
-                                            "moved"]))
+                                            "moved", "misplaced"]))
         self.later(self.random.uniform(*ROW_LOST_S), worker.keep_row, "whole")
 
     def slow_worker(self):
--- a/testsuite/soak/hosts.py
+++ b/testsuite/soak/hosts.py
@@ -38,6 +38,7 @@
     def __init__(self, program, folder, name, base, store_port, calm,
                  retention_ms):
         self.program, self.folder, self.name = program, folder, name
+        self.leads_as = name  # what the leader's row calls it
         self.front, self.ready, self.peers = base, base + 1, base + 2
         self.store_way = Proxy(base + 4, store_port)
         self.calm = calm
@@ -61,6 +62,15 @@
         with open(self.settings, "w", encoding="utf-8") as file:
             json.dump(settings, file)
 
+    def rename(self):
+        """The next process is another host, as far as the others know."""
+        with open(self.settings, encoding="utf-8") as file:
+            settings = json.load(file)
+        settings["host"] += "n"
+        with open(self.settings, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        self.leads_as = settings["host"]
+
     def start(self):
         self.calm.disturb()
         with open(os.path.join(self.folder, self.name + ".log"),
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -2,9 +2,10 @@
 """Runs hosts as separate processes among faults and checks their promises.
 
 Usage: soak.py PROGRAM [--seed N] [--seconds S] [--calm S] [--hosts N]
-[--workers N] [--slow S] [--slow-stop S] [--slow-hold S] [--late-start S]
-[--work LEAST MOST] [--load X] [--cancelled-within S] [--retention-ms N]
-[--forgets-after S] [--logs FOLDER]
+[--workers N] [--slow S] [--slow-stop S] [--refused-stops X]
+[--unanswered-stops X] [--slow-hold S] [--late-start S] [--work LEAST MOST]
+[--load X] [--cancelled-within S] [--retention-ms N] [--forgets-after S]
+[--logs FOLDER]
 
 First a calm series: nothing but slow workers, workers that drain and waves of
 cancellations, so that no check with a time bound has an excuse. Then faults
@@ -104,6 +105,8 @@
             worker.stop_answer_s = arguments.slow_stop
             worker.hold_answer_s = arguments.slow_hold
             worker.start_late_s = arguments.late_start
+            worker.refused_stops = arguments.refused_stops
+            worker.unanswered_stops = arguments.unanswered_stops
         for worker in self.workers:
             if arguments.work:
                 worker.work_s, worker.long_share = arguments.work, 0
@@ -114,6 +117,8 @@
         faults = {"mixed": self.faults.of_calm_times(),
                   "drain": [self.faults.drain_worker],
                   "lead": self.faults.of_the_lead(),
+                  "series": [self.faults.stop_leaders],
+                  "misplaced": [self.faults.rows_misplaced],
                   "rows": [self.faults.rows_away],
                   "damaged": [self.faults.rows_damaged],
                   "service": [self.lose_service],
@@ -171,8 +176,8 @@
     parser.add_argument("--calm", type=float, default=10,
                         help="seconds of the calm series before the faults")
     parser.add_argument("--calm-faults", default="mixed",
-                        choices=["mixed", "drain", "lead", "rows", "damaged",
-                                 "service", "none"])
+                        choices=["mixed", "drain", "lead", "series", "rows",
+                                 "damaged", "misplaced", "service", "none"])
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--slow", type=float, default=0.3,
@@ -180,6 +185,12 @@
                         "answer a start")
     parser.add_argument("--slow-stop", type=float, default=0,
                         help="the same of a stop")
+    parser.add_argument("--refused-stops", type=float, default=0,
+                        help="the share of stops that they refuse with an "
+                        "error")
+    parser.add_argument("--unanswered-stops", type=float, default=0,
+                        help="the share of stops that they carry out without "
+                        "an answer")
     parser.add_argument("--slow-hold", type=float, default=0,
                         help="the same of a hold")
     parser.add_argument("--late-start", type=float, default=0,
--- a/testsuite/soak/targets.py
+++ b/testsuite/soak/targets.py
@@ -22,6 +22,8 @@
 # A share of the tasks works longer than a cancelled run may go on.
 LONG_SHARE = 0.1
 LONG_WORK_S = (5, 8)
+# Nobody listens there.
+NOBODYS_PORT = 9
 
 
 class Run:
@@ -56,11 +58,15 @@
         self.drained_at = None  # when the store took the report
         self.answer_s = 0.0  # time to answer a start
         self.stop_answer_s = 0.0  # ... a stop, which takes effect at once
+        # The shares of stops that are refused with an error and not carried
+        # out, and that are carried out without an answer.
+        self.refused_stops = 0.0
+        self.unanswered_stops = 0.0
         self.hold_answer_s = 0.0  # ... a hold, beyond the wait for an end
         self.work_s = WORK_S
         self.long_share = LONG_SHARE
         self.start_late_s = 0.0  # before a start is carried out
-        self.row = "whole"  # or "away", "damaged", "moved"
+        self.row = "whole"  # or "away", "damaged", "moved", "misplaced"
         self.hangs = False
         self.gone = False
         self.disturbed_at = time.monotonic() - LATE_S  # its way, last
@@ -94,7 +100,8 @@
                 self.report()
 
     def report(self):
-        address = self.port if self.row == "moved" else self.address
+        address = {"moved": self.port,
+                   "misplaced": NOBODYS_PORT}.get(self.row, self.address)
         self.store.put("servers", self.name, {
             "service": "desk", "address": "127.0.0.1:%d" % address,
             "zone": "z1", "version": "1", "slots": 8, "cold_left_ms": 0,
@@ -164,7 +171,13 @@
             return 421, {}
         if path.endswith("/run-start"):
             time.sleep(self.start_late_s)
+        is_stop = path.endswith("/run-stop")
+        if is_stop and self.random.random() < self.refused_stops:
+            return 503, {"clock_ms": self.clock()}
         answer = self.obey(path, body)
+        if is_stop and self.random.random() < self.unanswered_stops:
+            time.sleep(self.stop_answer_s)
+            return None
         time.sleep({"/run-start": self.answer_s,
                     "/run-stop": self.stop_answer_s,
                     "/hold": self.hold_answer_s}.get(
