--- a/src/jobhost/event_log_test.cpp
+++ b/src/jobhost/event_log_test.cpp
@@ -109,7 +109,7 @@
     aLog.Write("second", "");
   });
   ASSERT_EQ(lines.size(), 2U);
-  constexpr std::int64_t kDay = 24 * 60 * 60 * 1000;
+  constexpr std::int64_t kDay = 86400000;
   const std::int64_t between =
     (TimeOf(lines[1]) - TimeOf(lines[0]) + kDay) % kDay;
   EXPECT_GE(between, 19);
