Share the jobs of one step and the runs that tests make

Eight tests of cells built the same job of one step line by line, and four tests of the target manager the same run. MakeSingleStepJob and MakeRun stand once now, beside the models.

--- a/src/jobs/ended_job_test.cpp
+++ b/src/jobs/ended_job_test.cpp
@@ -7,6 +7,7 @@
 #include <gmock/gmock.h>
 
 #include "job_cell_model.h"
+#include "single_step_job.h"
 
 namespace lycheestep {
 
@@ -17,14 +18,7 @@
 
 JobSpec MakeLongJob(std::uint32_t aTasks = 2)
 {
-  JobStep step;
-  step.m_count = aTasks;
-  step.m_demand = Resources(100, 100, 0, 0, 0);
-  step.m_estimate = seconds(60);
-  JobSpec spec;
-  spec.m_payload = "plan";
-  spec.m_steps = { step };
-  return spec;
+  return MakeSingleStepJob(aTasks, Resources(100, 100, 0, 0, 0), seconds(60));
 }
 
 // Runs a job, cancels it and lets all its runs end. Returns what the leader
--- a/src/jobs/lead_changes_stop_test.cpp
+++ b/src/jobs/lead_changes_stop_test.cpp
@@ -1,6 +1,7 @@
 // Tests of cancelled runs in cells whose leaders change again and again while
 // the runs are at work.
 #include "job_cell_model.h"
+#include "single_step_job.h"
 
 #include <algorithm>
 #include <chrono>
@@ -80,13 +81,8 @@
 
 JobSpec MakeLongJob(std::uint32_t aTasks, std::uint32_t aOccurrences)
 {
-  JobStep step;
-  step.m_count = aTasks;
-  step.m_demand = Resources(1000, 1024, 0, 0, 0);
-  step.m_estimate = seconds(60);
-  JobSpec spec;
-  spec.m_payload = "plan";
-  spec.m_steps = { step };
+  JobSpec spec =
+    MakeSingleStepJob(aTasks, Resources(1000, 1024, 0, 0, 0), seconds(60));
   spec.m_occurrences = aOccurrences;
   spec.m_interval = seconds(2);
   return spec;
--- a/src/jobs/remembered_target_test.cpp
+++ b/src/jobs/remembered_target_test.cpp
@@ -9,6 +9,7 @@
 #include "job_cell_model.h"
 #include "mock_job_effects.h"
 #include "mock_run_listener.h"
+#include "single_step_job.h"
 #include "target_manager.h"
 
 namespace lycheestep {
@@ -73,14 +74,7 @@
 
 JobSpec MakeJob(std::uint32_t aTasks, Duration aTime)
 {
-  JobStep step;
-  step.m_count = aTasks;
-  step.m_demand = Resources(2000, 1024, 0, 0, 0);
-  step.m_estimate = aTime;
-  JobSpec spec;
-  spec.m_payload = "plan";
-  spec.m_steps = { step };
-  return spec;
+  return MakeSingleStepJob(aTasks, Resources(2000, 1024, 0, 0, 0), aTime);
 }
 
 class RememberedTargetCellTest : public testing::TestWithParam<std::uint32_t>
--- a/src/jobs/replaced_target_test.cpp
+++ b/src/jobs/replaced_target_test.cpp
@@ -9,6 +9,7 @@
 
 #include "mock_job_effects.h"
 #include "mock_run_listener.h"
+#include "single_step_job.h"
 #include "target_manager.h"
 
 namespace lycheestep {
@@ -22,15 +23,6 @@
 
 constexpr std::uint32_t kRuns = 2;
 
-RunName MakeRun(std::uint32_t aIndex)
-{
-  RunName run;
-  run.m_task.m_step.m_job = JobId("a");
-  run.m_task.m_index = aIndex;
-  run.m_run = 1;
-  return run;
-}
-
 // A target that is taken and has runs, and the next one on its machine.
 class ReplacedTargetTest : public testing::Test
 {
--- a/src/jobs/slow_stop_test.cpp
+++ b/src/jobs/slow_stop_test.cpp
@@ -1,6 +1,7 @@
 // Tests of cancellations in cells whose targets answer stops slowly, so that
 // stops for one target have to leave before the earlier ones are answered.
 #include "job_cell_model.h"
+#include "single_step_job.h"
 
 #include <algorithm>
 #include <chrono>
@@ -32,14 +33,8 @@
 // A job whose tasks outlast the bound.
 JobSpec MakeLongJob(std::uint32_t aTasks)
 {
-  JobStep step;
-  step.m_count = aTasks;
-  step.m_demand = Resources(kTaskMilliCores, kTaskMegabytes, 0, 0, 0);
-  step.m_estimate = seconds(60);
-  JobSpec spec;
-  spec.m_payload = "plan";
-  spec.m_steps = { step };
-  return spec;
+  return MakeSingleStepJob(
+    aTasks, Resources(kTaskMilliCores, kTaskMegabytes, 0, 0, 0), seconds(60));
 }
 
 // A seed, how long a slow target takes to answer a stop, and the number of runs
--- a/src/jobs/slow_target_test.cpp
+++ b/src/jobs/slow_target_test.cpp
@@ -1,6 +1,7 @@
 // Tests of waves of cancellations in cells whose targets answer starts slowly,
 // so that many starts wait to be sent.
 #include "job_cell_model.h"
+#include "single_step_job.h"
 
 #include <chrono>
 #include <cstddef>
@@ -24,14 +25,7 @@
 
 JobSpec MakeJob()
 {
-  JobStep step;
-  step.m_count = 6;
-  step.m_demand = Resources(1000, 1024, 0, 0, 0);
-  step.m_estimate = seconds(1);
-  JobSpec spec;
-  spec.m_payload = "plan";
-  spec.m_steps = { step };
-  return spec;
+  return MakeSingleStepJob(6, Resources(1000, 1024, 0, 0, 0), seconds(1));
 }
 
 // Waves of jobs of which most are cancelled 0 to 2.5 s after their submission,
--- a/src/jobs/stop_monitor_test.cpp
+++ b/src/jobs/stop_monitor_test.cpp
@@ -6,6 +6,7 @@
 #include <gmock/gmock.h>
 
 #include "mock_job_effects.h"
+#include "single_step_job.h"
 #include "target_state.h"
 
 namespace lycheestep {
@@ -18,15 +19,6 @@
 using testing::HasSubstr;
 using testing::NiceMock;
 
-RunName MakeRun(std::uint32_t aIndex)
-{
-  RunName run;
-  run.m_task.m_step.m_job = JobId("a");
-  run.m_task.m_index = aIndex;
-  run.m_run = 1;
-  return run;
-}
-
 class StopMonitorTest : public testing::Test
 {
 protected:
--- a/src/jobs/stop_orders_test.cpp
+++ b/src/jobs/stop_orders_test.cpp
@@ -8,6 +8,7 @@
 
 #include "mock_job_effects.h"
 #include "mock_run_listener.h"
+#include "single_step_job.h"
 
 namespace lycheestep {
 
@@ -25,15 +26,6 @@
 
 constexpr FencingToken kToken = 5;
 
-RunName MakeRun(std::uint32_t aIndex)
-{
-  RunName run;
-  run.m_task.m_step.m_job = JobId("a");
-  run.m_task.m_index = aIndex;
-  run.m_run = 1;
-  return run;
-}
-
 // A new leader that expects runs of a former one on a target.
 class StopOrdersTest : public testing::Test
 {
--- a/src/jobs/stored_address_test.cpp
+++ b/src/jobs/stored_address_test.cpp
@@ -8,6 +8,7 @@
 #include <gmock/gmock.h>
 
 #include "job_cell_model.h"
+#include "single_step_job.h"
 #include "target_address.h"
 
 namespace lycheestep {
@@ -27,14 +28,8 @@
 
 JobSpec MakeJob(std::uint32_t aTasks, Duration aTime, std::int64_t aMilliCores)
 {
-  JobStep step;
-  step.m_count = aTasks;
-  step.m_demand = Resources(aMilliCores, 1024, 0, 0, 0);
-  step.m_estimate = aTime;
-  JobSpec spec;
-  spec.m_payload = "plan";
-  spec.m_steps = { step };
-  return spec;
+  return MakeSingleStepJob(
+    aTasks, Resources(aMilliCores, 1024, 0, 0, 0), aTime);
 }
 
 class StoredAddressTest : public testing::TestWithParam<std::uint32_t>
--- a/src/jobs/unlisted_target_stop_test.cpp
+++ b/src/jobs/unlisted_target_stop_test.cpp
@@ -1,6 +1,7 @@
 // Tests of runs that a former leader sent to targets which live and answer, but
 // which the platform's list no longer has when the next leader begins.
 #include "job_cell_model.h"
+#include "single_step_job.h"
 
 #include <algorithm>
 #include <chrono>
@@ -59,14 +60,9 @@
 // A job whose tasks outlast the bound and the leases of a former leader.
 JobSpec MakeLongJob(const CellShape& aShape)
 {
-  JobStep step;
-  step.m_count = aShape.m_tasks;
-  step.m_demand = Resources(aShape.m_milliCores, 1024, 0, 0, 0);
-  step.m_estimate = seconds(60);
-  step.m_gang = aShape.m_gang;
-  JobSpec spec;
-  spec.m_payload = "plan";
-  spec.m_steps = { step };
+  JobSpec spec = MakeSingleStepJob(
+    aShape.m_tasks, Resources(aShape.m_milliCores, 1024, 0, 0, 0), seconds(60));
+  spec.m_steps.front().m_gang = aShape.m_gang;
   return spec;
 }
 
--- a/src/jobs/withdrawn_start_test.cpp
+++ b/src/jobs/withdrawn_start_test.cpp
@@ -8,6 +8,7 @@
 
 #include "mock_job_effects.h"
 #include "mock_run_listener.h"
+#include "single_step_job.h"
 
 namespace lycheestep {
 
@@ -19,15 +20,6 @@
 using testing::Field;
 using testing::NiceMock;
 
-RunName MakeRun(std::uint32_t aIndex)
-{
-  RunName run;
-  run.m_task.m_step.m_job = JobId("a");
-  run.m_task.m_index = aIndex;
-  run.m_run = 1;
-  return run;
-}
-
 // A target that was taken and whose start of run 0 is on its way.
 class WithdrawnStartTest : public testing::Test
 {
--- a/src/jobs/wrong_address_stop_test.cpp
+++ b/src/jobs/wrong_address_stop_test.cpp
@@ -9,6 +9,7 @@
 #include <gmock/gmock.h>
 
 #include "job_cell_model.h"
+#include "single_step_job.h"
 
 namespace lycheestep {
 
@@ -27,14 +28,7 @@
 
 JobSpec MakeLongJob()
 {
-  JobStep step;
-  step.m_count = 4;
-  step.m_demand = Resources(4000, 1024, 0, 0, 0);
-  step.m_estimate = seconds(60);
-  JobSpec spec;
-  spec.m_payload = "plan";
-  spec.m_steps = { step };
-  return spec;
+  return MakeSingleStepJob(4, Resources(4000, 1024, 0, 0, 0), seconds(60));
 }
 
 // A cell whose targets are full of long tasks.
