Keep a job's segments until the store says that the job is over

The answer to that commit then had the segments removed, removals go before changes, and a leader lost in between left a job that the next one found running without any tasks: done ones would start again, and failures be forgotten. For jobs that are done the hazard is older.

Segments are now removed only when the stored state is that of the job.

Evidence: early_segment_removal_test, by the reviewer, failed in 2 of 2 before, none now; ended_job_test and job_commits_test pass.

--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -282,8 +282,10 @@
 
 void JobScheduler::RemoveOldSegments(Job& aJob)
 {
-  const bool isSettled = aJob.m_state == JobState::kDone ||
-                         (aJob.IsOver() && aJob.CountDispatched() == 0);
+  // A leader that finds the job running reads its tasks from the segments.
+  const bool endIsStored = aJob.IsOver() && aJob.m_storedState == aJob.m_state;
+  const bool isSettled = endIsStored && (aJob.m_state == JobState::kDone ||
+                                         aJob.CountDispatched() == 0);
   for (auto it = aJob.m_segments.begin(); it != aJob.m_segments.end();) {
     const bool needed =
       !isSettled && aJob.m_occurrences.count(it->first.m_occurrence) > 0;
