Give no work to a replaced target that writes its row again

It stays unlisted as long as the list has the later one. Runs of jobs that go on are still given up at once when their target is replaced: a machine has one target at a time.

--- a/src/jobs/replaced_target_test.cpp
+++ b/src/jobs/replaced_target_test.cpp
@@ -101,6 +101,7 @@
   m_manager.OnTargetListed(m_next, m_now);
   m_manager.SetFencingToken(6);
   Pass(milliseconds(10));
+  ASSERT_EQ(m_takes.at(m_record.m_target).m_to.m_fence, 6U);
   AnswerTakeWithAllRuns();
   Pass(milliseconds(10));
   ASSERT_EQ(m_stops.size(), kRuns);
@@ -113,6 +114,7 @@
   m_manager.OnTargetListed(m_next, m_now);
   m_manager.SetFencingToken(6);
   Pass(milliseconds(10));
+  ASSERT_EQ(m_takes.at(m_record.m_target).m_to.m_fence, 6U);
   AnswerTakeWithAllRuns();
   m_next.m_draining = true;
   m_manager.OnTargetListed(m_next, m_now);
@@ -120,6 +122,21 @@
   EXPECT_EQ(m_stops.size(), kRuns);
 }
 
+// Guards against a replaced target that lives, writes its row and gets work.
+TEST_F(ReplacedTargetTest, TargetThatIsListedAgainGetsNoWork)
+{
+  m_manager.OnTargetListed(m_next, m_now);
+  m_manager.SetFencingToken(6);
+  Pass(milliseconds(10));
+  m_manager.OnTargetListed(m_record, m_now);
+  AnswerTakeWithAllRuns();
+  Pass(milliseconds(10));
+  const TargetState* target = m_manager.Find(m_record.m_target);
+  ASSERT_NE(target, nullptr);
+  EXPECT_FALSE(target->TakesWork(m_now));
+  EXPECT_EQ(m_stops.size(), kRuns);
+}
+
 TEST_F(ReplacedTargetTest, TargetIsForgottenWithItsLeases)
 {
   m_manager.OnTargetListed(m_next, m_now);
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -46,6 +46,10 @@
   }
   target.m_record = aRecord;
   target.m_listed = true;
+  if (HasSuccessor(aRecord)) {
+    target.m_listed = false;
+    target.m_record.m_machine = MachineName();
+  }
   UpdateUnknownRuns(target);
   if (beginsToDrain) {
     WithdrawStarts(target);
@@ -80,6 +84,19 @@
   }
 }
 
+bool TargetManager::HasSuccessor(const TargetRecord& aRecord) const
+{
+  return !aRecord.m_machine.Empty() &&
+         std::any_of(
+           m_targets.begin(), m_targets.end(), [&aRecord](const auto& aEntry) {
+             const TargetRecord& other = aEntry.second.m_record;
+             return aEntry.second.m_listed &&
+                    other.m_machine == aRecord.m_machine &&
+                    other.m_target != aRecord.m_target &&
+                    aRecord.m_started < other.m_started;
+           });
+}
+
 void TargetManager::Retire(TargetState& aTarget)
 {
   aTarget.m_listed = false;
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -148,6 +148,8 @@
   // Gives up the runs of targets with other ids that started earlier on the
   // same machine.
   void RetireEarlierIncarnations(const TargetRecord& aRecord);
+  // Returns true if the list has a later target on the same machine.
+  bool HasSuccessor(const TargetRecord& aRecord) const;
   // Gives up the runs of a target. Until its leases are over it is taken if it
   // answers, and what it lists is stopped.
   void Retire(TargetState& aTarget);
