--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -123,9 +123,10 @@
                   "target=" + aTarget.m_record.m_target.Text() +
                     " status=" + ToString(aStatus));
   }
-  const bool mayBeElsewhere = aStatus == OrderStatus::kNotSent ||
-                              aStatus == OrderStatus::kUnknown ||
-                              aStatus == OrderStatus::kOtherTarget;
+  const bool mayBeElsewhere =
+    aOrder.m_to.m_address == aTarget.Address() &&
+    (aStatus == OrderStatus::kNotSent || aStatus == OrderStatus::kUnknown ||
+     aStatus == OrderStatus::kOtherTarget);
   if (mayBeElsewhere) {
     aTarget.TryOtherAddress();
   }
