Keep room for notable lines when the writer lags, and ignore late releases

A late release of a former leader hid the present one from leader-known; it counts only if the same process led.

Evidence: ALateReleaseLeavesTheNextLeader is new and passes; that the queue keeps room has no test.

--- a/src/jobhost/event_log.cpp
+++ b/src/jobhost/event_log.cpp
@@ -18,9 +18,10 @@
 
 namespace {
 
-// Maximum numbers of lines in the queue, and of routine and of notable lines
-// accepted per second.
+// Maximum numbers of lines in the queue, also before a routine line is added,
+// and of routine and of notable lines accepted per second.
 constexpr std::size_t kMaxQueuedLines = 4096;
+constexpr std::size_t kMaxQueuedBeforeRoutine = kMaxQueuedLines / 2;
 constexpr std::size_t kMaxRoutineLinesPerSecond = 600;
 constexpr std::size_t kMaxNotableLinesPerSecond = 600;
 
@@ -118,7 +119,9 @@
   m_metrics.Count("lycheestep_events_total", "event=\"" + aEvent + '"', 1);
   const TimePoint now = BootClockNow();
   const std::lock_guard<std::mutex> lock(m_mutex);
-  if (!aLimit.Admit(now)) {
+  const bool isCrowded =
+    &aLimit == &m_routineLimit && m_lines.size() >= kMaxQueuedBeforeRoutine;
+  if (isCrowded || !aLimit.Admit(now)) {
     ++m_dropped;
     return;
   }
--- a/src/jobhost/job_host_peers.cpp
+++ b/src/jobhost/job_host_peers.cpp
@@ -106,7 +106,7 @@
                          bool aReleased)
 {
   if (aReleased) {
-    m_leaderSighting.OnReleased();
+    m_leaderSighting.OnReleased(aIncarnation);
     return;
   }
   const auto fields =
--- a/src/jobhost/leader_sighting.cpp
+++ b/src/jobhost/leader_sighting.cpp
@@ -37,6 +37,13 @@
          std::to_string(ToMilliseconds(aNow - m_leader->m_since));
 }
 
+void LeaderSighting::OnReleased(std::uint64_t aIncarnation)
+{
+  if (m_leader && m_leader->m_incarnation == aIncarnation) {
+    m_leader.reset();
+  }
+}
+
 std::optional<std::string> LeaderSighting::CheckSilence(TimePoint aNow)
 {
   const bool begins = m_leader && !m_leader->m_isSilent &&
--- a/src/jobhost/leader_sighting.h
+++ b/src/jobhost/leader_sighting.h
@@ -21,8 +21,11 @@
                                          std::uint64_t aIncarnation,
                                          TimePoint aNow);
 
-  // Notes that the leader has released the lead, or that this host takes it.
-  void OnReleased() { m_leader.reset(); }
+  // Notes that a process has released the lead. Ignored if another one leads.
+  void OnReleased(std::uint64_t aIncarnation);
+
+  // Forgets who led, as this host takes the lead.
+  void Reset() { m_leader.reset(); }
 
   // Returns the fields of a log line if no heartbeat has come for a second,
   // once for each silence.
--- a/src/jobhost/leader_sighting_test.cpp
+++ b/src/jobhost/leader_sighting_test.cpp
@@ -64,12 +64,22 @@
   EXPECT_NE(sighting.CheckSilence(kStart + seconds(4)), std::nullopt);
 }
 
+// Guards against a late release of a former leader that hides the present one.
+TEST(LeaderSighting, ALateReleaseLeavesTheNextLeader)
+{
+  LeaderSighting sighting;
+  sighting.OnHeartbeat("b", kSecond, kStart);
+  sighting.OnReleased(kFirst);
+  EXPECT_EQ(sighting.OnHeartbeat("b", kSecond, kStart + milliseconds(250)),
+            std::nullopt);
+}
+
 TEST(LeaderSighting, AReleasedLeaderIsNotSilent)
 {
   LeaderSighting sighting;
   EXPECT_EQ(sighting.CheckSilence(kStart), std::nullopt);
   sighting.OnHeartbeat("a", kFirst, kStart);
-  sighting.OnReleased();
+  sighting.OnReleased(kFirst);
   EXPECT_EQ(sighting.CheckSilence(kStart + seconds(2)), std::nullopt);
   EXPECT_NE(sighting.OnHeartbeat("a", kFirst, kStart + seconds(3)),
             std::nullopt);
