--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -36,6 +36,7 @@
         self.hosts, self.workers, self.worker_ways = hosts, workers, worker_ways
         self.store, self.ledger = store, ledger
         self.random = random.Random(seed)
+        self.leaders_stopped = 0  # in series
 
     def play(self, seconds, faults):
         end = time.monotonic() + seconds
@@ -229,6 +230,7 @@
             if host is None or host.stopping_at is not None or not others:
                 continue
             self.begin_stop(host)
+            self.leaders_stopped += 1
             threading.Thread(target=self.finish_stop, daemon=True,
                              args=(host, self.random.random() < 0.3)).start()
 
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -35,6 +35,9 @@
 # After the last fault every accepted job ends within this.
 SETTLE_S = 90
 MAX_ATTEMPTS = 3
+# What a series has to have played at least.
+LEAST_LEADERS_STOPPED = 3
+LEAST_CANCELLED_ENDS = 20
 # Longer than a stalled way delays the write of a submission.
 RETENTION_MS = 15000
 QUEUE = {"name": "r1", "host": "desk.example", "path_prefix": "/plans/",
@@ -126,6 +129,19 @@
         self.ledger.in_calm_series = True
         self.faults.play(arguments.calm, faults)
         self.ledger.in_calm_series = False
+        self.check_enough_played()
+
+    def check_enough_played(self):
+        """A series that judged next to nothing shows nothing."""
+        kind = self.arguments.calm_faults
+        if kind == "series" and \
+                self.faults.leaders_stopped < LEAST_LEADERS_STOPPED:
+            self.ledger.breach("only %d leaders were stopped"
+                               % self.faults.leaders_stopped)
+        if kind in ("series", "misplaced") and \
+                self.ledger.cancelled_ends < LEAST_CANCELLED_ENDS:
+            self.ledger.breach("only %d ends of cancelled runs were judged"
+                               % self.ledger.cancelled_ends)
 
     def lose_service(self):
         """The same, longer and while the lead changes."""
