Review case 9: a task that lasts stays away after the loss of worker and leader

When a worker and the leading host end at the same moment, the next leader waits for the longest lease that could be, and the task has no run 9 s after its end.

--- a/review/stand_ins_2/stage.py
+++ b/review/stand_ins_2/stage.py
@@ -53,8 +53,9 @@
         self.unused_port = base + 1 + len(workers)
         self.folder = tempfile.TemporaryDirectory()
         self.fronts = []
+        self.settings = []
         for i in range(HOSTS):
-            self.start_host(i, self.unused_port + 1 + i * PORTS_PER_HOST)
+            self.add_host(i, self.unused_port + 1 + i * PORTS_PER_HOST)
 
     @staticmethod
     def config(routes):
@@ -70,7 +71,7 @@
                            "header_timeout_ms": 3000,
                            "idle_timeout_ms": 15000}}
 
-    def start_host(self, number, base):
+    def add_host(self, number, base):
         """Like a process of the deploy file, with the template's settings."""
         settings = {"host": "edge-z1-%d" % (number + 1), "data_centre": "z1",
                     "processor_share": 0.25,
@@ -84,13 +85,25 @@
         path = os.path.join(self.folder.name, settings["host"] + ".json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
-        with open(path + ".log", "wb") as log:
-            self.processes.append(subprocess.Popen(
+        self.settings.append(path)
+        self.processes.append(None)
+        self.start_host(number)
+        self.fronts.append((base, base + 1))
+
+    def start_host(self, number):
+        path = self.settings[number]
+        with open(path + ".log", "ab") as log:
+            self.processes[number] = subprocess.Popen(
                 [PROGRAM, "host"], cwd=ROOT, stdout=log, stderr=log,
                 env={"PATH": os.environ["PATH"],
                      "HOME": self.folder.name, "LANG": "C.UTF-8",
-                     "LYCHEESTEP_NODE_FILE": path}))
-        self.fronts.append((base, base + 1))
+                     "LYCHEESTEP_NODE_FILE": path})
+
+    def leader(self):
+        """The number of the host whose name is in the leader's row."""
+        names = ["edge-z1-%d" % (i + 1) for i in range(HOSTS)]
+        name = self.store.leading(names)
+        return names.index(name) if name else None
 
     def note(self, event, **fields):
         """Writes what a client, a worker or the platform saw."""
