--- a/review/stand_ins_2/worker.py
+++ b/review/stand_ins_2/worker.py
@@ -130,11 +130,11 @@
         self.lock.notify_all()
 
     def serve(self, _method, path, _query, body, headers):
-        if not self.is_up:
-            return None
-        if headers.get("Expect-Instance", self.name) != self.name:
-            return 421, {"clock_ms": self.clock()}
         with self.lock:
+            if not self.is_up:
+                return None
+            if headers.get("Expect-Instance", self.name) != self.name:
+                return 421, {"clock_ms": self.clock()}
             token = body.get("fencing_token", 0)
             if token < self.fence:
                 return 409, {"clock_ms": self.clock(), "reason": "fence"}
