--- a/review/8/case.py
+++ b/review/8/case.py
@@ -6,7 +6,8 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "stand_ins_2"))
 
-from stage import BROKEN, COULD_NOT_RUN, HELD, Stage, trouble  # noqa: E402
+from stage import BROKEN, COULD_NOT_RUN, HELD  # noqa: E402
+from stage import Stage, run_case, trouble  # noqa: E402
 
 QUEUE = "/plans/"
 CPU = 16000
@@ -84,4 +85,4 @@
     stage.finish(HELD, "the submissions were run")
 
 
-main()
+run_case(main)
--- a/review/stand_ins_2/stage.py
+++ b/review/stand_ins_2/stage.py
@@ -11,6 +11,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "testsuite" / "soak"))
@@ -34,17 +35,35 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def run_case(main):
+    """Runs a case; an error of its own is no broken rule."""
+    def give_up(*_):
+        for stage in Stage.running:
+            stage.finish(COULD_NOT_RUN, "the case was ended or has an error")
+        os._exit(COULD_NOT_RUN)
+
+    signal.signal(signal.SIGTERM, give_up)
+    try:
+        main()
+    except BaseException:  # also the end that free_ports makes
+        traceback.print_exc()
+    give_up()
+
+
 class Stage:
     """The store, the workers and the hosts of a small deployment."""
 
+    running = []
+
     def __init__(self, folder, workers, routes):
+        Stage.running.append(self)
+        self.processes = []
         self.began = time.monotonic()
         self.record = open(pathlib.Path(folder) / "record.txt", "w",
                            encoding="utf-8")
         self.lock = threading.Lock()
         self.events = []  # (time in s, event, fields)
         self.work = {}  # job id -> behaviour of its runs
-        self.processes = []
         base = free_ports(1 + len(workers) + 1 + HOSTS * PORTS_PER_HOST)
         self.store = Store(base, 1)
         self.store.put("op", "config", self.config(routes))
@@ -158,10 +177,11 @@
         """Ends all processes and the script."""
         self.note("result", exit=result, reason=reason)
         print(reason)
-        for process in self.processes:
+        processes = [process for process in self.processes if process]
+        for process in processes:
             process.send_signal(signal.SIGTERM)
         until = time.monotonic() + GRACE_S
-        for process in self.processes:
+        for process in processes:
             try:
                 process.wait(max(0.0, until - time.monotonic()))
             except subprocess.TimeoutExpired:
