Report capacity in quarantine apart from that of silent targets

fleet-state and the gauges put free capacity of quarantined targets together with that of targets that are not taken, silent or draining.

--- a/src/jobs/placement_monitor.cpp
+++ b/src/jobs/placement_monitor.cpp
@@ -150,7 +150,9 @@
     capacity.m_usedMemory += target.m_used.Get(ResourceKind::kMemory);
     capacity.m_total += total;
     capacity.m_used += used;
-    if (!target.TakesWork(aNow)) {
+    if (target.m_quarantinedUntil > aNow) {
+      capacity.m_quarantined += total - used;
+    } else if (!target.TakesWork(aNow)) {
       capacity.m_unusable += total - used;
     } else if (aReservations.IsReserved(id)) {
       capacity.m_freeReserved += total - used;
@@ -199,6 +201,8 @@
     PercentField("free_percent", capacity.m_free, capacity.m_total) +
     PercentField(
       "reserved_free_percent", capacity.m_freeReserved, capacity.m_total) +
+    PercentField(
+      "quarantined_percent", capacity.m_quarantined, capacity.m_total) +
     PercentField("unusable_percent", capacity.m_unusable, capacity.m_total) +
     " waiting_steps=" + std::to_string(steps) +
     " waiting_gangs=" + std::to_string(aWaiting.m_gangs);
@@ -221,6 +225,8 @@
                    static_cast<double>(capacity.m_used) / 1000);
   metrics.SetGauge("lycheestep_fleet_reserved_free_processors",
                    static_cast<double>(capacity.m_freeReserved) / 1000);
+  metrics.SetGauge("lycheestep_fleet_quarantined_processors",
+                   static_cast<double>(capacity.m_quarantined) / 1000);
   metrics.SetGauge("lycheestep_fleet_unusable_processors",
                    static_cast<double>(capacity.m_unusable) / 1000);
   metrics.SetGauge("lycheestep_waiting_steps", static_cast<double>(steps));
