Keep no accepted work from free capacity by quarantine

Cause: the quarantine counted failures in a row on a target, whatever jobs they were of, and excluded the target from all work. So failures that speak of a job counted against each target, and nothing kept all targets of a service from being excluded at the same time.

Change: TargetQuarantine counts jobs, not tasks, and takes back the failures of a job that fails on several targets and succeeds on none. Its evidence ends after 30 s, with a success that began later, and with a restart of the target. AvoidedTargets makes quarantine a preference: targets in quarantine are chosen last, and work waits for others only while at least half of the service is not in quarantine, and for 1 s at most unless 60 % of the service's processors are in use.

--- a/src/jobs/advice_cache.cpp
+++ b/src/jobs/advice_cache.cpp
@@ -277,9 +277,8 @@
     TimeOfCall(aJob.m_terms.m_advice, aAdvice.m_fit.size());
   TargetsToAsk toAsk;
   for (const auto& [id, target] : m_keeper.Targets()) {
-    const bool usable = target.TakesWork(aNow) &&
-                        target.m_record.m_service == aJob.m_terms.m_service &&
-                        LabelsAllow(step, target);
+    const bool usable = target.m_record.m_service == aJob.m_terms.m_service &&
+                        aNeed.m_mayUse(target) && LabelsAllow(step, target);
     const std::size_t whole =
       usable ? TasksThatFit(step, target.m_record.m_capacity) : 0;
     if (whole == 0) {
--- a/src/jobs/advice_cache.h
+++ b/src/jobs/advice_cache.h
@@ -46,6 +46,8 @@
   // When a gang expects all of the capacity that it has reserved; nothing if it
   // has reserved none.
   std::optional<TimePoint> m_expectedAt;
+  // Returns true if the target takes work and the step may use it.
+  std::function<bool(const TargetState&)> m_mayUse;
   // Returns the free capacity of a target that the step may use.
   std::function<Resources(const TargetState&)> m_available;
 };
--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -20,6 +20,19 @@
 constexpr std::int64_t kBusyFleetPercent = 60;
 constexpr std::int64_t kWhole = 100;
 
+template<typename Predicate>
+std::vector<PlacementCandidate> Select(
+  const std::vector<PlacementCandidate>& aCandidates,
+  const Predicate& aPredicate)
+{
+  std::vector<PlacementCandidate> selected;
+  std::copy_if(aCandidates.begin(),
+               aCandidates.end(),
+               std::back_inserter(selected),
+               aPredicate);
+  return selected;
+}
+
 } // namespace
 
 std::vector<JobScheduler::ReadyStep*> JobScheduler::RankReadySteps(
@@ -29,6 +42,9 @@
   steps.reserve(m_ready.size());
   for (auto& [name, step] : m_ready) {
     const Job& job = *step.m_job;
+    if (step.m_progress->m_dispatched > 0 && !step.m_step->m_longRunning) {
+      step.m_idleSince = aNow;
+    }
     const StepRank::Lateness before = step.m_rank.m_lateness;
     step.m_rank = RankOf(
       job.m_terms, job.m_criticalPath, step.m_remaining, step.m_due, aNow);
@@ -51,6 +67,7 @@
   m_placementDue = false;
   m_lastPlacement = aNow;
   m_gangReservations.BeginRound(m_keeper.ListedCapacity(), aNow);
+  m_avoidedTargets.BeginRound(m_keeper.Targets(), aNow);
   const std::vector<ReadyStep*> steps = RankReadySteps(aNow);
   m_advice.Hosts().BeginRound(CountQueues(steps), HasMuchFreeCapacity());
   m_stepsOverShare.clear();
@@ -142,6 +159,9 @@
   need.m_inTime = aStep.m_rank.m_lateness == StepRank::Lateness::kInTime;
   need.m_beyondShare = aBeyondShare;
   need.m_expectedAt = m_gangReservations.ReadyAt(aStep.m_name);
+  need.m_mayUse = [&](const TargetState& aTarget) {
+    return MayUse(aStep, aTarget, aNow);
+  };
   need.m_available = [&](const TargetState& aTarget) {
     return FreeFor(aStep, aTarget, aNow);
   };
@@ -216,7 +236,8 @@
   gang.m_targets = [&] {
     std::vector<const TargetState*> targets;
     const auto add = [&](const TargetState& aTarget) {
-      if (aTarget.m_record.m_service == service && LabelsAllow(step, aTarget)) {
+      if (aTarget.m_record.m_service == service && LabelsAllow(step, aTarget) &&
+          MayUse(aStep, aTarget, aNow)) {
         targets.push_back(&aTarget);
       }
     };
@@ -232,6 +253,17 @@
   m_gangReservations.OnGangNotPlaced(gang, aNow);
 }
 
+bool JobScheduler::MayUse(const ReadyStep& aStep,
+                          const TargetState& aTarget,
+                          TimePoint aNow) const
+{
+  PlacementNeed need;
+  need.m_idleFor = aNow - aStep.m_idleSince;
+  need.m_longRunning = aStep.m_step->m_longRunning;
+  return aTarget.TakesWork(aNow) &&
+         m_avoidedTargets.MayUse(aTarget, need, aNow);
+}
+
 std::vector<PlacementCandidate> JobScheduler::FindCandidates(
   const ReadyStep& aStep,
   TimePoint aNow)
@@ -275,7 +307,7 @@
   const JobStep& step = *aStep.m_step;
   const Resources free = FreeFor(aStep, aTarget, aNow);
   const bool usable =
-    aTarget.TakesWork(aNow) &&
+    MayUse(aStep, aTarget, aNow) &&
     aTarget.m_record.m_service == aStep.m_job->m_terms.m_service &&
     DemandOf(step).FitsIn(free) && LabelsAllow(step, aTarget) &&
     !InterferesWithRuns(step, aTarget);
@@ -285,6 +317,7 @@
   PlacementCandidate candidate;
   candidate.m_target = &aTarget;
   candidate.m_free = free;
+  candidate.m_quarantined = aTarget.IsQuarantined(aNow);
   candidate.m_tasksLeft = TasksAllowed(aStep.m_name, step, aTarget);
   candidate.m_nearData = step.m_dataRack.empty() ||
                          step.m_dataRack == aTarget.m_record.m_rack.Text();
@@ -365,33 +398,45 @@
 {
   const JobStep& step = *aStep.m_step;
   StepProgress& progress = *aStep.m_progress;
+  const auto isHealthy = [](const PlacementCandidate& aCandidate) {
+    return !aCandidate.m_quarantined;
+  };
+  const auto hasNotFailed = [&](const PlacementCandidate& aCandidate) {
+    return isHealthy(aCandidate) &&
+           progress.m_failedOn.count(aCandidate.m_target->m_record.m_target) ==
+             0;
+  };
+  const auto choose = [&step](const std::vector<PlacementCandidate>& aFrom) {
+    return ChooseGang(aFrom, DemandOf(step), step.m_count, step.m_sameRack);
+  };
   // Targets on which a member failed are used only if the gang does not fit on
-  // the others.
-  std::vector<PlacementCandidate> others;
-  std::copy_if(aCandidates.begin(),
-               aCandidates.end(),
-               std::back_inserter(others),
-               [&progress](const PlacementCandidate& aCandidate) {
-                 return progress.m_failedOn.count(
-                          aCandidate.m_target->m_record.m_target) == 0;
-               });
-  const std::vector<PlacementCandidate>* from = &others;
-  auto chosen =
-    ChooseGang(others, DemandOf(step), step.m_count, step.m_sameRack);
-  if (!chosen && others.size() < aCandidates.size()) {
-    from = &aCandidates;
-    chosen =
-      ChooseGang(aCandidates, DemandOf(step), step.m_count, step.m_sameRack);
+  // the others, and those in quarantine last.
+  std::vector<PlacementCandidate> from = Select(aCandidates, hasNotFailed);
+  auto chosen = choose(from);
+  if (!chosen && from.size() < aCandidates.size()) {
+    from = Select(aCandidates, isHealthy);
+    chosen = choose(from);
+  }
+  if (!chosen && from.size() < aCandidates.size()) {
+    from = aCandidates;
+    chosen = choose(from);
   }
   if (!chosen) {
     return step.m_count;
   }
-  const std::uint32_t run = progress.m_lastRun + 1;
-  for (std::uint32_t i = 0; i < step.m_count; ++i) {
-    Dispatch(aStep, i, run, (*from)[(*chosen)[i]].m_target->m_record.m_target);
+  DispatchGang(aStep, from, *chosen);
+  return 0;
+}
+
+void JobScheduler::DispatchGang(const ReadyStep& aStep,
+                                const std::vector<PlacementCandidate>& aFrom,
+                                const std::vector<std::size_t>& aChosen)
+{
+  const std::uint32_t run = aStep.m_progress->m_lastRun + 1;
+  for (std::uint32_t i = 0; i < aStep.m_step->m_count; ++i) {
+    Dispatch(aStep, i, run, aFrom[aChosen[i]].m_target->m_record.m_target);
   }
   m_ready.erase(aStep.m_name);
-  return 0;
 }
 
 void JobScheduler::Dispatch(const ReadyStep& aStep,
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -60,8 +60,8 @@
   CheckForStall(aTarget, aTask, ref, aNow);
 }
 
-// Stops a run that has stalled and quarantines its target, so that the task is
-// retried on another target.
+// Stops a run that has stalled, so that the task is retried, on another target
+// if there is one.
 void JobScheduler::CheckForStall(const TargetId& aTarget,
                                  const RunningTask& aRunning,
                                  TaskRef& aRef,
@@ -84,7 +84,8 @@
                        RunFields(aRunning.m_run, aTarget) +
                          " percent=" + std::to_string(task.m_percent));
   task.m_progressAt = aNow;
-  m_keeper.Quarantine(aTarget, aNow);
+  m_keeper.Quarantine().OnTaskStalled(
+    aTarget, aRunning.m_run.m_task.m_step.m_job, HasDoneTasks(aRef), aNow);
   m_keeper.Stop(aTarget, aRunning.m_run, aNow);
 }
 
@@ -133,7 +134,7 @@
     UpdateCheckpoint(ref, aTask.m_checkpoint);
   }
   if (aTask.m_end == RunEnd::kDone && !ref.m_step->m_longRunning) {
-    m_keeper.NoteTaskDone(aTarget);
+    m_keeper.Quarantine().OnTaskDone(aTarget, ref.m_task->m_startedAt);
     if (!newest) {
       // An older run, which the leader had given up, completed the task.
       StopNewerRuns(ref, name);
@@ -148,7 +149,8 @@
     return; // the task was requeued when the run was given up
   }
   if (aTask.m_end == RunEnd::kFailed) {
-    m_keeper.NoteTaskFailed(aTarget, aNow);
+    m_keeper.Quarantine().OnTaskFailed(
+      aTarget, name.m_step.m_job, HasDoneTasks(ref), aNow);
     FailTask(ref, name);
     return;
   }
@@ -377,6 +379,7 @@
                std::to_string(ToMilliseconds(aNow - aJob.m_acceptedAt)));
   StopAllRuns(aJob, aNow);
   m_advice.RemoveJob(aJob.m_id, aNow);
+  m_keeper.Quarantine().OnJobOver(aJob.m_id);
   m_finishedJobs.emplace(aNow + m_settings.m_retention, aJob.m_id);
   aJob.m_spec.m_payload.clear();
   MarkChanged(aJob);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -360,6 +360,7 @@
       ReadyStep& ready = found->second;
       if (isNew) {
         ready.m_waits.Begin(m_now);
+        ready.m_idleSince = m_now;
       }
       ready.m_name = name;
       ready.m_job = &aJob;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "advice_cache.h"
+#include "avoided_targets.h"
 #include "changed_rows.h"
 #include "gang_reservations.h"
 #include "job.h"
@@ -203,6 +204,10 @@
     StepProgress* m_progress = nullptr;
     TimePoint m_due;
     StepWaits m_waits;
+    // Since when the step has been ready without any dispatched task, as of the
+    // last placement round. While tasks that run until their job is cancelled
+    // wait, it is when the step became ready.
+    TimePoint m_idleSince;
     // The estimated time that the unfinished steps of the occurrence need,
     // along their longest path.
     Duration m_remaining = Duration::zero();
@@ -216,6 +221,11 @@
                   const std::string& aFields);
   void AddJob(const ReadJob& aRead, TimePoint aNow);
   TaskRef FindTask(const TaskName& aName);
+  // Returns true if any task of the step has succeeded.
+  static bool HasDoneTasks(const TaskRef& aRef)
+  {
+    return aRef.m_progress->m_done > 0;
+  }
   void MarkRunning(const JobId& aJob);
   // Stores the address of a target that may have runs: the one at which it
   // answers, or the one in the list if none is stored.
@@ -310,6 +320,11 @@
   std::vector<PlacementCandidate> FindCandidates(const ReadyStep& aStep,
                                                  TimePoint aNow);
   void ReserveForGang(const ReadyStep& aStep, TimePoint aNow);
+  // Returns true if the target takes work, and the step may use it even if it
+  // is in quarantine.
+  bool MayUse(const ReadyStep& aStep,
+              const TargetState& aTarget,
+              TimePoint aNow) const;
   bool InterferesWithRuns(const JobStep& aStep, const TargetState& aTarget);
   // Returns the target's free capacity that no gang has reserved from the step.
   Resources FreeFor(const ReadyStep& aStep,
@@ -325,6 +340,10 @@
                          TimePoint aNow);
   std::size_t PlaceGang(const ReadyStep& aStep,
                         const std::vector<PlacementCandidate>& aCandidates);
+  // Dispatches the tasks of a gang to the candidates with the chosen indexes.
+  void DispatchGang(const ReadyStep& aStep,
+                    const std::vector<PlacementCandidate>& aFrom,
+                    const std::vector<std::size_t>& aChosen);
   // Reserves the target's capacity for the run and leaves the dispatch to the
   // next commits; SendStarts sends the start order afterwards.
   void Dispatch(const ReadyStep& aStep,
@@ -394,6 +413,7 @@
   TargetDirectory m_directory;
   AdviceCache m_advice;
   GangReservations m_gangReservations;
+  AvoidedTargets m_avoidedTargets;
   PlacementMonitor m_monitor;
   ClusterConfig m_config;
   std::map<JobId, Job> m_jobs;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -15,7 +15,7 @@
 constexpr int kTooLateFactor = 3;
 
 // The sort key of a candidate; the smallest is chosen.
-using Score = std::tuple<bool, bool, double>;
+using Score = std::tuple<bool, bool, bool, double>;
 
 double FreeShare(const Resources& aFree, const TargetState& aTarget)
 {
@@ -127,7 +127,8 @@
       continue;
     }
     const bool avoided = candidate.m_target->m_record.m_target == aAvoid;
-    const Score score(avoided,
+    const Score score(candidate.m_quarantined,
+                      avoided,
                       !candidate.m_nearData,
                       FreeShare(candidate.m_free, *candidate.m_target));
     if (!best || score < bestScore) {
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -76,12 +76,15 @@
   // True if the target is in the rack of the step's data, or the step names no
   // such rack.
   bool m_nearData = false;
+  // True if the target is in quarantine. It is chosen only if no other fits.
+  bool m_quarantined = false;
 };
 
-// Chooses a target for one task. Prefers targets near the step's data, then the
-// target with the smallest share of its capacity free, so that nearly empty
-// targets stay available for gangs and large tasks. aAvoid is chosen only if no
-// other target fits. Subtracts aDemand from the free capacity of the chosen
+// Chooses a target for one task. Prefers targets that are not in quarantine,
+// then those near the step's data, then the target with the smallest share of
+// its capacity free, so that nearly empty targets stay available for gangs and
+// large tasks. aAvoid is chosen only if no other target that is not in
+// quarantine fits. Subtracts aDemand from the free capacity of the chosen
 // candidate, and one from its m_tasksLeft. Returns an index into aCandidates,
 // or nothing if the task fits nowhere.
 std::optional<std::size_t> ChooseTarget(
--- a/src/jobs/placement_monitor.cpp
+++ b/src/jobs/placement_monitor.cpp
@@ -150,10 +150,10 @@
     capacity.m_usedMemory += target.m_used.Get(ResourceKind::kMemory);
     capacity.m_total += total;
     capacity.m_used += used;
-    if (target.m_quarantinedUntil > aNow) {
-      capacity.m_quarantined += total - used;
-    } else if (!target.TakesWork(aNow)) {
+    if (!target.TakesWork(aNow)) {
       capacity.m_unusable += total - used;
+    } else if (target.IsQuarantined(aNow)) {
+      capacity.m_quarantined += total - used;
     } else if (aReservations.IsReserved(id)) {
       capacity.m_freeReserved += total - used;
     } else {
--- a/src/jobs/placement_monitor.h
+++ b/src/jobs/placement_monitor.h
@@ -122,10 +122,9 @@
     // Free on targets that take work now, reserved for a gang or not.
     std::int64_t m_freeReserved = 0;
     std::int64_t m_free = 0;
-    // Free on targets that are in quarantine.
+    // Free on targets that take work and are in quarantine.
     std::int64_t m_quarantined = 0;
-    // Free on targets that take no work for another reason: not taken, silent
-    // or draining.
+    // Free on targets that take no work now: not taken, silent or draining.
     std::int64_t m_unusable = 0;
     std::int64_t m_memory = 0;
     std::int64_t m_usedMemory = 0;
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -166,6 +166,9 @@
   aTarget.m_answersHolds = false;
   aTarget.m_holdFailures = 0;
   aTarget.m_retryAt = aNow;
+  aTarget.m_startRetryAt = aNow;
+  aTarget.m_refusals = 0;
+  aTarget.m_failures = FailureEvidence();
   m_committing.erase(aTarget.m_record.m_target);
   WithdrawStarts(aTarget);
 }
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -21,6 +21,7 @@
   , m_effects(aEffects)
   , m_listener(aListener)
   , m_stopMonitor(aEffects)
+  , m_quarantine(m_targets, aEffects)
 {
 }
 
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -8,6 +8,7 @@
 #include "job_effects.h"
 #include "stop_monitor.h"
 #include "target_address.h"
+#include "target_quarantine.h"
 #include "target_state.h"
 
 namespace lycheestep {
@@ -105,14 +106,8 @@
   void NoteCommitBegun();
   void NoteCommitDone();
 
-  // Reports that a task succeeded or failed on a target. Several failures in a
-  // row quarantine the target.
-  void NoteTaskDone(const TargetId& aTarget);
-  void NoteTaskFailed(const TargetId& aTarget, TimePoint aNow);
-
-  // Sends no new runs to the target for a few seconds, because a task on it
-  // made no progress.
-  void Quarantine(const TargetId& aTarget, TimePoint aNow);
+  // Is told of each task that succeeds, fails or stalls on a target.
+  TargetQuarantine& Quarantine() { return m_quarantine; }
 
   // Takes untaken targets, sends the holds and stops that are due, drops runs
   // whose lease has expired, and removes targets that are no longer needed.
@@ -209,6 +204,7 @@
   RunListener& m_listener;
   StopMonitor m_stopMonitor;
   std::map<TargetId, TargetState> m_targets;
+  TargetQuarantine m_quarantine;
   // The number of the last run end processed of each target when the commit in
   // progress began. Targets whose run ends are all stored have no entry.
   std::map<TargetId, std::uint64_t> m_committing;
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -1,6 +1,5 @@
 // The part of TargetManager that accounts for runs: reserves their capacity,
-// sends their starts, drops those that are over, and quarantines the targets on
-// which they fail.
+// sends their starts, and drops those that are over.
 #include <algorithm>
 #include <vector>
 
@@ -12,18 +11,10 @@
 
 namespace {
 
-// Quarantine of a target that refused a start. It doubles with each further
-// refusal in a row, at most kMaxQuarantineDoublings times.
-constexpr Duration kRefusalQuarantine = std::chrono::milliseconds(300);
-constexpr std::uint32_t kMaxQuarantineDoublings = 4;
-
-// A target on which this many tasks failed in a row is quarantined. The time
-// doubles with each further failure, at most kMaxQuarantineDoublings times.
-constexpr std::uint32_t kFailuresBeforeQuarantine = 2;
-constexpr Duration kFailureQuarantine = std::chrono::milliseconds(1500);
-
-// Quarantine of a target on which a task made no progress.
-constexpr Duration kStallQuarantine = std::chrono::seconds(4);
+// The delay before the next start to a target that refused one. It doubles with
+// each further refusal in a row, at most kMaxDelayDoublings times.
+constexpr Duration kRefusedStartDelay = std::chrono::milliseconds(300);
+constexpr std::uint32_t kMaxDelayDoublings = 4;
 
 } // namespace
 
@@ -160,9 +151,9 @@
     case OrderStatus::kLeaseOver: // starts wait there for too long
     case OrderStatus::kUnhealthy:
     case OrderStatus::kNotSent:
-      target.m_quarantinedUntil =
-        aNow + kRefusalQuarantine *
-                 (1U << std::min(target.m_refusals, kMaxQuarantineDoublings));
+      target.m_startRetryAt =
+        aNow + kRefusedStartDelay *
+                 (1U << std::min(target.m_refusals, kMaxDelayDoublings));
       ++target.m_refusals;
       break;
     default:
@@ -172,43 +163,6 @@
   m_listener.OnRunLost(aOrder.m_to.m_target, aOrder.m_run, aAnswer.m_status);
 }
 
-void TargetManager::NoteTaskDone(const TargetId& aTarget)
-{
-  const auto found = m_targets.find(aTarget);
-  if (found != m_targets.end()) {
-    found->second.m_consecutiveFailures = 0;
-  }
-}
-
-void TargetManager::NoteTaskFailed(const TargetId& aTarget, TimePoint aNow)
-{
-  const auto found = m_targets.find(aTarget);
-  if (found == m_targets.end()) {
-    return;
-  }
-  TargetState& target = found->second;
-  ++target.m_consecutiveFailures;
-  if (target.m_consecutiveFailures < kFailuresBeforeQuarantine) {
-    return;
-  }
-  const std::uint32_t doublings =
-    target.m_consecutiveFailures - kFailuresBeforeQuarantine;
-  target.m_quarantinedUntil =
-    aNow +
-    kFailureQuarantine * (1U << std::min(doublings, kMaxQuarantineDoublings));
-  m_effects.Log("target-rests",
-                "target=" + aTarget.Text() + " failures_in_a_row=" +
-                  std::to_string(target.m_consecutiveFailures));
-}
-
-void TargetManager::Quarantine(const TargetId& aTarget, TimePoint aNow)
-{
-  const auto found = m_targets.find(aTarget);
-  if (found != m_targets.end()) {
-    found->second.m_quarantinedUntil = aNow + kStallQuarantine;
-  }
-}
-
 void TargetManager::DropSentRuns(TargetState& aTarget)
 {
   std::vector<RunName> sent;
--- a/src/jobs/target_state.cpp
+++ b/src/jobs/target_state.cpp
@@ -49,7 +49,7 @@
 bool TargetState::TakesWork(TimePoint aNow) const
 {
   return m_listed && m_phase == TargetPhase::kHeld && m_holdFailures == 0 &&
-         !m_record.m_draining && m_quarantinedUntil <= aNow;
+         !m_record.m_draining && m_startRetryAt <= aNow;
 }
 
 TimePoint TargetState::LeaseExpiry() const
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "failure_evidence.h"
 #include "lycheestep/target_orders.h"
 #include "lycheestep/target_record.h"
 #include "lycheestep/time_types.h"
@@ -111,11 +112,12 @@
   // False if the last stop found no connection to the target.
   bool m_isConnected = true;
 
-  // No starts are sent before this time, because the target refused some, tasks
-  // failed there in a row or a task made no progress.
-  TimePoint m_quarantinedUntil;
+  // No starts are sent before this time, because the target refused m_refusals
+  // of them in a row.
+  TimePoint m_startRetryAt;
   std::uint32_t m_refusals = 0;
-  std::uint32_t m_consecutiveFailures = 0;
+  // What tasks that failed there say of the target.
+  FailureEvidence m_failures;
 
   // Returns the address to which orders go; empty if none is known.
   const std::string& Address() const
@@ -133,6 +135,12 @@
   // Returns true if new runs may be sent to the target.
   bool TakesWork(TimePoint aNow) const;
 
+  // Returns true if new runs should go to other targets, see AvoidedTargets.
+  bool IsQuarantined(TimePoint aNow) const
+  {
+    return m_failures.m_quarantinedUntil > aNow;
+  }
+
   // Returns the time when every lease given has expired, by the leader's clock,
   // even if the target's clock runs as slowly as it may.
   TimePoint LeaseExpiry() const;
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -76,6 +76,7 @@
                 const StartOrder& aOrder,
                 TimePoint aNow) {
         m_newestStartAt = i;
+        ++m_startsOn[i];
         CheckStart(aTarget, aOrder, aNow);
       }));
   }
@@ -526,7 +527,9 @@
   RunPlan plan;
   plan.m_demand = step.m_demand;
   plan.m_workTime = step.m_estimate / 2 + step.m_estimate * (draw % 100) / 100;
-  plan.m_fails = draw % 31 == 0;
+  const bool failsByChance = m_faults.m_runsFailByChance && draw % 31 == 0;
+  plan.m_fails =
+    failsByChance || m_failingJobs.count(aRun.m_task.m_step.m_job) > 0;
   if (step.m_longRunning && !plan.m_fails) {
     plan.m_workTime = kLongRunTime;
   }
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -25,6 +25,8 @@
   // Shares of orders that get no answer, and that are carried out late.
   double m_lostOrders = 0;
   double m_lateOrders = 0;
+  // A run in 31 fails by chance, always the same ones.
+  bool m_runsFailByChance = true;
   // No call reaches the store.
   bool m_storeDown = false;
   // How long every second target takes to answer a start, a stop or a hold. The
@@ -106,6 +108,8 @@
   void SetStopTime(Duration aTime);
   // All tasks on the target fail.
   void FailOnTarget(std::size_t aTarget) { m_targets[aTarget]->FailAll(true); }
+  // All runs of the job's tasks fail from now on, on whatever target.
+  void FailJob(const JobId& aJob) { m_failingJobs.insert(aJob); }
   // Tasks on the target stand still.
   void HangTarget(std::size_t aTarget) { m_targets[aTarget]->Hang(true); }
 
@@ -133,6 +137,12 @@
   std::size_t Starts() const { return m_starts; }
   // The target that carried out the newest start.
   std::size_t TargetOfNewestStart() const { return m_newestStartAt; }
+  // The number of starts that the target carried out.
+  std::size_t StartsOn(std::size_t aTarget) const
+  {
+    const auto starts = m_startsOn.find(aTarget);
+    return starts != m_startsOn.end() ? starts->second : 0;
+  }
   // Starts that resumed from a checkpoint of their task.
   std::size_t Resumed() const { return m_ledger.Resumed(); }
   std::size_t Commits() const { return m_commits; }
@@ -231,6 +241,7 @@
   std::size_t m_rowBytes = kDefaultRowBytes;
   RowTableModel m_table;
   std::set<JobId> m_cancels;
+  std::set<JobId> m_failingJobs;
 
   std::vector<std::unique_ptr<Term>> m_terms;
 
@@ -258,6 +269,7 @@
   TimePoint m_nextWaitingCheck;
   StartLedger m_ledger;
   std::size_t m_starts = 0;
+  std::map<std::size_t, std::size_t> m_startsOn;
   std::size_t m_newestStartAt = 0;
   std::size_t m_commits = 0;
   std::uint64_t m_lastJob = 0;
