Send the next start to a target that refused some after 1.2 s at most

What callers may see: work waits beside free capacity for up to 4.8 s after all of a service's targets refused starts and take them again.

Cause: the delay after a refused start doubled up to 16 times 300 ms, longer than the 3 s after which such waiting counts as lost work.

Change: it doubles twice at most. A refusal is the target's own word, so the target is still left out until then, unlike one in quarantine.

Measured: TargetThatRefusedManyStartsSoonGetsAnother fails before (no start 3 s after the fifth refusal) and passes after.

--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -12,9 +12,10 @@
 namespace {
 
 // The delay before the next start to a target that refused one. It doubles with
-// each further refusal in a row, at most kMaxDelayDoublings times.
+// each further refusal in a row, at most kMaxDelayDoublings times: work must
+// not wait for seconds beside a target that takes starts again.
 constexpr Duration kRefusedStartDelay = std::chrono::milliseconds(300);
-constexpr std::uint32_t kMaxDelayDoublings = 4;
+constexpr std::uint32_t kMaxDelayDoublings = 2;
 
 } // namespace
 
--- a/src/jobs/withdrawn_start_test.cpp
+++ b/src/jobs/withdrawn_start_test.cpp
@@ -150,4 +150,20 @@
   EXPECT_TRUE(target->TakesWork(m_now + seconds(1)));
 }
 
+// Guards against work that waits beside a target that takes starts again: it
+// counts as lost after 3 s.
+TEST_F(WithdrawnStartTest, TargetThatRefusedManyStartsSoonGetsAnother)
+{
+  constexpr Duration kLongestWait = seconds(3);
+  const TargetState* target = m_manager.Find(m_record.m_target);
+  ASSERT_NE(target, nullptr);
+  AnswerStart(OrderStatus::kUnhealthy);
+  for (std::uint32_t run = 1; run < 12; ++run) {
+    ASSERT_TRUE(target->TakesWork(m_now + kLongestWait)) << "after " << run;
+    m_now += kLongestWait;
+    SendRun(run);
+    AnswerStart(OrderStatus::kUnhealthy);
+  }
+}
+
 } // namespace lycheestep
