Log why a run is given up, and which process led before

The record of two runs at once could not tell why the first run was given up, on which lease, or whether the host led before the change that the record begins with. run-given-up says why, how long the lease that the leader counts on still lasts and when the target last answered; leader-known says who led before (former), also if it was the host itself.

No logic changes. leader_sighting_test has the field in its expected lines, and a test of its own for it.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -339,7 +339,7 @@
                        "term=" + std::to_string(term) +
                          " incarnation=" + std::to_string(m_incarnation) +
                          " former=" + aRecord.m_host);
-  m_leaderSighting.Reset();
+  m_leaderSighting.OnOwnLead(m_settings.m_host, m_incarnation);
   m_controlLoad.Begin(now);
   m_leader =
     std::make_unique<Leader>(MakeLeaderDependencies(term),
--- a/src/jobhost/leader_sighting.cpp
+++ b/src/jobhost/leader_sighting.cpp
@@ -12,6 +12,11 @@
 // Four heartbeats in a row are missing.
 constexpr Duration kSilence = std::chrono::seconds(1);
 
+std::string ProcessText(const std::string& aHost, std::uint64_t aIncarnation)
+{
+  return aHost + "/" + std::to_string(aIncarnation);
+}
+
 } // namespace
 
 std::optional<std::string> LeaderSighting::OnHeartbeat(
@@ -21,7 +26,9 @@
 {
   const bool isNew = !m_leader || m_leader->m_incarnation != aIncarnation;
   if (isNew) {
-    m_leader = Leader{ aHost, aIncarnation, aNow, aNow, aNow, false };
+    m_leader =
+      Leader{ aHost, aIncarnation, m_lastLeader, aNow, aNow, aNow, false };
+    m_lastLeader = ProcessText(aHost, aIncarnation);
   }
   const bool wasSilent = m_leader->m_isSilent;
   m_leader->m_heartbeatAt = aNow;
@@ -34,7 +41,15 @@
   return "leader=" + m_leader->m_host +
          " incarnation=" + std::to_string(m_leader->m_incarnation) +
          " since_ms=" +
-         std::to_string(ToMilliseconds(aNow - m_leader->m_since));
+         std::to_string(ToMilliseconds(aNow - m_leader->m_since)) +
+         " former=" + m_leader->m_former;
+}
+
+void LeaderSighting::OnOwnLead(const std::string& aHost,
+                               std::uint64_t aIncarnation)
+{
+  m_leader.reset();
+  m_lastLeader = ProcessText(aHost, aIncarnation);
 }
 
 void LeaderSighting::OnReleased(std::uint64_t aIncarnation)
--- a/src/jobhost/leader_sighting.h
+++ b/src/jobhost/leader_sighting.h
@@ -24,8 +24,8 @@
   // Notes that a process has released the lead. Ignored if another one leads.
   void OnReleased(std::uint64_t aIncarnation);
 
-  // Forgets who led, as this host takes the lead.
-  void Reset() { m_leader.reset(); }
+  // Notes that this host takes the lead.
+  void OnOwnLead(const std::string& aHost, std::uint64_t aIncarnation);
 
   // Returns the fields of a log line if no heartbeat has come for a second,
   // once for each silence.
@@ -36,6 +36,8 @@
   {
     std::string m_host;
     std::uint64_t m_incarnation = 0;
+    // The host and process that led before; "none" if this host knows of none.
+    std::string m_former;
     TimePoint m_since;
     TimePoint m_heartbeatAt;
     TimePoint m_loggedAt;
@@ -43,6 +45,8 @@
   };
 
   std::optional<Leader> m_leader;
+  // The last process that is known to have led.
+  std::string m_lastLeader = "none";
 };
 
 } // namespace lycheestep
--- a/src/jobhost/leader_sighting_test.cpp
+++ b/src/jobhost/leader_sighting_test.cpp
@@ -22,11 +22,13 @@
 {
   LeaderSighting sighting;
   EXPECT_THAT(sighting.OnHeartbeat("a", kFirst, kStart),
-              Optional(std::string("leader=a incarnation=11 since_ms=0")));
+              Optional(std::string("leader=a incarnation=11 since_ms=0 "
+                                   "former=none")));
   EXPECT_EQ(sighting.OnHeartbeat("a", kFirst, kStart + milliseconds(250)),
             std::nullopt);
   EXPECT_THAT(sighting.OnHeartbeat("b", kSecond, kStart + milliseconds(500)),
-              Optional(std::string("leader=b incarnation=12 since_ms=0")));
+              Optional(std::string("leader=b incarnation=12 since_ms=0 "
+                                   "former=a/11")));
 }
 
 TEST(LeaderSighting, LogsARestartedProcessOfTheSameHost)
@@ -60,7 +62,8 @@
               Optional(std::string("leader=a silent_ms=1000")));
   EXPECT_EQ(sighting.CheckSilence(kStart + seconds(2)), std::nullopt);
   EXPECT_THAT(sighting.OnHeartbeat("a", kFirst, kStart + seconds(3)),
-              Optional(std::string("leader=a incarnation=11 since_ms=3000")));
+              Optional(std::string("leader=a incarnation=11 since_ms=3000 "
+                                   "former=none")));
   EXPECT_NE(sighting.CheckSilence(kStart + seconds(4)), std::nullopt);
 }
 
@@ -85,4 +88,17 @@
             std::nullopt);
 }
 
+TEST(LeaderSighting, NamesTheLeaderBeforeAlsoIfItWasThisHost)
+{
+  LeaderSighting sighting;
+  sighting.OnOwnLead("own", 10);
+  EXPECT_THAT(sighting.OnHeartbeat("a", kFirst, kStart),
+              Optional(std::string("leader=a incarnation=11 since_ms=0 "
+                                   "former=own/10")));
+  sighting.OnReleased(kFirst);
+  EXPECT_THAT(sighting.OnHeartbeat("b", kSecond, kStart),
+              Optional(std::string("leader=b incarnation=12 since_ms=0 "
+                                   "former=a/11")));
+}
+
 } // namespace lycheestep
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -79,7 +79,7 @@
     target.m_phase = TargetPhase::kUntaken; // more run ends remain to be listed
     return;
   }
-  DropAbsentRuns(target, aAnswer);
+  DropAbsentRuns(target, aAnswer, aNow);
   target.m_phase = TargetPhase::kHeld;
   m_effects.Log("target-taken",
                 "target=" + aOrder.m_to.m_target.Text() +
@@ -293,7 +293,8 @@
 }
 
 void TargetManager::DropAbsentRuns(TargetState& aTarget,
-                                   const HoldAnswer& aAnswer)
+                                   const HoldAnswer& aAnswer,
+                                   TimePoint aNow)
 {
   std::set<RunName> listed;
   for (const RunningTask& task : aAnswer.m_running) {
@@ -306,9 +307,7 @@
     }
   }
   for (const RunName& name : absent) {
-    DropRun(aTarget, name);
-    m_listener.OnRunLost(
-      aTarget.m_record.m_target, name, OrderStatus::kUnknown);
+    GiveUpRun(aTarget, name, "not listed by its target", aNow);
   }
 }
 
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -27,7 +27,7 @@
 
 void TargetManager::OnTargetListed(const TargetRecord& aRecord, TimePoint aNow)
 {
-  RetireEarlierIncarnations(aRecord);
+  RetireEarlierIncarnations(aRecord, aNow);
   const auto [found, isNew] = m_targets.try_emplace(aRecord.m_target);
   TargetState& target = found->second;
   if (isNew) {
@@ -60,7 +60,8 @@
   }
 }
 
-void TargetManager::RetireEarlierIncarnations(const TargetRecord& aRecord)
+void TargetManager::RetireEarlierIncarnations(const TargetRecord& aRecord,
+                                              TimePoint aNow)
 {
   if (aRecord.m_machine.Empty()) {
     return;
@@ -75,11 +76,11 @@
       continue;
     }
     if (other.m_record.m_address != aRecord.m_address) {
-      Retire(other);
+      Retire(other, aNow);
       ++it;
       continue;
     }
-    DropSentRuns(other);
+    DropSentRuns(other, "another target at its address", aNow);
     m_effects.Forget(it->first);
     it = m_targets.erase(it);
   }
@@ -98,7 +99,7 @@
            });
 }
 
-void TargetManager::Retire(TargetState& aTarget)
+void TargetManager::Retire(TargetState& aTarget, TimePoint aNow)
 {
   aTarget.m_listed = false;
   // It is not retired again with the next change of the list.
@@ -107,7 +108,7 @@
   aTarget.m_formerLeaseExpiry = aTarget.LeaseExpiry();
   aTarget.m_fenceUsed = true;
   MarkUncertain(aTarget, "another target on its machine");
-  DropSentRuns(aTarget);
+  DropSentRuns(aTarget, "another target on its machine", aNow);
 }
 
 void TargetManager::OnTargetRemembered(const TargetAddress& aAddress)
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -142,12 +142,12 @@
                               TimePoint aNow);
   // Gives up the runs of targets with other ids that started earlier on the
   // same machine.
-  void RetireEarlierIncarnations(const TargetRecord& aRecord);
+  void RetireEarlierIncarnations(const TargetRecord& aRecord, TimePoint aNow);
   // Returns true if the list has a later target on the same machine.
   bool HasSuccessor(const TargetRecord& aRecord) const;
   // Gives up the runs of a target. Until its leases are over it is taken if it
   // answers, and what it lists is stopped.
-  void Retire(TargetState& aTarget);
+  void Retire(TargetState& aTarget, TimePoint aNow);
   // Lets the target be taken again after an answer that does not count.
   void RetryTake(TargetState& aTarget,
                  const HoldOrder& aOrder,
@@ -171,11 +171,19 @@
   void AddUnknownRun(TargetState& aTarget, const RunName& aRun, TimePoint aNow);
   // Lets runs whose demand is unknown count as the whole capacity.
   static void UpdateUnknownRuns(TargetState& aTarget);
-  // Drops all runs whose start was sent and tells the listener.
-  void DropSentRuns(TargetState& aTarget);
+  // Drops all runs whose start was sent and tells the listener. aReason goes
+  // into the log.
+  void DropSentRuns(TargetState& aTarget, const char* aReason, TimePoint aNow);
+  // Drops a run whose start was sent and tells the listener.
+  void GiveUpRun(TargetState& aTarget,
+                 const RunName& aRun,
+                 const char* aReason,
+                 TimePoint aNow);
   // Drops the sent runs that a freshly taken target does not list, and tells
   // the listener.
-  void DropAbsentRuns(TargetState& aTarget, const HoldAnswer& aAnswer);
+  void DropAbsentRuns(TargetState& aTarget,
+                      const HoldAnswer& aAnswer,
+                      TimePoint aNow);
   void DropRun(TargetState& aTarget, const RunName& aRun);
   void DropExpiredRuns(TargetState& aTarget, TimePoint aNow);
   // Notes that the run is to be stopped.
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -5,6 +5,7 @@
 
 #include "job_effects.h"
 #include "run_listener.h"
+#include "run_text.h"
 #include "target_manager.h"
 
 namespace lycheestep {
@@ -164,7 +165,9 @@
   m_listener.OnRunLost(aOrder.m_to.m_target, aOrder.m_run, aAnswer.m_status);
 }
 
-void TargetManager::DropSentRuns(TargetState& aTarget)
+void TargetManager::DropSentRuns(TargetState& aTarget,
+                                 const char* aReason,
+                                 TimePoint aNow)
 {
   std::vector<RunName> sent;
   for (const auto& [name, run] : aTarget.m_runs) {
@@ -173,12 +176,30 @@
     }
   }
   for (const RunName& name : sent) {
-    DropRun(aTarget, name);
-    m_listener.OnRunLost(
-      aTarget.m_record.m_target, name, OrderStatus::kUnknown);
+    GiveUpRun(aTarget, name, aReason, aNow);
   }
 }
 
+void TargetManager::GiveUpRun(TargetState& aTarget,
+                              const RunName& aRun,
+                              const char* aReason,
+                              TimePoint aNow)
+{
+  const TargetId& target = aTarget.m_record.m_target;
+  const auto leaseLeft = ToMilliseconds(aTarget.LeaseExpiry() - aNow);
+  const std::string answered =
+    aTarget.m_clockKnown
+      ? std::to_string(ToMilliseconds(aNow - aTarget.m_clockReadAt))
+      : "never";
+  m_effects.LogNotable("run-given-up",
+                       RunFields(aRun, target) + " reason=\"" + aReason +
+                         "\" fence=" + std::to_string(aTarget.m_fence) +
+                         " lease_left_ms=" + std::to_string(leaseLeft) +
+                         " answered_ms_ago=" + answered);
+  DropRun(aTarget, aRun);
+  m_listener.OnRunLost(target, aRun, OrderStatus::kUnknown);
+}
+
 void TargetManager::DropRun(TargetState& aTarget, const RunName& aRun)
 {
   const auto found = aTarget.m_runs.find(aRun);
@@ -199,7 +220,7 @@
   }
   MarkUncertain(aTarget, "lease expired");
   aTarget.m_fenceUsed = true;
-  DropSentRuns(aTarget);
+  DropSentRuns(aTarget, "lease expired", aNow);
 }
 
 } // namespace lycheestep
