Hand on the leases of all former leaders with the lead

What callers may see: two runs of a task at the same time. Found when looking for each proof on which a run is given up; that the users' record had it is not shown.

Cause: a new leader computed the end of former leases from the row of the last leader only. A leader that is cut off from the store may send orders for 4 s after its last renewal, and so give leases for 12.2 s; the next one knows that. If the next one releases the lead within 1.8 s, a third one finds a released row, which counts one lease and no orders, and takes the leases of the first to be over too early.

Change: the leader row says how long after its renewal the leases of those before it last, and the next leader waits for the later end. Rows of earlier releases have no such time and mean what they did.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -59,16 +59,16 @@
   m_thread.join();
 }
 
-bool CommitWriter::AcquireLeadership(std::uint64_t aVersion,
-                                     Duration aStoreClock)
+bool CommitWriter::AcquireLeadership(const LeadClaim& aClaim)
 {
   const TimePoint sent = BootClockNow();
   RowTransaction transaction;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_version = aVersion;
-    m_storeClock = aStoreClock;
+    m_version = aClaim.m_version;
+    m_storeClock = aClaim.m_storeClock;
     m_storeClockAt = sent;
+    m_formerLeaseExpiry = aClaim.m_formerLeaseExpiry;
     m_pending.reset();
     m_omitsPending = false;
     m_succession = LeaderSuccession::kAnyRelease;
@@ -77,7 +77,9 @@
     transaction = MakeTransaction(Batch(), sent);
   }
   RowAnswer answer = m_store.Transact(transaction, kCallTimeout);
+  TimePoint answeredCallSent = sent;
   if (answer.m_status == RowStatus::kUnknown) {
+    answeredCallSent = BootClockNow();
     // The retry has the same condition, so at most one of the two calls takes
     // effect.
     answer = m_store.Transact(transaction, kCallTimeout);
@@ -95,8 +97,7 @@
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_version = answer.m_version;
-    m_storeClock = answer.m_storeClock;
-    m_storeClockAt = BootClockNow();
+    NoteStoreClock(answer, answeredCallSent);
     m_renewedAt = sent.time_since_epoch().count();
     m_leading = true;
     ++m_term;
@@ -202,6 +203,10 @@
     if (!m_leading || m_term != term) {
       return;
     }
+    if (answer.m_status == RowStatus::kOk ||
+        answer.m_status == RowStatus::kConflict) {
+      NoteStoreClock(answer, sent);
+    }
     if (answer.m_status == RowStatus::kOk) {
       OnWritten(aLock, aBatch, answer, sent);
       return;
@@ -252,8 +257,6 @@
 {
   m_version = aAnswer.m_version;
   m_formerMayBeDone = false;
-  m_storeClock = aAnswer.m_storeClock;
-  m_storeClockAt = BootClockNow();
   m_renewedAt = aSent.time_since_epoch().count();
   if (aBatch.m_isCommit) {
     aLock.unlock();
@@ -262,6 +265,12 @@
   }
 }
 
+void CommitWriter::NoteStoreClock(const RowAnswer& aAnswer, TimePoint /*aSent*/)
+{
+  m_storeClock = aAnswer.m_storeClock;
+  m_storeClockAt = BootClockNow();
+}
+
 bool CommitWriter::OnInvalid(std::unique_lock<std::mutex>& aLock,
                              const Batch& aBatch)
 {
@@ -305,6 +314,10 @@
     row);
   row.set_lease_ms(ToMilliseconds(m_identity.m_lease));
   row.set_validity_ms(ToMilliseconds(m_identity.m_validity));
+  const Duration formerLeases =
+    std::max(Duration::zero(), m_formerLeaseExpiry - aNow);
+  row.set_former_leases_ms(
+    static_cast<std::uint64_t>(ToMilliseconds(formerLeases)));
   if (m_pending && !m_omitsPending) {
     row.set_pending_known(true);
     for (const auto& [queue, pending] : *m_pending) {
--- a/src/jobhost/commit_writer.h
+++ b/src/jobhost/commit_writer.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "job_scheduler.h"
+#include "lead_claim.h"
 #include "leader_row.h"
 #include "lycheestep/row_store.h"
 
@@ -66,10 +67,10 @@
   CommitWriter(const CommitWriter&) = delete;
   CommitWriter& operator=(const CommitWriter&) = delete;
 
-  // Writes the leader row on condition that it still has aVersion. Returns true
-  // if this host leads from now on. Called from the control thread while the
-  // host does not lead.
-  bool AcquireLeadership(std::uint64_t aVersion, Duration aStoreClock);
+  // Writes the leader row on condition that it is still the one that aClaim
+  // knows. Returns true if this host leads from now on. Called from the control
+  // thread while the host does not lead.
+  bool AcquireLeadership(const LeadClaim& aClaim);
 
   // Queues a commit. The caller must not queue another one before the commit
   // has taken effect.
@@ -124,6 +125,8 @@
   // Adds the leader row, and the counts of pending jobs if they do not fit into
   // it.
   void AddLeaderRows(TimePoint aNow, std::vector<RowWrite>& aWrites) const;
+  // Notes the store's clock as aAnswer has it, to a call sent at aSent.
+  void NoteStoreClock(const RowAnswer& aAnswer, TimePoint aSent);
   // Returns true if this process wrote the row.
   bool IsOwnRow(const Row& aRow) const;
 
@@ -156,6 +159,8 @@
   // received.
   Duration m_storeClock = Duration::zero();
   TimePoint m_storeClockAt;
+  // The time by which the leases of all former leaders have expired.
+  TimePoint m_formerLeaseExpiry;
   // The time when the last successful write was sent. Counting from the send
   // time ends the leader's validity early rather than late.
   std::atomic<Duration::rep> m_renewedAt{ 0 };
--- a/src/jobhost/commit_writer_test.cpp
+++ b/src/jobhost/commit_writer_test.cpp
@@ -1,5 +1,7 @@
 #include "commit_writer.h"
 
+#include "boot_clock.h"
+
 #include <algorithm>
 #include <future>
 #include <optional>
@@ -15,6 +17,7 @@
 
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 // A store that holds the leader row only and checks the condition on its
@@ -177,6 +180,11 @@
   CommitWriter m_writer;
 };
 
+LeadClaim FirstClaim()
+{
+  return LeadClaim();
+}
+
 std::vector<RowWrite> OneWrite()
 {
   return { RowWrite{ ProgressKey(JobId("job")), "half" } };
@@ -186,7 +194,7 @@
 
 TEST_F(CommitWriterTest, CommitWhoseAnswerIsLostIsReported)
 {
-  ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
+  ASSERT_TRUE(m_writer.AcquireLeadership(FirstClaim()));
   std::future<void> committed = m_committed.get_future();
   m_store.LoseNextAnswer();
   m_writer.Commit(OneWrite(), {});
@@ -201,7 +209,7 @@
 // was stored under the id since the removal took effect.
 TEST_F(CommitWriterTest, CommitThatTookEffectIsNotWrittenAgain)
 {
-  ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
+  ASSERT_TRUE(m_writer.AcquireLeadership(FirstClaim()));
   std::future<void> committed = m_committed.get_future();
   m_store.LoseNextAnswer();
   m_writer.Commit(OneWrite(), { JobKey(JobId("job")) });
@@ -211,7 +219,7 @@
 
 TEST_F(CommitWriterTest, WriteOfAFormerLeaderHasNoEffect)
 {
-  ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
+  ASSERT_TRUE(m_writer.AcquireLeadership(FirstClaim()));
   std::future<void> lost = m_lost.get_future();
   m_store.WriteAsOtherHost();
   m_writer.Commit(OneWrite(), {});
@@ -223,14 +231,14 @@
 TEST_F(CommitWriterTest, LeadFailsWhenAnotherHostWasFaster)
 {
   m_store.WriteAsOtherHost();
-  EXPECT_FALSE(m_writer.AcquireLeadership(0, Duration::zero()));
+  EXPECT_FALSE(m_writer.AcquireLeadership(FirstClaim()));
 }
 
 // Guards against a release that is requested during a write in flight and then
 // never written, so that no row marks the leadership as released.
 TEST_F(CommitWriterTest, ReleaseIsAlwaysWritten)
 {
-  ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
+  ASSERT_TRUE(m_writer.AcquireLeadership(FirstClaim()));
   m_writer.Commit(OneWrite(), {});
   m_writer.ReleaseLeadership(seconds(5));
   EXPECT_TRUE(m_store.LeaderRow().released());
@@ -241,7 +249,7 @@
 // without end, so that the leadership is not renewed.
 TEST_F(CommitWriterTest, CommitThatIsNeverTakenEndsNoLeadership)
 {
-  ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
+  ASSERT_TRUE(m_writer.AcquireLeadership(FirstClaim()));
   std::future<void> rejected = m_rejected.get_future();
   m_store.RefuseForGood("job");
   m_writer.Commit(OneWrite(), {});
@@ -262,7 +270,7 @@
   for (std::uint32_t i = 0; i < 5000; ++i) {
     counts[QueueName("a queue with a long name " + std::to_string(i))] = i;
   }
-  ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
+  ASSERT_TRUE(m_writer.AcquireLeadership(FirstClaim()));
   m_writer.SetPending(counts);
   m_writer.ReleaseLeadership(seconds(5));
   const proto::LeaderRow row = m_store.LeaderRow();
@@ -274,7 +282,7 @@
 
 TEST_F(CommitWriterTest, CountsAreUnknownUntilTheyAreSet)
 {
-  ASSERT_TRUE(m_writer.AcquireLeadership(0, Duration::zero()));
+  ASSERT_TRUE(m_writer.AcquireLeadership(FirstClaim()));
   EXPECT_FALSE(m_store.LeaderRow().pending_known());
   m_writer.SetPending({ { QueueName("plans"), 3 } });
   m_writer.ReleaseLeadership(seconds(5));
@@ -282,4 +290,20 @@
   EXPECT_EQ(m_store.LeaderRow().pending(0).pending(), 3U);
 }
 
+// Guards against a leader that leads for a moment, and whose successor does not
+// know of the leases that the leaders before it have given.
+TEST_F(CommitWriterTest, LeasesOfFormerLeadersAreHandedOn)
+{
+  LeadClaim claim = FirstClaim();
+  claim.m_formerLeaseExpiry = BootClockNow() + seconds(12);
+  ASSERT_TRUE(m_writer.AcquireLeadership(claim));
+  const Duration handedOn =
+    milliseconds(m_store.LeaderRow().former_leases_ms());
+  EXPECT_GT(handedOn, seconds(11));
+  EXPECT_LE(handedOn, seconds(12));
+  m_writer.ReleaseLeadership(seconds(5));
+  EXPECT_LE(milliseconds(m_store.LeaderRow().former_leases_ms()), handedOn);
+  EXPECT_GT(milliseconds(m_store.LeaderRow().former_leases_ms()), seconds(5));
+}
+
 } // namespace lycheestep
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -305,8 +305,13 @@
       " row_age_ms=" + std::to_string(ToMilliseconds(record.m_renewalAge)) +
       " released=" + (record.m_released ? "yes" : "no") +
       " process_gone=" + (record.m_processEnded ? "yes" : "no"));
-  if (m_writer.AcquireLeadership(record.m_version, record.m_storeClock)) {
-    BecomeLeader(record);
+  LeadClaim claim;
+  claim.m_version = record.m_version;
+  claim.m_storeClock = record.m_storeClock;
+  claim.m_formerLeaseExpiry =
+    BootClockNow() + LeaderElection::RemainingFormerLease(record);
+  if (m_writer.AcquireLeadership(claim)) {
+    BecomeLeader(record, claim.m_formerLeaseExpiry);
   } else {
     m_election.OnAttemptLost(BootClockNow());
   }
@@ -331,7 +336,8 @@
   return true;
 }
 
-void JobHost::BecomeLeader(const LeaderRecord& aRecord)
+void JobHost::BecomeLeader(const LeaderRecord& aRecord,
+                           TimePoint aFormerLeaseExpiry)
 {
   const std::uint64_t term = ++m_term;
   const TimePoint now = BootClockNow();
@@ -341,12 +347,11 @@
                          " former=" + aRecord.m_host);
   m_leaderSighting.OnOwnLead(m_settings.m_host, m_incarnation);
   m_controlLoad.Begin(now);
-  m_leader =
-    std::make_unique<Leader>(MakeLeaderDependencies(term),
-                             SchedulerSettingsOf(m_settings),
-                             term,
-                             LeaderElection::RemainingFormerLease(aRecord),
-                             now);
+  m_leader = std::make_unique<Leader>(MakeLeaderDependencies(term),
+                                      SchedulerSettingsOf(m_settings),
+                                      term,
+                                      aFormerLeaseExpiry,
+                                      now);
 }
 
 void JobHost::StepDown(const char* aReason)
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -82,7 +82,7 @@
   // Reads the rows of all hosts, which decide this host's rank in the election.
   // Returns false if they could not be read.
   bool RankHosts();
-  void BecomeLeader(const LeaderRecord& aRecord);
+  void BecomeLeader(const LeaderRecord& aRecord, TimePoint aFormerLeaseExpiry);
   // Gives up the leadership, if this host has it, so that another host takes it
   // at once.
   void ReleaseLead(const char* aReason);
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -75,7 +75,7 @@
 Leader::Leader(const LeaderDependencies& aDependencies,
                const JobSchedulerSettings& aScheduler,
                std::uint64_t aTerm,
-               Duration aFormerLeases,
+               TimePoint aFormerLeaseExpiry,
                TimePoint aNow)
   : m_dependencies(aDependencies)
   , m_scheduler(aScheduler, *this)
@@ -95,7 +95,7 @@
   , m_now(aNow)
   , m_leadingSince(aNow)
 {
-  m_scheduler.Targets().SetFormerLeaseExpiry(aNow + aFormerLeases);
+  m_scheduler.Targets().SetFormerLeaseExpiry(aFormerLeaseExpiry);
   OnConfig();
   StartWatches();
 }
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -59,12 +59,12 @@
 {
 public:
   // Starts to read the stored rows. aTerm is the number of this term, counted
-  // by this process. Leases of former leaders may be valid until aFormerLeases
-  // after aNow.
+  // by this process. Leases of former leaders may be valid until
+  // aFormerLeaseExpiry.
   Leader(const LeaderDependencies& aDependencies,
          const JobSchedulerSettings& aScheduler,
          std::uint64_t aTerm,
-         Duration aFormerLeases,
+         TimePoint aFormerLeaseExpiry,
          TimePoint aNow);
   ~Leader() override;
 
--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -69,6 +69,7 @@
   record.m_renewalAge = aAnswer.m_storeClock - holder.m_renewed;
   record.m_lease = std::chrono::milliseconds(row.lease_ms());
   record.m_validity = std::chrono::milliseconds(row.validity_ms());
+  record.m_formerLeases = std::chrono::milliseconds(row.former_leases_ms());
   return record;
 }
 
@@ -199,8 +200,10 @@
     aRecord.m_lease + aRecord.m_lease * kMaxClockDriftPerMille / 1000;
   const Duration orders =
     aRecord.m_released ? Duration::zero() : aRecord.m_validity;
-  const Duration age = std::min<Duration>(aRecord.m_renewalAge, orders + lease);
-  return orders + lease + kLeaseMargin - age;
+  // A leader that led for a moment may have expired before the leases of those
+  // before it.
+  const Duration longest = std::max(orders + lease, aRecord.m_formerLeases);
+  return longest + kLeaseMargin - std::min(aRecord.m_renewalAge, longest);
 }
 
 } // namespace lycheestep
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -27,6 +27,9 @@
   Duration m_lease = Duration::zero();
   // How long the leader may send orders after a renewal.
   Duration m_validity = Duration::zero();
+  // The time after the renewal until the leases of all leaders before this one
+  // have expired.
+  Duration m_formerLeases = Duration::zero();
   // The store's clock when it answered the read.
   Duration m_storeClock = Duration::zero();
   // Time that the store took to answer the read.
@@ -90,7 +93,7 @@
   // Handles a failed attempt to take the lead: another host took it first.
   void OnAttemptLost(TimePoint aNow);
 
-  // Returns how long after the read of aRecord leases of the former leader may
+  // Returns how long after the read of aRecord leases of former leaders may
   // still be valid. Zero if there was no leader.
   static Duration RemainingFormerLease(const LeaderRecord& aRecord);
 
--- a/src/jobhost/leader_election_test.cpp
+++ b/src/jobhost/leader_election_test.cpp
@@ -1,9 +1,11 @@
 #include "leader_election.h"
 
+#include <algorithm>
 #include <memory>
 #include <random>
 
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
 
 #include "job_rows.h"
 #include "jobs.pb.h"
@@ -269,6 +271,71 @@
   EXPECT_LT(left, unreleased);
 }
 
+// A target's lease by the leader's clock, if the target's clock is 2% slow.
+constexpr Duration kLongestLease = milliseconds(8160);
+
+// Leaders that follow each other, by the store's clock. Each one may have sent
+// orders, and so given leases, as long as it was allowed to.
+class Succession
+{
+public:
+  // The next leader takes the lead aAge after the former one renewed its row,
+  // or released it. Returns how much longer it waits for former leases than
+  // they last.
+  Duration Succeed(Duration aAge, bool aReleased)
+  {
+    LeaderRecord record = RecordOf("a", aAge);
+    record.m_released = aReleased;
+    record.m_formerLeases = m_formerExpiry - m_renewed;
+    if (record.m_formerLeases < Duration::zero()) {
+      record.m_formerLeases = Duration::zero();
+    }
+    const Duration lastOrder =
+      aReleased ? m_renewed : m_renewed + record.m_validity;
+    m_lastLeaseEnd = std::max(m_lastLeaseEnd, lastOrder + kLongestLease);
+    const Duration now = m_renewed + aAge;
+    m_formerExpiry = now + LeaderElection::RemainingFormerLease(record);
+    m_renewed = now;
+    return m_formerExpiry - m_lastLeaseEnd;
+  }
+
+  // The leader leads for aTime and renews its row.
+  void Lead(Duration aTime) { m_renewed += aTime; }
+
+private:
+  Duration m_renewed = seconds(100);
+  Duration m_formerExpiry = Duration::zero();
+  Duration m_lastLeaseEnd = Duration::zero();
+};
+
+// Guards against work that is started again while a target that can't be
+// reached still has a lease of the leader before the last one.
+TEST(LeaderElection, LeasesOfAllFormerLeadersCount)
+{
+  Succession succession;
+  // The first leader is cut off from the store and may send orders for 3 s
+  // more.
+  EXPECT_GE(succession.Succeed(seconds(1), false), Duration::zero());
+  succession.Lead(milliseconds(300));
+  EXPECT_GE(succession.Succeed(milliseconds(50), true), Duration::zero());
+}
+
+TEST(LeaderElection, NoOrderOfLeadersEndsLeasesEarly)
+{
+  const bool held = rc::check([] {
+    Succession succession;
+    const auto leaders = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < leaders; ++i) {
+      succession.Lead(milliseconds(*rc::gen::inRange(0, 6000)));
+      const auto released = *rc::gen::arbitrary<bool>();
+      const Duration age =
+        milliseconds(*rc::gen::inRange(released ? 0 : 400, 15000));
+      RC_ASSERT(succession.Succeed(age, released) >= Duration::zero());
+    }
+  });
+  EXPECT_TRUE(held);
+}
+
 TEST(LeaderElection, LeadIsTakenIfTheRowIsMalformed)
 {
   RowAnswer answer;
