Count the time since the store's clock was read in the leader row

What callers may see: two runs of a task at the same time, as with leases that are not handed on. Found when looking for each proof on which a run is given up; not shown to be what the users saw.

Cause: the first row of a new leader took the store's clock of the read before for the time of the write. Up to 1.3 s lie between them: the read, another one that ranks the hosts, and a probe, more if the host is suspended meanwhile. The row seems older by that, and the margin of the leases is 1 s. So does a row written after a renewal whose answer a suspended host handled late.

Evidence: FirstRowCountsTheTimeSinceTheStoresClockWasRead finds a row that is 2 s too old without the change.

Change: the time of the read goes with its clock, and an answer counts as received when its call's timeout was over at the latest.

Why it works: the estimate is behind the store's clock by one call's timeout at most, 0.9 s, which the margin covers.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -67,7 +67,7 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_version = aClaim.m_version;
     m_storeClock = aClaim.m_storeClock;
-    m_storeClockAt = sent;
+    m_storeClockAt = aClaim.m_clockAt;
     m_formerLeaseExpiry = aClaim.m_formerLeaseExpiry;
     m_pending.reset();
     m_omitsPending = false;
@@ -265,10 +265,12 @@
   }
 }
 
-void CommitWriter::NoteStoreClock(const RowAnswer& aAnswer, TimePoint /*aSent*/)
+void CommitWriter::NoteStoreClock(const RowAnswer& aAnswer, TimePoint aSent)
 {
   m_storeClock = aAnswer.m_storeClock;
-  m_storeClockAt = BootClockNow();
+  // An answer that was handled later waited here, while this host was
+  // suspended.
+  m_storeClockAt = std::min(BootClockNow(), aSent + kCallTimeout);
 }
 
 bool CommitWriter::OnInvalid(std::unique_lock<std::mutex>& aLock,
--- a/src/jobhost/commit_writer_test.cpp
+++ b/src/jobhost/commit_writer_test.cpp
@@ -182,7 +182,9 @@
 
 LeadClaim FirstClaim()
 {
-  return LeadClaim();
+  LeadClaim claim;
+  claim.m_clockAt = BootClockNow();
+  return claim;
 }
 
 std::vector<RowWrite> OneWrite()
@@ -306,4 +308,15 @@
   EXPECT_GT(milliseconds(m_store.LeaderRow().former_leases_ms()), seconds(5));
 }
 
+// Guards against a row that seems older than it is, so that the next leader
+// takes leases to be over while they last.
+TEST_F(CommitWriterTest, FirstRowCountsTheTimeSinceTheStoresClockWasRead)
+{
+  LeadClaim claim = FirstClaim();
+  claim.m_storeClock = seconds(100);
+  claim.m_clockAt -= seconds(2);
+  ASSERT_TRUE(m_writer.AcquireLeadership(claim));
+  EXPECT_GE(m_store.LeaderRow().renewed_ms(), 102000U);
+}
+
 } // namespace lycheestep
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -287,6 +287,7 @@
     return;
   }
   LeaderRecord record = DecodeLeaderRow(answer);
+  record.m_readAt = std::min(BootClockNow(), sent + kCallTimeout);
   record.m_readLatency = BootClockNow() - sent;
   record.m_readByRelay = !m_store.IsDirect();
   if (!m_election.IsRanked() && !RankHosts()) {
@@ -308,6 +309,7 @@
   LeadClaim claim;
   claim.m_version = record.m_version;
   claim.m_storeClock = record.m_storeClock;
+  claim.m_clockAt = record.m_readAt;
   claim.m_formerLeaseExpiry =
     BootClockNow() + LeaderElection::RemainingFormerLease(record);
   if (m_writer.AcquireLeadership(claim)) {
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -30,8 +30,10 @@
   // The time after the renewal until the leases of all leaders before this one
   // have expired.
   Duration m_formerLeases = Duration::zero();
-  // The store's clock when it answered the read.
+  // The store's clock when it answered the read, and when that was by this
+  // host's clock.
   Duration m_storeClock = Duration::zero();
+  TimePoint m_readAt;
   // Time that the store took to answer the read.
   Duration m_readLatency = Duration::zero();
   // True if the reader needs a relay to reach the store.
