Drop replies that are meant for a former process of this host

What callers may see: anything that follows from a wrong answer, two runs of a task at the same time among it: a write that did not take place counts as done, or a table that a new leader reads has the rows of another. Found when looking for each proof on which a run is given up; not shown to be what the users saw.

Cause: calls to the store by way of another host, calls for advice and carried orders are numbered by the process that makes them, from the beginning after each start. A process that starts again at the same address takes a late reply to its former life for the one to its own call with the same number.

Change: each reply names the process that it is for (to_incarnation), and the messenger drops those for another one. Replies of earlier releases name none and are accepted as before. RelayedStore::Serve returns the reply itself.

Why it works: all replies between hosts pass through that one place, and an incarnation is a random number of 64 bits.

--- a/src/jobhost/job_host_peers.cpp
+++ b/src/jobhost/job_host_peers.cpp
@@ -9,6 +9,7 @@
 #include "job_host.h"
 #include "jobs.pb.h"
 #include "order_messages.h"
+#include "peer_reply.h"
 
 namespace lycheestep {
 
@@ -118,7 +119,7 @@
 
 void JobHost::AnswerHeartbeat(const std::string& aLeaderAddress)
 {
-  proto::JobPeerMessage answer;
+  proto::JobPeerMessage answer = MakeReplyTo(m_leaderIncarnation);
   answer.mutable_host_alive()->set_clock_ms(
     ToMilliseconds(BootClockNow().time_since_epoch()));
   answer.mutable_host_alive()->set_needs_relay(!m_store.IsDirect());
@@ -128,7 +129,9 @@
 void JobHost::ServeStoreCall(const proto::JobPeerMessage& aMessage)
 {
   m_storeRelayPool.Run([this, aMessage] {
-    m_peers.Send(aMessage.address(), m_store.Serve(aMessage.store_call()));
+    proto::JobPeerMessage reply = MakeReplyTo(aMessage.incarnation());
+    *reply.mutable_store_reply() = m_store.Serve(aMessage.store_call());
+    m_peers.Send(aMessage.address(), std::move(reply));
   });
 }
 
@@ -145,12 +148,14 @@
   m_advice.Ask(
     request,
     timeout,
-    [this, address = aMessage.address(), from = aMessage.from()](
-      const AdviceAnswer& aAnswer) {
+    [this,
+     address = aMessage.address(),
+     caller = aMessage.incarnation(),
+     from = aMessage.from()](const AdviceAnswer& aAnswer) {
       m_log.Write("advice-served",
                   "for=" + from + " call=" + std::to_string(aAnswer.m_ticket) +
                     " answered=" + (aAnswer.m_answered ? "yes" : "no"));
-      proto::JobPeerMessage message;
+      proto::JobPeerMessage message = MakeReplyTo(caller);
       proto::AdviceReply* reply = message.mutable_advice_reply();
       reply->set_ticket(aAnswer.m_ticket);
       reply->set_answered(aAnswer.m_answered);
--- a/src/jobhost/order_carrier.cpp
+++ b/src/jobhost/order_carrier.cpp
@@ -13,6 +13,7 @@
 #include "event_log.h"
 #include "jobs.pb.h"
 #include "order_messages.h"
+#include "peer_reply.h"
 #include "target_connection.h"
 
 namespace lycheestep {
@@ -322,7 +323,7 @@
   m_hasAnswers = false;
   for (const auto& [incarnation, session] : m_sessions) {
     if (session->m_state->m_answers.answer_size() > 0) {
-      proto::JobPeerMessage message;
+      proto::JobPeerMessage message = MakeReplyTo(incarnation);
       message.mutable_carried_answers()->Swap(&session->m_state->m_answers);
       m_send(session->m_address, std::move(message));
     }
--- a/src/jobhost/order_carrier_test.cpp
+++ b/src/jobhost/order_carrier_test.cpp
@@ -36,6 +36,7 @@
                 m_metrics,
                 [this](const std::string& aAddress,
                        const proto::JobPeerMessage& aMessage) {
+                  EXPECT_NE(aMessage.to_incarnation(), 0U);
                   const std::lock_guard<std::mutex> lock(m_mutex);
                   for (const auto& answer :
                        aMessage.carried_answers().answer()) {
--- a/src/jobhost/peer_messenger.cpp
+++ b/src/jobhost/peer_messenger.cpp
@@ -9,6 +9,7 @@
 #include "event_log.h"
 #include "jobs.pb.h"
 #include "peer_key.h"
+#include "peer_reply.h"
 
 namespace lycheestep {
 
@@ -151,6 +152,10 @@
                   "bytes=" + std::to_string(frame->m_bytes.size()));
       continue;
     }
+    if (IsReplyToOther(message, m_incarnation)) {
+      m_log.Write("peer-reply-to-former-process", "peer=" + message.from());
+      continue;
+    }
     m_onMessage(message);
   }
 }
--- a/src/jobhost/relayed_store.cpp
+++ b/src/jobhost/relayed_store.cpp
@@ -139,14 +139,14 @@
   m_replied.notify_all();
 }
 
-proto::JobPeerMessage RelayedStore::Serve(const proto::StoreCall& aCall)
+proto::StoreReply RelayedStore::Serve(const proto::StoreCall& aCall)
 {
   const RowAnswer answer =
     MayServeRelayedCall(aCall) ? ExecuteDirect(aCall) : MakeRefusedAnswer();
-  proto::JobPeerMessage message;
-  EncodeStoreReply(answer, *message.mutable_store_reply());
-  message.mutable_store_reply()->set_id(aCall.id());
-  return message;
+  proto::StoreReply reply;
+  EncodeStoreReply(answer, reply);
+  reply.set_id(aCall.id());
+  return reply;
 }
 
 bool RelayedStore::MayServeRelayedCall(const proto::StoreCall& aCall)
--- a/src/jobhost/relayed_store.h
+++ b/src/jobhost/relayed_store.h
@@ -58,7 +58,7 @@
   // Executes a call that another host relayed and returns the reply. Uses only
   // this host's own connections, so that no call is relayed in a loop. Blocks
   // until the store has answered.
-  proto::JobPeerMessage Serve(const proto::StoreCall& aCall);
+  proto::StoreReply Serve(const proto::StoreCall& aCall);
 
 private:
   using DirectCall = std::function<RowAnswer()>;
--- a/src/jobhost/relayed_store_test.cpp
+++ b/src/jobhost/relayed_store_test.cpp
@@ -28,7 +28,7 @@
                     ++m_relayedCalls;
                     m_lastRelayAddress = aAddress;
                     m_firstHost.OnReply(
-                      m_secondHost.Serve(aMessage.store_call()).store_reply());
+                      m_secondHost.Serve(aMessage.store_call()));
                   })
     , m_secondHost(m_secondHostStore,
                    m_log,
