--- a/src/jobs/two_runs_test.cpp
+++ b/src/jobs/two_runs_test.cpp
@@ -21,10 +21,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-JobSpec LongTasks(std::uint32_t aCount)
+JobSpec LongTasks(std::uint32_t aCount, Duration aTime = seconds(5))
 {
-  return MakeSingleStepJob(
-    aCount, Resources(4000, 4096, 0, 0, 0), milliseconds(5000));
+  return MakeSingleStepJob(aCount, Resources(4000, 4096, 0, 0, 0), aTime);
 }
 
 // A cell of some targets with tasks that work for 2.5 to 7.5 s.
@@ -84,6 +83,13 @@
   }
 }
 
+// Tasks work for half of this to one and a half times as long, so that some end
+// within a lease and others do not.
+Duration AnyTime()
+{
+  return seconds(*rc::gen::element(1, 5, 14));
+}
+
 // Changes the lead, or what goes wrong with orders and the store.
 void DisturbCell(JobCellModel& aCell)
 {
@@ -101,7 +107,7 @@
       aCell.Faults().m_storeDown = !aCell.Faults().m_storeDown;
       break;
     default:
-      aCell.Submit(LongTasks(*rc::gen::inRange(1U, 8U)));
+      aCell.Submit(LongTasks(*rc::gen::inRange(1U, 8U), AnyTime()));
       break;
   }
 }
@@ -169,7 +175,7 @@
       cell.TraceTo(&std::cout);
     }
     cell.Run(milliseconds(200));
-    cell.Submit(LongTasks(6));
+    cell.Submit(LongTasks(6, AnyTime()));
     const auto moves = *rc::gen::inRange(1, 25);
     for (int i = 0; i < moves; ++i) {
       if (*rc::gen::inRange(0, 3) == 0) {
@@ -180,7 +186,7 @@
       cell.Run(milliseconds(*rc::gen::inRange(10, 2500)));
     }
     EndDisturbances(cell, targets);
-    cell.Run(seconds(90));
+    cell.Run(seconds(110));
     RC_ASSERT(cell.Broken() == std::vector<std::string>());
     RC_ASSERT(cell.AllOver());
   });
