Let a target take work again when the next one on its machine restarts

A target counts as replaced while the next one on its machine answers. When that one started again, its silence was not noticed until the list changed, so that a former target that lives stayed out of use. Found by reading the mend; TargetTakesWorkAgainWhenTheNextOneIsSilent fails without it.

--- a/src/jobs/replaced_target_test.cpp
+++ b/src/jobs/replaced_target_test.cpp
@@ -181,6 +181,14 @@
   EXPECT_TRUE(Former().TakesWork(m_now));
 }
 
+TEST_F(ReplacedTargetTest, TargetTakesWorkAgainWhenTheNextOneIsSilent)
+{
+  BeginNext();
+  m_next.m_started = WallTime(3000);
+  m_manager.OnTargetListed(m_next, m_now);
+  EXPECT_TRUE(Former().TakesWork(m_now));
+}
+
 TEST_F(ReplacedTargetTest, SilentTargetIsForgottenWithItsLeasesAndNotBefore)
 {
   BeginNext();
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -171,6 +171,7 @@
   aTarget.m_lastEndStored = 0;
   aTarget.m_lastEndForgotten = 0;
   aTarget.m_answersHolds = false;
+  UpdateReplaced(aTarget.m_record.m_machine);
   aTarget.m_holdFailures = 0;
   aTarget.m_retryAt = aNow;
   aTarget.m_startRetryAt = aNow;
