Keep the estimate of the store's clock when an answer has none

What callers may see: two runs of a task at the same time. Found when looking for each proof on which a run is given up; not shown to be what the users saw, as the platform's page promises the clock in each answer about rows.

Cause: an answer without now_ms set the leader's copy of the store's clock to zero. The next leader row then seemed as old as the store: others would take the lead at once, and take all leases of this leader to be over after 1 s.

Evidence: AnswerWithoutTheStoresClockLeavesItAsItIs finds a row renewed at 0 instead of 100 s without the change.

Change: such an answer leaves the estimate as it is, for the row and for the scheduler alike.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -94,6 +94,7 @@
   if (answer.m_status != RowStatus::kOk) {
     return false;
   }
+  Duration storeClock = Duration::zero();
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_version = answer.m_version;
@@ -101,9 +102,10 @@
     m_renewedAt = sent.time_since_epoch().count();
     m_leading = true;
     ++m_term;
+    storeClock = StoreClockAt(BootClockNow());
   }
   m_changed.notify_all();
-  m_onCommitted(answer.m_version, answer.m_storeClock);
+  m_onCommitted(answer.m_version, storeClock);
   return true;
 }
 
@@ -259,14 +261,23 @@
   m_formerMayBeDone = false;
   m_renewedAt = aSent.time_since_epoch().count();
   if (aBatch.m_isCommit) {
+    const Duration storeClock = StoreClockAt(BootClockNow());
     aLock.unlock();
-    m_onCommitted(aAnswer.m_version, aAnswer.m_storeClock);
+    m_onCommitted(aAnswer.m_version, storeClock);
     aLock.lock();
   }
 }
 
+Duration CommitWriter::StoreClockAt(TimePoint aNow) const
+{
+  return m_storeClock + (aNow - m_storeClockAt);
+}
+
 void CommitWriter::NoteStoreClock(const RowAnswer& aAnswer, TimePoint aSent)
 {
+  if (aAnswer.m_storeClock == Duration::zero()) {
+    return; // the answer does not tell the clock
+  }
   m_storeClock = aAnswer.m_storeClock;
   // An answer that was handled later waited here, while this host was
   // suspended.
@@ -307,7 +318,7 @@
 void CommitWriter::AddLeaderRows(TimePoint aNow,
                                  std::vector<RowWrite>& aWrites) const
 {
-  const Duration storeClock = m_storeClock + (aNow - m_storeClockAt);
+  const Duration storeClock = StoreClockAt(aNow);
   proto::LeaderRow row;
   SetHolder(
     LeaderRowHolder{
--- a/src/jobhost/commit_writer.h
+++ b/src/jobhost/commit_writer.h
@@ -125,7 +125,10 @@
   // Adds the leader row, and the counts of pending jobs if they do not fit into
   // it.
   void AddLeaderRows(TimePoint aNow, std::vector<RowWrite>& aWrites) const;
-  // Notes the store's clock as aAnswer has it, to a call sent at aSent.
+  // Returns the estimated time of the store's clock at aNow.
+  Duration StoreClockAt(TimePoint aNow) const;
+  // Notes the store's clock as aAnswer has it, to a call sent at aSent. The
+  // estimate stays as it is if the answer has none.
   void NoteStoreClock(const RowAnswer& aAnswer, TimePoint aSent);
   // Returns true if this process wrote the row.
   bool IsOwnRow(const Row& aRow) const;
--- a/src/jobhost/commit_writer_test.cpp
+++ b/src/jobhost/commit_writer_test.cpp
@@ -319,4 +319,16 @@
   EXPECT_GE(m_store.LeaderRow().renewed_ms(), 102000U);
 }
 
+// Guards against an answer without the store's clock, after which the row seems
+// as old as the store, so that others take the lead and all leases for over.
+TEST_F(CommitWriterTest, AnswerWithoutTheStoresClockLeavesItAsItIs)
+{
+  LeadClaim claim = FirstClaim();
+  claim.m_storeClock = seconds(100);
+  ASSERT_TRUE(m_writer.AcquireLeadership(claim));
+  m_writer.ReleaseLeadership(seconds(5));
+  EXPECT_TRUE(m_store.LeaderRow().released());
+  EXPECT_GE(m_store.LeaderRow().renewed_ms(), 100000U);
+}
+
 } // namespace lycheestep
