--- a/src/lycheestep/catalogue_commands.cpp
+++ b/src/lycheestep/catalogue_commands.cpp
@@ -170,24 +170,51 @@
   return call;
 }
 
-} // namespace
+// The catalogue of the command's file and the one in force. If one of them is
+// null, m_exit is the exit code of the command that could not get it.
+struct ComparedCatalogues
+{
+  CataloguePointer m_wanted;
+  CataloguePointer m_inForce;
+  ExitCode m_exit = ExitCode::kInvalid;
+};
 
-ExitCode RunApplyCommand(const CommandLine& aCommandLine,
-                         ApiConnection& aConnection,
-                         Output& aOutput)
+// Reads the command's file and asks the host for the catalogue in force. Why
+// one of them is missing is printed.
+ComparedCatalogues ReadBothCatalogues(const CommandLine& aCommandLine,
+                                      ApiConnection& aConnection,
+                                      Output& aOutput)
 {
+  ComparedCatalogues compared;
   const CatalogueOrExit wanted =
     ReadCatalogueFile(aCommandLine.m_file, aOutput);
+  compared.m_wanted = wanted.m_catalogue;
   if (!wanted.m_catalogue) {
-    return wanted.m_exit;
+    compared.m_exit = wanted.m_exit;
+    return compared;
   }
   const CatalogueOrExit inForce =
     FetchCatalogue(aCommandLine, aConnection, aOutput);
-  if (!inForce.m_catalogue) {
-    return inForce.m_exit;
+  compared.m_inForce = inForce.m_catalogue;
+  compared.m_exit = inForce.m_exit;
+  return compared;
+}
+
+} // namespace
+
+ExitCode RunApplyCommand(const CommandLine& aCommandLine,
+                         ApiConnection& aConnection,
+                         Output& aOutput)
+{
+  const ComparedCatalogues compared =
+    ReadBothCatalogues(aCommandLine, aConnection, aOutput);
+  if (!compared.m_wanted || !compared.m_inForce) {
+    return compared.m_exit;
   }
-  const std::uint64_t version = inForce.m_catalogue->m_version;
-  if (CompareCatalogues(*inForce.m_catalogue, *wanted.m_catalogue).empty()) {
+  const Catalogue& wanted = *compared.m_wanted;
+  const Catalogue& inForce = *compared.m_inForce;
+  const std::uint64_t version = inForce.m_version;
+  if (CompareCatalogues(inForce, wanted).empty()) {
     const std::string detail =
       "already in force as version " + std::to_string(version);
     const json answer = { { "error", nullptr },
@@ -195,11 +222,10 @@
                           { "version", version } };
     return ReportOperatorAnswer(answer, aCommandLine, aOutput);
   }
-  const std::uint64_t base =
-    BaseVersion(aCommandLine, *wanted.m_catalogue, *inForce.m_catalogue);
+  const std::uint64_t base = BaseVersion(aCommandLine, wanted, inForce);
   const HostAnswer answer =
     CallHost(aConnection,
-             ApplyCall(aCommandLine, *wanted.m_catalogue, base),
+             ApplyCall(aCommandLine, wanted, base),
              aCommandLine,
              "run the same apply again: it does nothing when it was taken",
              aOutput);
@@ -213,20 +239,16 @@
                         ApiConnection& aConnection,
                         Output& aOutput)
 {
-  const CatalogueOrExit wanted =
-    ReadCatalogueFile(aCommandLine.m_file, aOutput);
-  if (!wanted.m_catalogue) {
-    return wanted.m_exit;
-  }
-  const CatalogueOrExit inForce =
-    FetchCatalogue(aCommandLine, aConnection, aOutput);
-  if (!inForce.m_catalogue) {
-    return inForce.m_exit;
+  const ComparedCatalogues compared =
+    ReadBothCatalogues(aCommandLine, aConnection, aOutput);
+  if (!compared.m_wanted || !compared.m_inForce) {
+    return compared.m_exit;
   }
-  const auto differences =
-    CompareCatalogues(*inForce.m_catalogue, *wanted.m_catalogue);
-  const auto calls = CustomersToCall(*inForce.m_catalogue, *wanted.m_catalogue);
-  const std::uint64_t version = inForce.m_catalogue->m_version;
+  const Catalogue& wanted = *compared.m_wanted;
+  const Catalogue& inForce = *compared.m_inForce;
+  const auto differences = CompareCatalogues(inForce, wanted);
+  const auto calls = CustomersToCall(inForce, wanted);
+  const std::uint64_t version = inForce.m_version;
   if (aCommandLine.m_json) {
     aOutput.Json({ { "version", version },
                    { "differences", ToJson(differences) },
