--- a/src/liblycheestep/grant_book.h
+++ b/src/liblycheestep/grant_book.h
@@ -153,6 +153,8 @@
   void AskPeers(CoreContext& aContext);
   void UpdateFleet();
   Resources FairShare() const;
+  // What this host keeps of its even share when peers ask for room.
+  Resources KeptShare() const;
   Resources Held() const;
   Resources Missing(TimePoint aNow) const;
   Resources Blocked(const TargetId& aTarget) const;
