Take no row of an earlier attempt for the lead at hand

A leader could send orders for longer than its row said, so that the next leader took its leases to be over while work was still running on targets that it could not reach, and started that work again.

A host that gets no answer when it takes the lead tries again, and took each row of its own process for the one that it had just tried to write. The row could also be that of an attempt seconds before, done late, or of the release of its former term, done late. In the first case the row was older than the renewal that the leader counted from, by as long as the write was held up. In the second case it said that the lead was given up, so that any host took it at once and counted no orders after it.

The row now has the number of the write, so that a host knows which of its writes took effect. Seen in the model only: it needs lost and late writes at a change of the lead.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -63,6 +63,7 @@
 {
   const TimePoint sent = BootClockNow();
   RowTransaction transaction;
+  std::uint64_t write = 0;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_version = aClaim.m_version;
@@ -75,6 +76,7 @@
     m_released = false;
     m_queued.reset();
     transaction = MakeTransaction(Batch(), sent);
+    write = m_lastWrite;
   }
   RowAnswer answer = m_store.Transact(transaction, kCallTimeout);
   TimePoint answeredCallSent = sent;
@@ -85,7 +87,7 @@
     answer = m_store.Transact(transaction, kCallTimeout);
     const bool firstTookEffect = answer.m_status == RowStatus::kConflict &&
                                  !answer.m_rows.empty() &&
-                                 IsOwnRow(answer.m_rows.front());
+                                 OwnWriteOf(answer.m_rows.front()) == write;
     if (firstTookEffect) {
       answer.m_status = RowStatus::kOk;
       answer.m_version = answer.m_rows.front().m_version;
@@ -218,7 +220,9 @@
         answer.m_rows.begin(), answer.m_rows.end(), [](const Row& aRow) {
           return aRow.m_key.m_table == kLeaderTable;
         });
-      if (row == answer.m_rows.end() || !IsOwnRow(*row)) {
+      const auto write =
+        row != answer.m_rows.end() ? OwnWriteOf(*row) : std::nullopt;
+      if (!write) {
         m_leading = false;
         aLock.unlock();
         m_log.WriteUnlimited("commit-refused", "reason=\"another host's row\"");
@@ -305,8 +309,9 @@
 }
 
 RowTransaction CommitWriter::MakeTransaction(const Batch& aBatch,
-                                             TimePoint aNow) const
+                                             TimePoint aNow)
 {
+  ++m_lastWrite;
   RowTransaction transaction;
   transaction.m_conditions.push_back(RowCondition{ LeaderKey(), m_version });
   transaction.m_writes = aBatch.m_writes;
@@ -331,6 +336,7 @@
     std::max(Duration::zero(), m_formerLeaseExpiry - aNow);
   row.set_former_leases_ms(
     static_cast<std::uint64_t>(ToMilliseconds(formerLeases)));
+  row.set_write(m_lastWrite);
   if (m_pending && !m_omitsPending) {
     row.set_pending_known(true);
     for (const auto& [queue, pending] : *m_pending) {
@@ -350,15 +356,16 @@
   aWrites.push_back(RowWrite{ LeaderKey(), row.SerializeAsString() });
 }
 
-bool CommitWriter::IsOwnRow(const Row& aRow) const
+std::optional<std::uint64_t> CommitWriter::OwnWriteOf(const Row& aRow) const
 {
   proto::LeaderRow row;
   if (!row.ParseFromString(aRow.m_value)) {
-    return false;
+    return std::nullopt;
   }
   const LeaderRowHolder holder = HolderOf(row);
-  return holder.m_host == m_identity.m_host &&
-         holder.m_incarnation == m_identity.m_incarnation;
+  const bool isOwn = holder.m_host == m_identity.m_host &&
+                     holder.m_incarnation == m_identity.m_incarnation;
+  return isOwn ? std::optional<std::uint64_t>(row.write()) : std::nullopt;
 }
 
 } // namespace lycheestep
--- a/src/jobhost/commit_writer.h
+++ b/src/jobhost/commit_writer.h
@@ -121,7 +121,8 @@
   // Handles a write that the store never takes. Returns true if it is worth
   // another try without the counts of pending jobs.
   bool OnInvalid(std::unique_lock<std::mutex>& aLock, const Batch& aBatch);
-  RowTransaction MakeTransaction(const Batch& aBatch, TimePoint aNow) const;
+  // Returns the next write of this process, which m_lastWrite counts.
+  RowTransaction MakeTransaction(const Batch& aBatch, TimePoint aNow);
   // Adds the leader row, and the counts of pending jobs if they do not fit into
   // it.
   void AddLeaderRows(TimePoint aNow, std::vector<RowWrite>& aWrites) const;
@@ -130,8 +131,9 @@
   // Notes the store's clock as aAnswer has it, to a call sent at aSent. The
   // estimate stays as it is if the answer has none.
   void NoteStoreClock(const RowAnswer& aAnswer, TimePoint aSent);
-  // Returns true if this process wrote the row.
-  bool IsOwnRow(const Row& aRow) const;
+  // Returns which write of this process wrote the leader row; empty if another
+  // process did.
+  std::optional<std::uint64_t> OwnWriteOf(const Row& aRow) const;
 
   const LeaderIdentity m_identity;
   RowStore& m_store;
@@ -158,6 +160,8 @@
   // True if a write of a batch that was given up may still be done, instead of
   // one of the batch under way.
   bool m_formerMayBeDone = false;
+  // Counts the writes of this process, whatever became of them.
+  std::uint64_t m_lastWrite = 0;
   // The last known time of the store's clock, and this host's time when it was
   // received.
   Duration m_storeClock = Duration::zero();
--- /dev/null
+++ b/src/jobhost/late_lead_test.cpp
@@ -0,0 +1,176 @@
+// Tests of a leader whose writes get no answer or are done late.
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+#include "boot_clock.h"
+#include "commit_writer.h"
+#include "event_log.h"
+#include "job_rows.h"
+#include "jobs.pb.h"
+#include "metrics_registry.h"
+#include "row_store_model.h"
+
+namespace lycheestep {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// What becomes of a write.
+enum class Fate
+{
+  kAnswered,
+  // Not answered, and done with kAfterLateWrites of a later write.
+  kLate,
+  // Not answered, and done after all late writes.
+  kAfterLateWrites,
+};
+
+// A store whose next writes have the given fates; later ones are answered.
+class FatefulStore : public RowStore
+{
+public:
+  RowAnswer Transact(const RowTransaction& aTransaction,
+                     Duration aTimeout) override
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const Fate fate = TakeFate();
+    if (fate == Fate::kLate) {
+      m_model.DelayWrites(1);
+    }
+    if (fate == Fate::kAfterLateWrites) {
+      m_model.DoLateWrites();
+    }
+    const RowAnswer answer = m_model.Transact(aTransaction, aTimeout);
+    return fate == Fate::kAnswered ? answer : RowAnswer();
+  }
+
+  RowAnswer Read(const RowRange& aRange, Duration aTimeout) override
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_model.Read(aRange, aTimeout);
+  }
+
+  RowAnswer Feed(const std::string& /*aTable*/,
+                 std::uint64_t /*aVersion*/,
+                 Duration /*aWait*/,
+                 Duration /*aTimeout*/) override
+  {
+    return RowAnswer();
+  }
+
+  void SetFates(std::deque<Fate> aFates)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_fates = std::move(aFates);
+  }
+
+  Row LeaderRowNow()
+  {
+    RowRange range;
+    range.m_table = LeaderKey().m_table;
+    range.m_first = LeaderKey().m_key;
+    range.m_limit = 1;
+    const RowAnswer answer = Read(range, Duration::zero());
+    return answer.m_rows.empty() ? Row() : answer.m_rows.front();
+  }
+
+private:
+  Fate TakeFate()
+  {
+    if (m_fates.empty()) {
+      return Fate::kAnswered;
+    }
+    const Fate fate = m_fates.front();
+    m_fates.pop_front();
+    return fate;
+  }
+
+  std::mutex m_mutex;
+  RowStoreModel m_model;
+  std::deque<Fate> m_fates;
+};
+
+class LateLeadTest : public testing::Test
+{
+protected:
+  LateLeadTest()
+    : m_log("test", m_metrics)
+    , m_begun(BootClockNow())
+    , m_writer(
+        LeaderIdentity{ "a", 11, seconds(8), seconds(4) },
+        m_store,
+        m_log,
+        m_metrics,
+        [](std::uint64_t /*aVersion*/, Duration /*aStoreClock*/) {},
+        [] {},
+        [] {})
+  {
+  }
+
+  // Tries to take the lead over the row that the store has now.
+  bool TakeLead()
+  {
+    LeadClaim claim;
+    claim.m_version = m_store.LeaderRowNow().m_version;
+    claim.m_clockAt = BootClockNow();
+    claim.m_storeClock = kStoreStart + (claim.m_clockAt - m_begun);
+    return m_writer.AcquireLeadership(claim);
+  }
+
+  proto::LeaderRow LeaderRow()
+  {
+    proto::LeaderRow row;
+    row.ParseFromString(m_store.LeaderRowNow().m_value);
+    return row;
+  }
+
+  // Returns by how much the leader counts its renewal as later than the row in
+  // the store does.
+  Duration RenewalAheadOfRow()
+  {
+    const Duration renewed =
+      m_writer.OrdersValidUntil() - m_writer.OrderValidity() - m_begun;
+    return kStoreStart + renewed - milliseconds(LeaderRow().renewed_ms());
+  }
+
+  static constexpr Duration kStoreStart = seconds(100);
+
+  MetricsRegistry m_metrics;
+  EventLog m_log;
+  FatefulStore m_store;
+  const TimePoint m_begun;
+  CommitWriter m_writer;
+};
+
+} // namespace
+
+// Guards against a leader that sends orders for longer than its row says, so
+// that the next one takes its leases to be over too early.
+TEST_F(LateLeadTest, RowOfAnEarlierAttemptIsNoProofOfTheLead)
+{
+  m_store.SetFates({ Fate::kLate, Fate::kLate, Fate::kAfterLateWrites });
+  EXPECT_FALSE(TakeLead());
+  std::this_thread::sleep_for(milliseconds(300));
+  if (TakeLead()) {
+    EXPECT_LT(RenewalAheadOfRow(), milliseconds(100));
+  }
+}
+
+// Guards against a leader whose row says that it has given up the lead.
+TEST_F(LateLeadTest, LateReleaseIsNoProofOfTheLead)
+{
+  ASSERT_TRUE(TakeLead());
+  m_store.SetFates({ Fate::kLate, Fate::kAfterLateWrites });
+  m_writer.ReleaseLeadership(milliseconds(30));
+  if (TakeLead()) {
+    EXPECT_FALSE(LeaderRow().released());
+  }
+}
+
+} // namespace lycheestep
