Count a commit as done only if one of its own writes wrote the row

Tasks ran twice at once, on targets of which the first could not be reached: a start left, its commit was not in the store, and the next leader did not know of the run. The first run got no stop and ended by itself. Tasks that had ended well and whose ends were noted started again for the same reason.

If the store's answer to a write has a version that is newer than the leader row's, the next write is refused. If that refusal got lost, the retry found the process's own row and took it as proof that the first write had been done.

late_lead_test, CommitUnderANewerVersionIsStoredBeforeItIsReported, failed before: the commit was reported and its row was not in the store.

The number of the write in the row says which batch wrote it, and takes the place of the flag for batches that were given up. Whether the users' store ever answers with a later version is not known; ours does so only in these tests.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -194,6 +194,7 @@
                                     const Batch& aBatch)
 {
   const std::uint64_t term = m_term;
+  const std::uint64_t firstWrite = m_lastWrite + 1;
   // When the first write without an answer was sent.
   std::optional<TimePoint> unanswered;
   while (m_leading && !m_stopping) {
@@ -230,7 +231,7 @@
         aLock.lock();
         return;
       }
-      if (unanswered && !m_formerMayBeDone) {
+      if (unanswered && *write >= firstWrite) {
         // An earlier attempt took effect. Others may have written rows that it
         // removed since.
         answer.m_version = row->m_version;
@@ -241,7 +242,6 @@
       continue;
     }
     if (answer.m_status == RowStatus::kInvalid) {
-      m_formerMayBeDone = m_formerMayBeDone || unanswered.has_value();
       if (OnInvalid(aLock, aBatch)) {
         continue;
       }
@@ -262,7 +262,6 @@
                              TimePoint aSent)
 {
   m_version = aAnswer.m_version;
-  m_formerMayBeDone = false;
   m_renewedAt = aSent.time_since_epoch().count();
   if (aBatch.m_isCommit) {
     const Duration storeClock = StoreClockAt(BootClockNow());
--- a/src/jobhost/commit_writer.h
+++ b/src/jobhost/commit_writer.h
@@ -157,9 +157,6 @@
   // True if the store refused a write that contained counts.
   bool m_omitsPending = false;
   std::uint64_t m_version = 0;
-  // True if a write of a batch that was given up may still be done, instead of
-  // one of the batch under way.
-  bool m_formerMayBeDone = false;
   // Counts the writes of this process, whatever became of them.
   std::uint64_t m_lastWrite = 0;
   // The last known time of the store's clock, and this host's time when it was
--- a/src/jobhost/late_lead_test.cpp
+++ b/src/jobhost/late_lead_test.cpp
@@ -1,8 +1,10 @@
-// Tests of a leader whose writes get no answer or are done late.
+// Tests of a leader whose writes get no answer, are done late, or are answered
+// with a version that is newer than its row's.
 #include <gtest/gtest.h>
 
 #include <chrono>
 #include <deque>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -25,10 +27,14 @@
 enum class Fate
 {
   kAnswered,
+  // Done, or refused, without an answer.
+  kUnanswered,
   // Not answered, and done with kAfterLateWrites of a later write.
   kLate,
   // Not answered, and done after all late writes.
   kAfterLateWrites,
+  // Answered after a write of another table was done.
+  kAnsweredWithNewerVersion,
 };
 
 // A store whose next writes have the given fates; later ones are answered.
@@ -46,8 +52,15 @@
     if (fate == Fate::kAfterLateWrites) {
       m_model.DoLateWrites();
     }
-    const RowAnswer answer = m_model.Transact(aTransaction, aTimeout);
-    return fate == Fate::kAnswered ? answer : RowAnswer();
+    RowAnswer answer = m_model.Transact(aTransaction, aTimeout);
+    if (fate == Fate::kAnsweredWithNewerVersion) {
+      RowTransaction other;
+      other.m_writes.push_back(RowWrite{ HostKey("other"), "" });
+      answer.m_version = m_model.Transact(other, aTimeout).m_version;
+    }
+    const bool answered =
+      fate == Fate::kAnswered || fate == Fate::kAnsweredWithNewerVersion;
+    return answered ? answer : RowAnswer();
   }
 
   RowAnswer Read(const RowRange& aRange, Duration aTimeout) override
@@ -80,6 +93,12 @@
     return answer.m_rows.empty() ? Row() : answer.m_rows.front();
   }
 
+  bool Has(const RowKey& aKey)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_model.Has(aKey);
+  }
+
 private:
   Fate TakeFate()
   {
@@ -107,7 +126,10 @@
         m_store,
         m_log,
         m_metrics,
-        [](std::uint64_t /*aVersion*/, Duration /*aStoreClock*/) {},
+        [this](std::uint64_t /*aVersion*/, Duration /*aStoreClock*/) {
+          m_committed.set_value();
+          m_committed = std::promise<void>();
+        },
         [] {},
         [] {})
   {
@@ -145,6 +167,7 @@
   EventLog m_log;
   FatefulStore m_store;
   const TimePoint m_begun;
+  std::promise<void> m_committed;
   CommitWriter m_writer;
 };
 
@@ -173,4 +196,17 @@
   }
 }
 
+// Guards against a start whose commit was never stored, as its refusal was lost
+// and the row was taken for one that the commit had written.
+TEST_F(LateLeadTest, CommitUnderANewerVersionIsStoredBeforeItIsReported)
+{
+  m_store.SetFates({ Fate::kAnsweredWithNewerVersion, Fate::kUnanswered });
+  ASSERT_TRUE(TakeLead());
+  std::future<void> committed = m_committed.get_future();
+  const RowKey key = ProgressKey(JobId("job"));
+  m_writer.Commit({ RowWrite{ key, "half" } }, {});
+  ASSERT_EQ(committed.wait_for(seconds(5)), std::future_status::ready);
+  EXPECT_TRUE(m_store.Has(key));
+}
+
 } // namespace lycheestep
