Let the release of a former term end no later one

A host led and never renewed its row. Others took the lead from it, and it neither learnt of that nor led again.

The writer now ends only the term whose release it wrote.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -182,8 +182,9 @@
       m_queued.reset();
     }
     const bool releases = m_released;
+    const std::uint64_t term = m_term;
     WriteWithRetries(lock, batch);
-    if (releases && !m_queued) {
+    if (releases && m_term == term && !m_queued) {
       m_leading = false;
       m_changed.notify_all();
     }
--- a/src/jobhost/late_lead_test.cpp
+++ b/src/jobhost/late_lead_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <condition_variable>
 #include <deque>
 #include <future>
 #include <mutex>
@@ -29,6 +30,8 @@
   kAnswered,
   // Done, or refused, without an answer.
   kUnanswered,
+  // Not answered, and not done, until LetGo.
+  kHeld,
   // Not answered, and done with kAfterLateWrites of a later write.
   kLate,
   // Not answered, and done after all late writes.
@@ -44,8 +47,12 @@
   RowAnswer Transact(const RowTransaction& aTransaction,
                      Duration aTimeout) override
   {
-    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::unique_lock<std::mutex> lock(m_mutex);
     const Fate fate = TakeFate();
+    if (fate == Fate::kHeld) {
+      m_letGo.wait(lock, [this] { return m_holdsNone; });
+      return RowAnswer();
+    }
     if (fate == Fate::kLate) {
       m_model.DelayWrites(1);
     }
@@ -83,6 +90,13 @@
     m_fates = std::move(aFates);
   }
 
+  void LetGo()
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_holdsNone = true;
+    m_letGo.notify_all();
+  }
+
   Row LeaderRowNow()
   {
     RowRange range;
@@ -113,6 +127,8 @@
   std::mutex m_mutex;
   RowStoreModel m_model;
   std::deque<Fate> m_fates;
+  std::condition_variable m_letGo;
+  bool m_holdsNone = false;
 };
 
 class LateLeadTest : public testing::Test
@@ -135,6 +151,8 @@
   {
   }
 
+  ~LateLeadTest() override { m_store.LetGo(); }
+
   // Tries to take the lead over the row that the store has now.
   bool TakeLead()
   {
@@ -209,4 +227,18 @@
   EXPECT_TRUE(m_store.Has(key));
 }
 
+// Guards against a leader that never renews, since the last write of its former
+// term ended the present one.
+TEST_F(LateLeadTest, WriteOfAFormerTermDoesNotEndThisOne)
+{
+  ASSERT_TRUE(TakeLead());
+  m_store.SetFates({ Fate::kHeld });
+  m_writer.ReleaseLeadership(milliseconds(100));
+  ASSERT_TRUE(TakeLead());
+  const std::uint64_t version = m_store.LeaderRowNow().m_version;
+  m_store.LetGo();
+  std::this_thread::sleep_for(seconds(1));
+  EXPECT_GT(m_store.LeaderRowNow().m_version, version);
+}
+
 } // namespace lycheestep
