Write no commit of a former term in a later one

A commit that a leader had decided on before others led could be written in its next term: rows of jobs and runs as they had been then.

A write without an answer is tried again after 60 ms. The writer checked then that the host leads, but not that it is the same term, and wrote with the row's version of the new term.

late_lead_test, CommitOfAFormerTermIsNotWrittenInThisOne, failed before: the row of the former term's commit was in the store. It needs a thread that stands still for longer than the others, as a term lasts 0.3 s at least after a former one. The writer now also checks the term before each write.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -198,7 +198,7 @@
   const std::uint64_t firstWrite = m_lastWrite + 1;
   // When the first write without an answer was sent.
   std::optional<TimePoint> unanswered;
-  while (m_leading && !m_stopping) {
+  while (m_leading && m_term == term && !m_stopping) {
     const TimePoint sent = BootClockNow();
     const RowTransaction transaction = MakeTransaction(aBatch, sent);
     aLock.unlock();
