Wait for all leases if the leader row cannot be read

A leader that found a row which can't be parsed, or which names no lease, took all leases of the leader before it to be over after 1 s, and started work again that was still running on targets that it could not reach.

Such a row counted as one without leases. It now counts as that of a leader that renewed just before the read, with the lease and the validity that all releases have. Any host may still take the lead at once.

leader_election_test, LeasesOfARowThatCannotBeReadCountFromTheRead, failed before: 1,000 ms for both rows, where 12,160 are needed. Seen in the test only; nothing is known that writes such a row.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -11,17 +11,13 @@
 #include "boot_clock.h"
 #include "job_rows.h"
 #include "jobs.pb.h"
+#include "leader_row.h"
 #include "peer_probe.h"
 
 namespace lycheestep {
 
 namespace {
 
-// The lease that the leader asks targets for, and how long it sends orders
-// after its last renewal.
-constexpr Duration kLease = std::chrono::seconds(8);
-constexpr Duration kValidity = std::chrono::seconds(4);
-
 // A host first reads the leader row at most this long after its start or
 // after it stepped down.
 constexpr Duration kMaxElectionDelay = std::chrono::milliseconds(300);
@@ -57,7 +53,7 @@
 JobSchedulerSettings SchedulerSettingsOf(const JobHostSettings& aSettings)
 {
   JobSchedulerSettings settings;
-  settings.m_targets.m_lease = std::min(kLease, aSettings.m_longestLease);
+  settings.m_targets.m_lease = std::min(kLeaderLease, aSettings.m_longestLease);
   settings.m_targets.m_longestLease = WithClockMargin(aSettings.m_longestLease);
   settings.m_valueBytes = MaxValueBytes(aSettings.m_storeRowBytes);
   settings.m_retention = aSettings.m_jobRetention;
@@ -77,8 +73,8 @@
   LeaderIdentity identity;
   identity.m_host = aSettings.m_host;
   identity.m_incarnation = aIncarnation;
-  identity.m_lease = std::min(kLease, aSettings.m_longestLease);
-  identity.m_validity = kValidity;
+  identity.m_lease = std::min(kLeaderLease, aSettings.m_longestLease);
+  identity.m_validity = kLeaderValidity;
   identity.m_valueBytes = MaxValueBytes(aSettings.m_storeRowBytes);
   return identity;
 }
--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -58,8 +58,12 @@
     return record;
   }
   record.m_version = aAnswer.m_rows.front().m_version;
-  if (!row.ParseFromString(aAnswer.m_rows.front().m_value)) {
+  const bool parsed = row.ParseFromString(aAnswer.m_rows.front().m_value);
+  if (!parsed || row.lease_ms() == 0) {
+    record.m_readable = false;
     record.m_renewalAge = Duration::max(); // no leader renews such a row
+    record.m_lease = kLeaderLease;
+    record.m_validity = kLeaderValidity;
     return record;
   }
   const LeaderRowHolder holder = HolderOf(row);
@@ -203,7 +207,9 @@
   // A leader that led for a moment may have expired before the leases of those
   // before it.
   const Duration longest = std::max(orders + lease, aRecord.m_formerLeases);
-  return longest + kLeaseMargin - std::min(aRecord.m_renewalAge, longest);
+  const Duration age =
+    aRecord.m_readable ? aRecord.m_renewalAge : Duration::zero();
+  return longest + kLeaseMargin - std::min(age, longest);
 }
 
 } // namespace lycheestep
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -23,6 +23,8 @@
   bool m_released = false;
   // Time since the leader last renewed, by the store's clock.
   Duration m_renewalAge = Duration::zero();
+  // False if the row cannot be read, so that it says nothing of the renewal.
+  bool m_readable = true;
   // The longest lease that the leader gives to a target.
   Duration m_lease = Duration::zero();
   // How long the leader may send orders after a renewal.
@@ -43,7 +45,7 @@
 };
 
 // Decodes the store's answer to a read of the leader's row. A row that cannot
-// be parsed gets the largest renewal age, so that any host may replace it.
+// be read gets the largest renewal age, so that any host may replace it.
 LeaderRecord DecodeLeaderRow(const RowAnswer& aAnswer);
 
 // A host that may lead, as described by its row in the store.
--- a/src/jobhost/leader_election_test.cpp
+++ b/src/jobhost/leader_election_test.cpp
@@ -349,4 +349,21 @@
     election.OnRowRead(DecodeLeaderRow(answer), TimePoint(seconds(100))));
 }
 
+// Guards against work that is started again after 1 s, as a row that can't be
+// read was taken for one without leases.
+TEST(LeaderElection, LeasesOfARowThatCannotBeReadCountFromTheRead)
+{
+  for (const char* value : { "", "\xff\xff\xff" }) {
+    RowAnswer answer;
+    answer.m_storeClock = seconds(500);
+    Row row;
+    row.m_key = LeaderKey();
+    row.m_version = 9;
+    row.m_value = value;
+    answer.m_rows.push_back(row);
+    EXPECT_GE(LeaderElection::RemainingFormerLease(DecodeLeaderRow(answer)),
+              seconds(4) + kLongestLease);
+  }
+}
+
 } // namespace lycheestep
--- a/src/jobhost/leader_row.h
+++ b/src/jobhost/leader_row.h
@@ -33,6 +33,11 @@
   kThisRelease,
 };
 
+// The longest lease that a leader gives to a target, and how long it sends
+// orders after its last renewal.
+constexpr Duration kLeaderLease = std::chrono::seconds(8);
+constexpr Duration kLeaderValidity = std::chrono::seconds(4);
+
 // How much longer hosts of earlier releases wait before they take the lead.
 constexpr Duration kEarlierReleaseDelay = std::chrono::seconds(10);
 
