Log how long former leases are waited for and orders may still leave

leading says former_leases_ms, lead-lost its term and orders_left_ms, and leading-suspended renewed_ago_ms. A record then tells whether a new leader waited for less than the former one could still send.

--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -339,10 +339,12 @@
 {
   const std::uint64_t term = ++m_term;
   const TimePoint now = BootClockNow();
-  m_log.WriteUnlimited("leading",
-                       "term=" + std::to_string(term) +
-                         " incarnation=" + std::to_string(m_incarnation) +
-                         " former=" + aRecord.m_host);
+  m_log.WriteUnlimited(
+    "leading",
+    "term=" + std::to_string(term) +
+      " incarnation=" + std::to_string(m_incarnation) +
+      " former=" + aRecord.m_host + " former_leases_ms=" +
+      std::to_string(ToMilliseconds(aFormerLeaseExpiry - now)));
   m_leaderSighting.OnOwnLead(m_settings.m_host, m_incarnation);
   m_controlLoad.Begin(now);
   m_leader = std::make_unique<Leader>(MakeLeaderDependencies(term),
@@ -357,7 +359,11 @@
   if (!m_leader) {
     return;
   }
-  m_log.WriteUnlimited("lead-lost", std::string("reason=\"") + aReason + "\"");
+  const Duration ordersLeft = m_writer.OrdersValidUntil() - BootClockNow();
+  m_log.WriteUnlimited(
+    "lead-lost",
+    std::string("reason=\"") + aReason + "\" term=" + std::to_string(m_term) +
+      " orders_left_ms=" + std::to_string(ToMilliseconds(ordersLeft)));
   m_writer.StopWithoutRelease();
   m_leader->Retire();
   m_retiredLeaders.push_back(std::move(m_leader));
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -164,7 +164,8 @@
   if (valid == m_suspended) {
     m_suspended = !valid;
     LogUnlimited(valid ? "leading-resumed" : "leading-suspended",
-                 "reason=renewal");
+                 "reason=renewal renewed_ago_ms=" +
+                   std::to_string(ToMilliseconds(RenewalAge())));
   }
   if (m_heartbeatDue <= m_now) {
     m_heartbeatDue = m_now + kHeartbeatPeriod;
