Take no lead on an answer that does not tell the store's clock

A leader that read the row in an answer without the store's clock wrote a row that seemed as old as the store. The next host took the lead from it at once, and its leases to be over before they were.

The age of the row and the time of the first own row both come from that answer.

leader_election_test, LeadIsNotTakenWithoutTheStoresClock, failed before: a row that could be taken was taken.

--- a/src/jobhost/lead_play_test.cpp
+++ b/src/jobhost/lead_play_test.cpp
@@ -456,7 +456,9 @@
     range.m_first = LeaderKey().m_key;
     range.m_limit = 1;
     RowAnswer answer = m_rows.Read(range, kReadTimeout);
-    answer.m_storeClock = StoreClock();
+    if (Chance(90)) {
+      answer.m_storeClock = StoreClock();
+    }
     aProcess.m_read = DecodeLeaderRow(answer);
     aProcess.m_readSent = now - Between(0, 300);
     aProcess.m_readHandledAt = now + Between(0, 300);
--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -51,6 +51,7 @@
 {
   LeaderRecord record;
   record.m_storeClock = aAnswer.m_storeClock;
+  record.m_clockKnown = aAnswer.m_storeClock != Duration::zero();
   proto::LeaderRow row;
   const bool found = !aAnswer.m_rows.empty() &&
                      aAnswer.m_rows.front().m_key.m_key == LeaderKey().m_key;
@@ -136,6 +137,10 @@
 
 bool LeaderElection::OnRowRead(const LeaderRecord& aRecord, TimePoint aNow)
 {
+  if (!aRecord.m_clockKnown) {
+    OnReadFailed(aNow);
+    return false;
+  }
   const bool ownFormerProcess =
     aRecord.m_host == m_host && aRecord.m_incarnation != m_incarnation;
   const bool vacant = aRecord.m_version == 0 || aRecord.m_released ||
--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -36,6 +36,9 @@
   // host's clock.
   Duration m_storeClock = Duration::zero();
   TimePoint m_readAt;
+  // False if the answer does not tell the store's clock, so that it says
+  // nothing of the row's age.
+  bool m_clockKnown = true;
   // Time that the store took to answer the read.
   Duration m_readLatency = Duration::zero();
   // True if the reader needs a relay to reach the store.
--- a/src/jobhost/leader_election_test.cpp
+++ b/src/jobhost/leader_election_test.cpp
@@ -339,6 +339,7 @@
 TEST(LeaderElection, LeadIsTakenIfTheRowIsMalformed)
 {
   RowAnswer answer;
+  answer.m_storeClock = seconds(500);
   Row row;
   row.m_key = LeaderKey();
   row.m_version = 9;
@@ -366,4 +367,24 @@
   }
 }
 
+// Guards against a leader that takes its first row's time from an answer
+// without the store's clock, so that the next one takes its leases to be over.
+TEST(LeaderElection, LeadIsNotTakenWithoutTheStoresClock)
+{
+  RowAnswer answer;
+  Row row;
+  row.m_key = LeaderKey();
+  row.m_version = 9;
+  answer.m_rows.push_back(row);
+  LeaderElection election("b", 1);
+  const TimePoint now{ seconds(100) };
+  EXPECT_FALSE(election.OnRowRead(DecodeLeaderRow(answer), now));
+  EXPECT_LE(election.NextReadTime(), now + seconds(1));
+  answer.m_storeClock = seconds(500);
+  const TimePoint next = election.NextReadTime();
+  EXPECT_FALSE(election.OnRowRead(DecodeLeaderRow(answer), next));
+  EXPECT_TRUE(
+    election.OnRowRead(DecodeLeaderRow(answer), election.NextReadTime()));
+}
+
 } // namespace lycheestep
