Let a former process that lives on take no lead back

No work was started for as long as two processes of one host lived, as when a host is replaced at another address and its former process goes on: they took the lead from each other every 0.5 s.

Each process took the row of another one of its own name for that of a process which had ended. It now does so only for the process that the first row it read named, as that is the one whose place it took.

--- a/src/jobhost/leader_election.h
+++ b/src/jobhost/leader_election.h
@@ -127,6 +127,9 @@
   std::size_t m_waitsAtRank = 0;
   std::uint64_t m_waitsForVersion = 0;
   TimePoint m_nextReadTime;
+  // The process that the first row named. If it has this host's name, this
+  // process took its place; one that leads later may have taken this one's.
+  std::optional<std::uint64_t> m_firstRowLeader;
   // True if the last read of the leader's row failed.
   bool m_readFailed = false;
 };
