--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -143,7 +143,9 @@
         self.disturb_store("down", True, self.random.uniform(0.5, 5))
 
     def store_loses(self):
-        self.disturb_store("lost", 0.3, self.random.uniform(1, 4))
+        seconds = self.random.uniform(1, 4)
+        self.disturb_store("lost", 0.3, seconds)
+        self.disturb_store("crowded", 0.3, seconds)
 
     def store_slow(self):
         self.disturb_store("delay", self.random.uniform(0.05, 0.25),
--- a/testsuite/soak/store.py
+++ b/testsuite/soak/store.py
@@ -26,6 +26,8 @@
         # whose answer is as old as it is late.
         self.down = False
         self.lost = 0.0
+        # The share of writes whose answer has the version of a later one.
+        self.crowded = 0.0
         self.delay = 0.0
         self.read_delay = 0.0
         self.server = WebServer(port, self.serve)
@@ -99,6 +101,9 @@
                 self.write(key_of(entry), base64.b64decode(entry["value"]))
             for entry in body.get("remove", []):
                 self.write(key_of(entry), None)
+            if self.random.random() < self.crowded:
+                self.version += 1
+                self.write(("crowd", "", "row"), b"")
             self.lock.notify_all()
             return 200, {"ver": self.version, "now_ms": self.now_ms()}
 
