--- a/src/jobhost/late_lead_test.cpp
+++ b/src/jobhost/late_lead_test.cpp
@@ -25,7 +25,8 @@
 using std::chrono::seconds;
 
 // What becomes of a write.
-enum class Fate {
+enum class Fate
+{
   kAnswered,
   // Done, or refused, without an answer.
   kUnanswered,
@@ -40,10 +41,12 @@
 };
 
 // A store whose next writes have the given fates; later ones are answered.
-class FatefulStore : public RowStore {
+class FatefulStore : public RowStore
+{
 public:
-  RowAnswer Transact(const RowTransaction &aTransaction,
-                     Duration aTimeout) override {
+  RowAnswer Transact(const RowTransaction& aTransaction,
+                     Duration aTimeout) override
+  {
     std::unique_lock<std::mutex> lock(m_mutex);
     const Fate fate = TakeFate();
     if (fate == Fate::kHeld) {
@@ -59,36 +62,43 @@
     RowAnswer answer = m_model.Transact(aTransaction, aTimeout);
     if (fate == Fate::kAnsweredWithNewerVersion) {
       RowTransaction other;
-      other.m_writes.push_back(RowWrite{HostKey("other"), ""});
+      other.m_writes.push_back(RowWrite{ HostKey("other"), "" });
       answer.m_version = m_model.Transact(other, aTimeout).m_version;
     }
     const bool answered =
-        fate == Fate::kAnswered || fate == Fate::kAnsweredWithNewerVersion;
+      fate == Fate::kAnswered || fate == Fate::kAnsweredWithNewerVersion;
     return answered ? answer : RowAnswer();
   }
 
-  RowAnswer Read(const RowRange &aRange, Duration aTimeout) override {
+  RowAnswer Read(const RowRange& aRange, Duration aTimeout) override
+  {
     const std::lock_guard<std::mutex> lock(m_mutex);
     return m_model.Read(aRange, aTimeout);
   }
 
-  RowAnswer Feed(const std::string & /*aTable*/, std::uint64_t /*aVersion*/,
-                 Duration /*aWait*/, Duration /*aTimeout*/) override {
+  RowAnswer Feed(const std::string& /*aTable*/,
+                 std::uint64_t /*aVersion*/,
+                 Duration /*aWait*/,
+                 Duration /*aTimeout*/) override
+  {
     return RowAnswer();
   }
 
-  void SetFates(std::deque<Fate> aFates) {
+  void SetFates(std::deque<Fate> aFates)
+  {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_fates = std::move(aFates);
   }
 
-  void LetGo() {
+  void LetGo()
+  {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_holdsNone = true;
     m_letGo.notify_all();
   }
 
-  Row LeaderRowNow() {
+  Row LeaderRowNow()
+  {
     RowRange range;
     range.m_table = LeaderKey().m_table;
     range.m_first = LeaderKey().m_key;
@@ -97,13 +107,15 @@
     return answer.m_rows.empty() ? Row() : answer.m_rows.front();
   }
 
-  bool Has(const RowKey &aKey) {
+  bool Has(const RowKey& aKey)
+  {
     const std::lock_guard<std::mutex> lock(m_mutex);
     return m_model.Has(aKey);
   }
 
 private:
-  Fate TakeFate() {
+  Fate TakeFate()
+  {
     if (m_fates.empty()) {
       return Fate::kAnswered;
     }
@@ -119,23 +131,31 @@
   bool m_holdsNone = false;
 };
 
-class LateLeadTest : public testing::Test {
+class LateLeadTest : public testing::Test
+{
 protected:
   LateLeadTest()
-      : m_log("test", m_metrics), m_begun(BootClockNow()),
-        m_writer(
-            LeaderIdentity{"a", 11, seconds(8), seconds(4)}, m_store, m_log,
-            m_metrics,
-            [this](std::uint64_t /*aVersion*/, Duration /*aStoreClock*/) {
-              m_committed.set_value();
-              m_committed = std::promise<void>();
-            },
-            [] {}, [] {}) {}
+    : m_log("test", m_metrics)
+    , m_begun(BootClockNow())
+    , m_writer(
+        LeaderIdentity{ "a", 11, seconds(8), seconds(4) },
+        m_store,
+        m_log,
+        m_metrics,
+        [this](std::uint64_t /*aVersion*/, Duration /*aStoreClock*/) {
+          m_committed.set_value();
+          m_committed = std::promise<void>();
+        },
+        [] {},
+        [] {})
+  {
+  }
 
   ~LateLeadTest() override { m_store.LetGo(); }
 
   // Tries to take the lead over the row that the store has now.
-  bool TakeLead() {
+  bool TakeLead()
+  {
     LeadClaim claim;
     claim.m_version = m_store.LeaderRowNow().m_version;
     claim.m_clockAt = BootClockNow();
@@ -143,7 +163,8 @@
     return m_writer.AcquireLeadership(claim);
   }
 
-  proto::LeaderRow LeaderRow() {
+  proto::LeaderRow LeaderRow()
+  {
     proto::LeaderRow row;
     row.ParseFromString(m_store.LeaderRowNow().m_value);
     return row;
@@ -151,9 +172,10 @@
 
   // Returns by how much the leader counts its renewal as later than the row in
   // the store does.
-  Duration RenewalAheadOfRow() {
+  Duration RenewalAheadOfRow()
+  {
     const Duration renewed =
-        m_writer.OrdersValidUntil() - m_writer.OrderValidity() - m_begun;
+      m_writer.OrdersValidUntil() - m_writer.OrderValidity() - m_begun;
     return kStoreStart + renewed - milliseconds(LeaderRow().renewed_ms());
   }
 
@@ -171,8 +193,9 @@
 
 // Guards against a leader that sends orders for longer than its row says, so
 // that the next one takes its leases to be over too early.
-TEST_F(LateLeadTest, RowOfAnEarlierAttemptIsNoProofOfTheLead) {
-  m_store.SetFates({Fate::kLate, Fate::kLate, Fate::kAfterLateWrites});
+TEST_F(LateLeadTest, RowOfAnEarlierAttemptIsNoProofOfTheLead)
+{
+  m_store.SetFates({ Fate::kLate, Fate::kLate, Fate::kAfterLateWrites });
   EXPECT_FALSE(TakeLead());
   std::this_thread::sleep_for(milliseconds(300));
   if (TakeLead()) {
@@ -181,9 +204,10 @@
 }
 
 // Guards against a leader whose row says that it has given up the lead.
-TEST_F(LateLeadTest, LateReleaseIsNoProofOfTheLead) {
+TEST_F(LateLeadTest, LateReleaseIsNoProofOfTheLead)
+{
   ASSERT_TRUE(TakeLead());
-  m_store.SetFates({Fate::kLate, Fate::kAfterLateWrites});
+  m_store.SetFates({ Fate::kLate, Fate::kAfterLateWrites });
   m_writer.ReleaseLeadership(milliseconds(30));
   if (TakeLead()) {
     EXPECT_FALSE(LeaderRow().released());
@@ -192,21 +216,23 @@
 
 // Guards against a start whose commit was never stored, as its refusal was lost
 // and the row was taken for one that the commit had written.
-TEST_F(LateLeadTest, CommitUnderANewerVersionIsStoredBeforeItIsReported) {
-  m_store.SetFates({Fate::kAnsweredWithNewerVersion, Fate::kUnanswered});
+TEST_F(LateLeadTest, CommitUnderANewerVersionIsStoredBeforeItIsReported)
+{
+  m_store.SetFates({ Fate::kAnsweredWithNewerVersion, Fate::kUnanswered });
   ASSERT_TRUE(TakeLead());
   std::future<void> committed = m_committed.get_future();
   const RowKey key = ProgressKey(JobId("job"));
-  m_writer.Commit({RowWrite{key, "half"}}, {});
+  m_writer.Commit({ RowWrite{ key, "half" } }, {});
   ASSERT_EQ(committed.wait_for(seconds(5)), std::future_status::ready);
   EXPECT_TRUE(m_store.Has(key));
 }
 
 // Guards against a leader that never renews, since the last write of its former
 // term ended the present one.
-TEST_F(LateLeadTest, WriteOfAFormerTermDoesNotEndThisOne) {
+TEST_F(LateLeadTest, WriteOfAFormerTermDoesNotEndThisOne)
+{
   ASSERT_TRUE(TakeLead());
-  m_store.SetFates({Fate::kHeld});
+  m_store.SetFates({ Fate::kHeld });
   m_writer.ReleaseLeadership(milliseconds(100));
   ASSERT_TRUE(TakeLead());
   const std::uint64_t version = m_store.LeaderRowNow().m_version;
@@ -216,11 +242,12 @@
 }
 
 // Guards against rows that a leader decided on before others led.
-TEST_F(LateLeadTest, CommitOfAFormerTermIsNotWrittenInThisOne) {
+TEST_F(LateLeadTest, CommitOfAFormerTermIsNotWrittenInThisOne)
+{
   ASSERT_TRUE(TakeLead());
-  m_store.SetFates({Fate::kHeld});
+  m_store.SetFates({ Fate::kHeld });
   const RowKey key = ProgressKey(JobId("job"));
-  m_writer.Commit({RowWrite{key, "half"}}, {});
+  m_writer.Commit({ RowWrite{ key, "half" } }, {});
   std::this_thread::sleep_for(milliseconds(100));
   m_store.LetGo();
   std::this_thread::sleep_for(milliseconds(20));
--- a/src/jobhost/leader_election.cpp
+++ b/src/jobhost/leader_election.cpp
@@ -144,9 +144,9 @@
   if (!m_firstRowLeader) {
     m_firstRowLeader = aRecord.m_incarnation;
   }
-  const bool ownFormerProcess =
-    aRecord.m_host == m_host && aRecord.m_incarnation != m_incarnation &&
-    aRecord.m_incarnation == *m_firstRowLeader;
+  const bool ownFormerProcess = aRecord.m_host == m_host &&
+                                aRecord.m_incarnation != m_incarnation &&
+                                aRecord.m_incarnation == *m_firstRowLeader;
   const bool vacant = aRecord.m_version == 0 || aRecord.m_released ||
                       aRecord.m_processEnded || ownFormerProcess;
   const bool stale = aRecord.m_renewalAge >
