Send no start once cancellations may be unknown

Callers saw a task that started over 3 s after the cancellation of its job was acknowledged (seen once on real processes, 3.3 s).

Cause: the age of the leader's feed of cancellations was asked before a placement only. A dispatch whose commit took seconds, or a start that waited in the connection to its target, left without asking again. The feed's watch also counted a time as known before the control thread had handled the rows up to it, so that a commit's answer which was ahead of them in the queue could send one.

Evidence: leader_reads_test, whose store answers no write of progress for 3.5 s and no feed of cancellations, failed before ("Value of: m_orders.HasStarted( kSecond) Actual: true"). With the check taken out of the scheduler two tests of route_change_test fail, with that of the connection taken out one of stopped_start_test does ("Actual: { 1, 2 }").

Why it works: the leader keeps the time up to which all cancellations were handled, which the watch reports behind the rows. Sending a stored dispatch asks for it as placement does, and a direct connection asks again right before the call, by when a start whose cancellation is known was withdrawn. A start that may not leave is reported as not sent, logged, counted and placed anew once starts are allowed.

--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -193,16 +193,26 @@
 
 void Leader::CheckCancellations()
 {
-  const Duration age = m_now - m_cancelWatch->CurrentAsOf();
-  const bool current = m_loaded && age < kMaxCancelAge;
+  const bool current = m_loaded && m_now < StartsValidUntil();
   m_scheduler.SetMayStart(current);
-  if (m_loaded && current == m_startsSuspended) {
+  const bool known = m_loaded && m_cancelsAsOf != 0;
+  if (known && current == m_startsSuspended) {
     m_startsSuspended = !current;
     LogUnlimited(current ? "starts-resumed" : "starts-suspended",
                  "reason=cancellations");
   }
 }
 
+void Leader::OnCancelsCurrent(TimePoint aAsOf)
+{
+  m_cancelsAsOf = aAsOf.time_since_epoch().count();
+}
+
+TimePoint Leader::StartsValidUntil() const
+{
+  return TimePoint(Duration(m_cancelsAsOf)) + kMaxCancelAge;
+}
+
 Duration Leader::MaxWait() const
 {
   return m_scheduler.IsBusy() ? kBusyWait : kIdleWait;
@@ -222,9 +232,11 @@
   m_addressWatch = m_watches.back().get();
   m_watches.push_back(
     Watch(kJobTable, jobPartitions, Duration::zero(), &Leader::OnJobRows));
-  m_watches.push_back(Watch(
-    kCancelTable, jobPartitions, kCancelBatchDelay, &Leader::OnCancelRows));
-  m_cancelWatch = m_watches.back().get();
+  m_watches.push_back(Watch(kCancelTable,
+                            jobPartitions,
+                            kCancelBatchDelay,
+                            &Leader::OnCancelRows,
+                            &Leader::OnCancelsCurrent));
   m_watches.push_back(Watch(m_dependencies.m_documents.TargetTable(),
                             unpartitioned,
                             kListBatchDelay,
@@ -237,7 +249,8 @@
   const std::string& aTable,
   const std::vector<std::string>& aPartitions,
   Duration aBatchDelay,
-  void (Leader::*aOnRows)(const std::vector<Row>&))
+  void (Leader::*aOnRows)(const std::vector<Row>&),
+  void (Leader::*aOnCurrent)(TimePoint))
 {
   const auto post = m_dependencies.m_post;
   return std::make_unique<TableWatch>(
@@ -249,6 +262,11 @@
     [this, post, aOnRows](std::vector<Row> aRows) {
       post(
         [this, aOnRows, rows = std::move(aRows)] { (this->*aOnRows)(rows); });
+    },
+    [this, post, aOnCurrent](TimePoint aAsOf) {
+      if (aOnCurrent != nullptr) {
+        post([this, aOnCurrent, aAsOf] { (this->*aOnCurrent)(aAsOf); });
+      }
     });
 }
 
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEESTEP_LEADER_H
 #define LYCHEESTEP_LEADER_H
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -132,12 +133,14 @@
 private:
   void StartWatches();
   // Starts a watch of a table that posts its rows to aOnRows on the control
-  // thread.
+  // thread, and then the time up to which it knows the table to aOnCurrent, if
+  // there is one.
   std::unique_ptr<TableWatch> Watch(
     const std::string& aTable,
     const std::vector<std::string>& aPartitions,
     Duration aBatchDelay,
-    void (Leader::*aOnRows)(const std::vector<Row>&));
+    void (Leader::*aOnRows)(const std::vector<Row>&),
+    void (Leader::*aOnCurrent)(TimePoint) = nullptr);
   // Handle the first report of a watch, which holds the whole table, and those
   // of changes.
   void OnJobRows(const std::vector<Row>& aRows);
@@ -157,6 +160,11 @@
   // Lets the scheduler start tasks only while this host knows of the newest
   // cancellations.
   void CheckCancellations();
+  // Notes that the cancellations up to aAsOf were handled.
+  void OnCancelsCurrent(TimePoint aAsOf);
+  // Returns the time until which the cancellations that were handled are new
+  // enough to start tasks. Safe from any thread.
+  TimePoint StartsValidUntil() const;
   void SendHeartbeats();
   // Removes the rows of hosts that have not replied to heartbeats for a long
   // time.
@@ -235,8 +243,9 @@
   // Those of m_watches that read progress and addresses, once.
   TableWatch* m_progressWatch = nullptr;
   TableWatch* m_addressWatch = nullptr;
-  // The one of m_watches that reads cancellations.
-  const TableWatch* m_cancelWatch = nullptr;
+  // All cancellations up to this time were handled. Counted from the epoch of
+  // the boot clock.
+  std::atomic<Duration::rep> m_cancelsAsOf{ 0 };
 };
 
 } // namespace lycheestep
--- a/src/jobhost/leader_orders.cpp
+++ b/src/jobhost/leader_orders.cpp
@@ -9,6 +9,7 @@
 #include "jobs.pb.h"
 #include "leader.h"
 #include "peer_messenger.h"
+#include "sender_limit.h"
 
 namespace lycheestep {
 
@@ -119,7 +120,9 @@
       m_dependencies.m_log,
       m_dependencies.m_metrics,
       [&writer] { return BootClockNow() < writer.OrdersValidUntil(); },
-      MakeAnswerHandlers(m_dependencies.m_post));
+      MakeAnswerHandlers(m_dependencies.m_post),
+      SenderLimit::OfHost(),
+      [this] { return BootClockNow() < StartsValidUntil(); });
   }
   return *connection;
 }
--- a/src/jobhost/leader_reads_test.cpp
+++ b/src/jobhost/leader_reads_test.cpp
@@ -56,10 +56,23 @@
     m_readDelay = aDelay;
   }
 
-  RowAnswer Transact(const RowTransaction& aTransaction,
-                     Duration /*aTimeout*/) override
+  // Answers no write of a table until it is set to another one.
+  void SetWriteCut(const std::string& aTable)
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
+    m_writeCut = aTable;
+    m_changed.notify_all();
+  }
+
+  RowAnswer Transact(const RowTransaction& aTransaction,
+                     Duration aTimeout) override
+  {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    const bool writable = m_changed.wait_for(
+      lock, aTimeout, [&] { return !IsWriteCut(aTransaction); });
+    if (!writable) {
+      return RowAnswer();
+    }
     RowAnswer answer = MakeAnswer();
     for (const RowCondition& condition : aTransaction.m_conditions) {
       const auto found = m_rows.find(condition.m_key);
@@ -133,6 +146,15 @@
   }
 
 private:
+  bool IsWriteCut(const RowTransaction& aTransaction) const
+  {
+    return std::any_of(aTransaction.m_writes.begin(),
+                       aTransaction.m_writes.end(),
+                       [this](const RowWrite& aWrite) {
+                         return aWrite.m_key.m_table == m_writeCut;
+                       });
+  }
+
   RowAnswer MakeAnswer() const
   {
     RowAnswer answer;
@@ -162,6 +184,7 @@
   std::uint64_t m_forgotten = 0;
   Duration m_readDelay = Duration::zero();
   std::string m_cut;
+  std::string m_writeCut;
 };
 
 // A target with room for one task, which runs until EndAll.
@@ -368,6 +391,24 @@
   EXPECT_FALSE(m_orders.HasStarted(kSecond));
 }
 
+// Guards against a job that is started long after its cancellation, because the
+// commit of its dispatch took long while the leader's feed was cut.
+TEST_F(LeaderReadsTest, NoJobStartsAfterALongCommitWhileCancellationsAreUnknown)
+{
+  m_store.SetCut(kCancelTable);
+  m_store.SetWriteCut(kProgressTable);
+  EXPECT_EQ(m_host.RequestHandler().Cancel(kSecond), JobRequestStatus::kOk);
+  m_orders.EndAll();
+  std::this_thread::sleep_for(kCutTime);
+  m_store.SetWriteCut("");
+  std::this_thread::sleep_for(seconds(2));
+  EXPECT_FALSE(m_orders.HasStarted(kSecond));
+  m_store.SetCut("");
+  Submit(JobId("7c0e7a21d94b36f8"));
+  EXPECT_TRUE(WaitForStart(JobId("7c0e7a21d94b36f8")));
+  EXPECT_FALSE(m_orders.HasStarted(kSecond));
+}
+
 // Guards against jobs that are started again after their rows were removed,
 // because a read of the whole table shows them when they are forgotten.
 TEST_F(LeaderReadsTest, RemovedJobsDoNotComeBackFromLateReads)
--- a/src/jobhost/stopped_start_test.cpp
+++ b/src/jobhost/stopped_start_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gmock/gmock.h>
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <future>
@@ -13,6 +14,7 @@
 #include "event_log.h"
 #include "metrics_registry.h"
 #include "mock_target_orders.h"
+#include "sender_limit.h"
 
 namespace lycheestep {
 
@@ -117,6 +119,31 @@
   EXPECT_THAT(m_started, ElementsAre(1));
 }
 
+// Guards against starts that leave long after their job was cancelled, because
+// the cancellations became unknown while they waited for their target.
+TEST_F(StoppedStartTest, StartThatWaitsIsNotSentOnceStartsAreNotAllowed)
+{
+  std::atomic<bool> mayStart{ true };
+  TargetConnection connection(
+    m_orders,
+    m_log,
+    m_metrics,
+    [] { return true; },
+    Handlers(),
+    SenderLimit::OfHost(),
+    [&mayStart] { return mayStart.load(); });
+  BlockConnection(connection);
+  connection.Start(MakeStart(2));
+  mayStart = false;
+  AwaitAnswers(2);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  EXPECT_THAT(m_started, ElementsAre(1));
+  EXPECT_EQ(m_answered.at(2), OrderStatus::kNotSent);
+  EXPECT_NE(m_metrics.Render().find(
+              "lycheestep_starts_dropped_total{reason=\"cancellations\"} 1"),
+            std::string::npos);
+}
+
 // Guards against jobs that never end because the fleet passes the size up to
 // which orders go directly, and the starts that wait are dropped unreported.
 TEST_F(StoppedStartTest, ClosedConnectionReportsEveryStartThatWaits)
--- a/src/jobhost/table_watch.cpp
+++ b/src/jobhost/table_watch.cpp
@@ -35,13 +35,15 @@
                        Duration aBatchDelay,
                        RowStore& aStore,
                        EventLog& aLog,
-                       OnRows aOnRows)
+                       OnRows aOnRows,
+                       OnCurrent aOnCurrent)
   : m_table(std::move(aTable))
   , m_partitions(std::move(aPartitions))
   , m_batchDelay(aBatchDelay)
   , m_store(aStore)
   , m_log(aLog)
   , m_onRows(std::move(aOnRows))
+  , m_onCurrent(std::move(aOnCurrent))
 {
   m_thread = std::thread([this] { Run(); });
   const std::string name = "watch-" + m_table;
@@ -98,7 +100,9 @@
   if (!m_stopping && (aIsFirst || !changes.empty())) {
     m_onRows(std::move(changes));
   }
-  SetCurrentAsOf(begun);
+  if (!m_stopping) {
+    m_onCurrent(begun);
+  }
   return true;
 }
 
@@ -167,18 +171,15 @@
     if (report) {
       m_onRows(std::move(changes));
     }
-    SetCurrentAsOf(waited ? sent + kFeedWait : sent);
+    if (!m_stopping) {
+      m_onCurrent(waited ? sent + kFeedWait : sent);
+    }
     if (report) {
       std::this_thread::sleep_for(m_batchDelay);
     }
   }
 }
 
-void TableWatch::SetCurrentAsOf(TimePoint aTime)
-{
-  m_currentAsOf = aTime.time_since_epoch().count();
-}
-
 void TableWatch::RecordStoreStatus(RowStatus aStatus)
 {
   const bool reachable =
--- a/src/jobhost/table_watch.h
+++ b/src/jobhost/table_watch.h
@@ -26,14 +26,20 @@
   // then the rows that changed.
   using OnRows = std::function<void(std::vector<Row> aRows)>;
 
+  // Receives, on the watch's thread, a time such that all changes which the
+  // store had made by then were reported to OnRows before.
+  using OnCurrent = std::function<void(TimePoint aAsOf)>;
+
   // Starts the thread. After each report of changes the watch waits for
   // aBatchDelay, so that the changes of that time are reported together.
-  TableWatch(std::string aTable,
-             std::vector<std::string> aPartitions,
-             Duration aBatchDelay,
-             RowStore& aStore,
-             EventLog& aLog,
-             OnRows aOnRows);
+  TableWatch(
+    std::string aTable,
+    std::vector<std::string> aPartitions,
+    Duration aBatchDelay,
+    RowStore& aStore,
+    EventLog& aLog,
+    OnRows aOnRows,
+    OnCurrent aOnCurrent = [](TimePoint) {});
   ~TableWatch();
   TableWatch(const TableWatch&) = delete;
   TableWatch& operator=(const TableWatch&) = delete;
@@ -45,10 +51,6 @@
   // Returns when the store last answered a read or a feed.
   TimePoint LastAnswer() const { return TimePoint(Duration(m_lastAnswer)); }
 
-  // Returns a time such that all changes which the store had made by then were
-  // reported.
-  TimePoint CurrentAsOf() const { return TimePoint(Duration(m_currentAsOf)); }
-
   // Returns true if the thread has ended, so that the destructor does not wait.
   bool IsFinished() const { return m_finished; }
 
@@ -66,8 +68,6 @@
   bool ReadAll(bool aIsFirst, RowVersions& aVersions);
   PartitionPages ReadPartition(const std::string& aPartition) const;
   void Follow(RowVersions& aVersions);
-  // Updates CurrentAsOf.
-  void SetCurrentAsOf(TimePoint aTime);
   // Updates LastAnswer, and logs when the store becomes unreachable or
   // reachable again.
   void RecordStoreStatus(RowStatus aStatus);
@@ -78,9 +78,9 @@
   RowStore& m_store;
   EventLog& m_log;
   const OnRows m_onRows;
+  const OnCurrent m_onCurrent;
   bool m_reachable = true;
   std::atomic<Duration::rep> m_lastAnswer{ 0 };
-  std::atomic<Duration::rep> m_currentAsOf{ 0 };
   std::atomic<bool> m_stopping{ false };
   std::atomic<bool> m_finished{ false };
   std::thread m_thread;
--- a/src/jobhost/table_watch_test.cpp
+++ b/src/jobhost/table_watch_test.cpp
@@ -92,25 +92,39 @@
   bool m_isOver = false;
 };
 
+// Whether the reports of the time up to which the table is known are shown.
+enum class CurrentReports
+{
+  kIgnored,
+  kShown,
+};
+
 // Returns what a watch of the store reports, a text for each row.
-std::vector<std::string> WatchUntilEnd(ScriptedStore& aStore)
+std::vector<std::string> WatchUntilEnd(
+  ScriptedStore& aStore,
+  CurrentReports aCurrent = CurrentReports::kIgnored)
 {
   MetricsRegistry metrics;
   EventLog log("test", metrics);
   std::vector<std::string> reported;
   {
-    TableWatch watch("jobs",
-                     { "" },
-                     Duration::zero(),
-                     aStore,
-                     log,
-                     [&reported](const std::vector<Row>& aRows) {
-                       for (const Row& row : aRows) {
-                         reported.push_back((row.m_removed ? "-" : "") +
-                                            row.m_key.m_key + "@" +
-                                            std::to_string(row.m_version));
-                       }
-                     });
+    TableWatch watch(
+      "jobs",
+      { "" },
+      Duration::zero(),
+      aStore,
+      log,
+      [&reported](const std::vector<Row>& aRows) {
+        for (const Row& row : aRows) {
+          reported.push_back((row.m_removed ? "-" : "") + row.m_key.m_key +
+                             "@" + std::to_string(row.m_version));
+        }
+      },
+      [aCurrent, &reported](TimePoint) {
+        if (aCurrent == CurrentReports::kShown) {
+          reported.emplace_back("current");
+        }
+      });
     aStore.WaitForEnd();
   }
   return reported;
@@ -149,4 +163,17 @@
   EXPECT_THAT(WatchUntilEnd(store), testing::ElementsAre("a@3", "b@8", "a@9"));
 }
 
+// Guards against a table that counts as known up to a time before the rows up
+// to then were handled.
+TEST(TableWatch, TableIsCurrentOnlyAfterItsRows)
+{
+  ScriptedStore store;
+  store.m_reads = { MakeAnswer(RowStatus::kOk, 5, { MakeRow("a", 3) }) };
+  store.m_feeds = { MakeAnswer(RowStatus::kOk, 9, { MakeRow("b", 8) }),
+                    MakeAnswer(RowStatus::kOk, 9) };
+  EXPECT_THAT(
+    WatchUntilEnd(store, CurrentReports::kShown),
+    testing::ElementsAre("a@3", "current", "b@8", "current", "current"));
+}
+
 } // namespace lycheestep
--- a/src/jobhost/target_connection.cpp
+++ b/src/jobhost/target_connection.cpp
@@ -44,11 +44,13 @@
                                    MetricsSink& aMetrics,
                                    std::function<bool()> aMaySend,
                                    OrderAnswerHandlers aAnswers,
-                                   SenderLimit& aLimit)
+                                   SenderLimit& aLimit,
+                                   std::function<bool()> aMayStart)
   : m_orders(aOrders)
   , m_log(aLog)
   , m_metrics(aMetrics)
   , m_maySend(std::move(aMaySend))
+  , m_mayStart(std::move(aMayStart))
   , m_answers(std::move(aAnswers))
   , m_stopSenders(m_orderQueue, aLimit, [this](const QueuedOrder& aQueued) {
     Send(aQueued, HoldPath::kOrders);
@@ -144,22 +146,41 @@
   return m_maySend() ? OrderStatus::kDone : OrderStatus::kNotSent;
 }
 
-OrderAnswer TargetConnection::SendStart(const StartOrder& aOrder,
-                                        const QueuedOrder& aQueued)
+OrderStatus TargetConnection::CheckStart(const StartOrder& aOrder,
+                                         const QueuedOrder& aQueued,
+                                         const char*& aReason) const
 {
-  OrderAnswer answer;
-  answer.m_status = CheckSendable(aQueued);
+  const OrderStatus status = CheckSendable(aQueued);
+  if (status != OrderStatus::kDone) {
+    aReason = status == OrderStatus::kWithdrawn ? "withdrawn" : "lead";
+    return status;
+  }
   // After a start without a reply, the leader takes the target anew under a
   // higher fencing token. Starts under the former token would delay that.
-  if (answer.m_status == OrderStatus::kDone &&
-      aOrder.m_to.m_fence <= m_unansweredFence) {
-    answer.m_status = OrderStatus::kNotSent;
+  if (aOrder.m_to.m_fence <= m_unansweredFence) {
+    aReason = "unanswered-start";
+    return OrderStatus::kNotSent;
   }
-  const bool maySend = answer.m_status == OrderStatus::kDone;
-  ReportWait(aOrder, BootClockNow() - aQueued.m_queuedAt, maySend);
-  if (maySend) {
-    answer = m_orders.Start(aOrder, kOrderTimeout);
+  if (!m_mayStart()) {
+    aReason = "cancellations";
+    return OrderStatus::kNotSent;
+  }
+  return OrderStatus::kDone;
+}
+
+OrderAnswer TargetConnection::SendStart(const StartOrder& aOrder,
+                                        const QueuedOrder& aQueued)
+{
+  OrderAnswer answer;
+  const char* reason = "";
+  answer.m_status = CheckStart(aOrder, aQueued, reason);
+  const Duration wait = BootClockNow() - aQueued.m_queuedAt;
+  if (answer.m_status != OrderStatus::kDone) {
+    ReportDropped(aOrder, wait, reason);
+    return answer;
   }
+  ReportWait(aOrder, wait);
+  answer = m_orders.Start(aOrder, kOrderTimeout);
   if (answer.m_status == OrderStatus::kUnknown) {
     m_unansweredFence = aOrder.m_to.m_fence;
   }
@@ -196,16 +217,28 @@
   }
 }
 
-void TargetConnection::ReportWait(const StartOrder& aOrder,
-                                  Duration aWait,
-                                  bool aSent)
+void TargetConnection::ReportWait(const StartOrder& aOrder, Duration aWait)
+{
+  m_metrics.Observe("lycheestep_start_queue_seconds", "", aWait);
+  if (aWait >= kLoggedWait) {
+    m_log.Write("start-left-late",
+                WaitFields(aOrder.m_run, aOrder.m_to.m_target, aWait));
+  }
+}
+
+void TargetConnection::ReportDropped(const StartOrder& aOrder,
+                                     Duration aWait,
+                                     const char* aReason)
 {
+  const std::string reason = aReason;
   m_metrics.Observe("lycheestep_start_queue_seconds", "", aWait);
-  if (aWait < kLoggedWait) {
-    return;
+  m_metrics.Count(
+    "lycheestep_starts_dropped_total", "reason=\"" + reason + '"', 1);
+  if (aWait >= kLoggedWait || reason == "cancellations") {
+    m_log.Write("start-dropped",
+                WaitFields(aOrder.m_run, aOrder.m_to.m_target, aWait) +
+                  " reason=" + reason);
   }
-  m_log.Write(aSent ? "start-left-late" : "start-dropped",
-              WaitFields(aOrder.m_run, aOrder.m_to.m_target, aWait));
 }
 
 void TargetConnection::ReportWait(const StopOrder& aOrder, Duration aWait)
--- a/src/jobhost/target_connection.h
+++ b/src/jobhost/target_connection.h
@@ -29,13 +29,16 @@
   // called right before each order. aAnswers are called on these threads, and
   // may be called on several at the same time. aLog and aMetrics are told how
   // long starts and stops wait in the queue. aLimit bounds the threads for
-  // stops of all connections.
-  TargetConnection(TargetOrders& aOrders,
-                   EventLog& aLog,
-                   MetricsSink& aMetrics,
-                   std::function<bool()> aMaySend,
-                   OrderAnswerHandlers aAnswers,
-                   SenderLimit& aLimit = SenderLimit::OfHost());
+  // stops of all connections. aMayStart is called right before each start,
+  // which is not sent if it returns false.
+  TargetConnection(
+    TargetOrders& aOrders,
+    EventLog& aLog,
+    MetricsSink& aMetrics,
+    std::function<bool()> aMaySend,
+    OrderAnswerHandlers aAnswers,
+    SenderLimit& aLimit = SenderLimit::OfHost(),
+    std::function<bool()> aMayStart = [] { return true; });
   ~TargetConnection() override;
   TargetConnection(const TargetConnection&) = delete;
   TargetConnection& operator=(const TargetConnection&) = delete;
@@ -72,9 +75,16 @@
   void SendPace(const PaceOrder& aOrder, const QueuedOrder& aQueued);
   // Returns kDone if the order may be sent now, or the status to report of it.
   OrderStatus CheckSendable(const QueuedOrder& aQueued) const;
-  // Reports how long a start waited in the queue before it was sent, or before
-  // it was found that it must not be sent.
-  void ReportWait(const StartOrder& aOrder, Duration aWait, bool aSent);
+  // As CheckSendable, of a start. aReason is why it may not be sent.
+  OrderStatus CheckStart(const StartOrder& aOrder,
+                         const QueuedOrder& aQueued,
+                         const char*& aReason) const;
+  // Reports how long a start waited in the queue before it was sent.
+  void ReportWait(const StartOrder& aOrder, Duration aWait);
+  // Reports a start that is not sent.
+  void ReportDropped(const StartOrder& aOrder,
+                     Duration aWait,
+                     const char* aReason);
   // Reports how long a stop waited in the queue before it was sent.
   void ReportWait(const StopOrder& aOrder, Duration aWait);
 
@@ -82,6 +92,7 @@
   EventLog& m_log;
   MetricsSink& m_metrics;
   const std::function<bool()> m_maySend;
+  const std::function<bool()> m_mayStart;
   const OrderAnswerHandlers m_answers;
   // Holds that wait until a run ends.
   OrderQueue m_watchQueue;
--- a/src/jobs/job_starts.cpp
+++ b/src/jobs/job_starts.cpp
@@ -96,7 +96,8 @@
 {
   const TaskRef ref = FindTask(aRun.m_task);
   const TargetState* target = m_keeper.Find(ref.m_task->m_target);
-  const bool usable = target != nullptr && target->TakesWork(aNow) &&
+  const bool usable = m_mayStart && target != nullptr &&
+                      target->TakesWork(aNow) &&
                       !IsOfOtherService(*ref.m_job, ref.m_task->m_target);
   if (!usable) {
     return false;
--- a/src/jobs/route_change_test.cpp
+++ b/src/jobs/route_change_test.cpp
@@ -1,5 +1,5 @@
 // Tests of what becomes of dispatches when the configuration moves their queue
-// to another service.
+// to another service, or when no starts are allowed, before they are stored.
 #include "job_scheduler.h"
 
 #include <chrono>
@@ -158,6 +158,30 @@
   ExpectStartsOnNewService(3);
 }
 
+// Guards against starts of jobs whose cancellation can't be known, because the
+// dispatch was placed before the cancellations became unknown.
+TEST_F(RouteChangeTest, DispatchThatIsStoredWhileNothingMayStartIsNotSent)
+{
+  PlaceJob(2, false);
+  m_scheduler.SetMayStart(false);
+  CompleteCommit();
+  EXPECT_TRUE(m_starts.empty());
+  m_scheduler.SetMayStart(true);
+  Route("new");
+  ExpectStartsOnNewService(2);
+}
+
+TEST_F(RouteChangeTest, GangThatIsStoredWhileNothingMayStartIsNotSent)
+{
+  PlaceJob(3, true);
+  m_scheduler.SetMayStart(false);
+  CompleteCommit();
+  EXPECT_TRUE(m_starts.empty());
+  m_scheduler.SetMayStart(true);
+  Route("new");
+  ExpectStartsOnNewService(3);
+}
+
 TEST_F(RouteChangeTest, StartThatWaitsForTheFormerServiceIsWithdrawn)
 {
   PlaceJob(2, false);
