Bound how late a carrier sends a start

What callers could see: a task of a large fleet that starts over 3 s after the cancellation of its job was acknowledged.

Evidence: with the check of the deadline taken out, StartIsNotSentAfterItsOwn- Deadline fails ("Mock function called more times than expected"), a start that waited 1 s behind another one while a later message extended the right to send. With every host taken for one that bounds starts, HostThatDoesNotBoundStartsCarriesNothing fails.

The carrier reports a later start as not sent, and the leader places it again. Hosts of an earlier release don't know the deadline, so a leader sends orders through hosts only that say they do, and directly if there are none. Carriers of this release take orders of earlier leaders as before.

--- a/src/include/lycheestep/target_orders.h
+++ b/src/include/lycheestep/target_orders.h
@@ -40,6 +40,9 @@
   std::string m_checkpoint;
   // The advisor's permission; empty where none is needed.
   std::string m_ticket;
+  // The order does not leave this host after this time of the host's boot
+  // clock. The target does not get it.
+  TimePoint m_notAfter = TimePoint::max();
 };
 
 // Stops one run; the target never starts that run afterwards.
--- a/src/jobhost/job_host_peers.cpp
+++ b/src/jobhost/job_host_peers.cpp
@@ -49,11 +49,13 @@
     const Duration clock =
       std::chrono::milliseconds(aMessage.host_alive().clock_ms());
     const bool reachesStore = !aMessage.host_alive().needs_relay();
-    m_queue.Add([this, host = aMessage.from(), clock, reachesStore] {
-      if (m_leader) {
-        m_leader->OnHostAlive(host, clock, reachesStore);
-      }
-    });
+    const bool boundsStarts = aMessage.host_alive().bounds_starts();
+    m_queue.Add(
+      [this, host = aMessage.from(), clock, reachesStore, boundsStarts] {
+        if (m_leader) {
+          m_leader->OnHostAlive(host, clock, reachesStore, boundsStarts);
+        }
+      });
   } else if (aMessage.has_carried_orders()) {
     m_carrier.Carry(aMessage);
   } else if (aMessage.has_carried_answers()) {
@@ -123,6 +125,7 @@
   answer.mutable_host_alive()->set_clock_ms(
     ToMilliseconds(BootClockNow().time_since_epoch()));
   answer.mutable_host_alive()->set_needs_relay(!m_store.IsDirect());
+  answer.mutable_host_alive()->set_bounds_starts(true);
   m_peers.Send(aLeaderAddress, std::move(answer));
 }
 
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -146,9 +146,10 @@
 
 void Leader::OnHostAlive(const std::string& aHost,
                          Duration aClock,
-                         bool aReachesStore)
+                         bool aReachesStore,
+                         bool aBoundsStarts)
 {
-  m_orderDispatcher.OnCarrierAlive(aHost, aClock, m_now);
+  m_orderDispatcher.OnCarrierAlive(aHost, aClock, aBoundsStarts, m_now);
   const auto host = m_hosts.find(aHost);
   if (host != m_hosts.end()) {
     host->second.m_lastSeen = m_now;
@@ -182,7 +183,8 @@
     CheckCancellations();
     m_scheduler.Tick(m_now);
   }
-  m_orderDispatcher.Flush(m_dependencies.m_writer.OrdersValidUntil());
+  m_orderDispatcher.Flush(m_dependencies.m_writer.OrdersValidUntil(),
+                          StartsValidUntil());
   m_closedConnections.erase(std::remove_if(m_closedConnections.begin(),
                                            m_closedConnections.end(),
                                            [](const auto& aConnection) {
--- a/src/jobhost/order_carrier.cpp
+++ b/src/jobhost/order_carrier.cpp
@@ -27,6 +27,15 @@
 constexpr Duration kIdleTimeout = std::chrono::seconds(6);
 constexpr Duration kIdleCheckPeriod = std::chrono::seconds(1);
 
+// Returns the time until which the starts of a message may leave, by the boot
+// clock.
+TimePoint StartsNotAfter(const proto::CarriedOrders& aOrders)
+{
+  return aOrders.has_starts_not_after_ms()
+           ? TimePoint(std::chrono::milliseconds(aOrders.starts_not_after_ms()))
+           : TimePoint::max();
+}
+
 } // namespace
 
 // The ids of the orders to one target that are in flight. Starts and stops are
@@ -192,7 +201,9 @@
     if (order.has_withdrawal()) {
       Withdraw(*session, DecodeWithdrawal(order));
     } else {
-      SendOrder(ConnectionTo(*session, TargetId(order.target())), order);
+      SendOrder(ConnectionTo(*session, TargetId(order.target())),
+                order,
+                StartsNotAfter(orders));
     }
   }
 }
@@ -255,11 +266,13 @@
 }
 
 void OrderCarrier::SendOrder(Connection& aConnection,
-                             const proto::CarriedOrder& aOrder)
+                             const proto::CarriedOrder& aOrder,
+                             TimePoint aStartsNotAfter)
 {
   switch (aOrder.order_case()) {
     case proto::CarriedOrder::kStart: {
-      const StartOrder start = DecodeStart(aOrder);
+      StartOrder start = DecodeStart(aOrder);
+      start.m_notAfter = aStartsNotAfter;
       aConnection.m_ids.AddStart(start.m_run, aOrder.id());
       aConnection.m_sender->Start(start);
       return;
--- a/src/jobhost/order_carrier.h
+++ b/src/jobhost/order_carrier.h
@@ -68,8 +68,10 @@
   // Withdraws starts that wait in the session's connection to their target.
   static void Withdraw(const LeaderSession& aSession,
                        const WithdrawOrder& aOrder);
+  // Sends an order, a start until aStartsNotAfter.
   static void SendOrder(Connection& aConnection,
-                        const proto::CarriedOrder& aOrder);
+                        const proto::CarriedOrder& aOrder,
+                        TimePoint aStartsNotAfter);
   void QueueAnswer(SessionState& aState, proto::CarriedAnswer aAnswer);
   void Run();
   // Sends the queued replies of each session in one message.
--- a/src/jobhost/order_carrier_test.cpp
+++ b/src/jobhost/order_carrier_test.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <future>
+#include <thread>
 
 #include "boot_clock.h"
 #include "event_log.h"
@@ -121,6 +122,37 @@
             static_cast<std::uint32_t>(OrderStatus::kNotSent));
 }
 
+// Guards against starts that leave long after their job was cancelled, because
+// the withdrawal was lost on its way and later orders kept the right to send.
+TEST_F(OrderCarrierTest, StartIsNotSentAfterItsOwnDeadline)
+{
+  std::promise<void> release;
+  const std::shared_future<void> released = release.get_future().share();
+  EXPECT_CALL(m_orders, Start(_, _))
+    .WillOnce([released](const StartOrder&, Duration) {
+      released.wait();
+      return DoneAt(TargetTime(0));
+    });
+  proto::JobPeerMessage message = Message(7, "leader:1", seconds(100));
+  message.mutable_carried_orders()->set_starts_not_after_ms(
+    ToMilliseconds(BootClockNow().time_since_epoch() + seconds(1)));
+  AddStart(message, 1);
+  AddStart(message, 2);
+  m_carrier.Carry(message);
+  proto::JobPeerMessage later = Message(7, "leader:1", seconds(100));
+  later.mutable_carried_orders()->set_starts_not_after_ms(
+    later.carried_orders().not_after_ms());
+  m_carrier.Carry(later);
+  std::this_thread::sleep_for(seconds(1));
+  release.set_value();
+  AwaitAnswers(2);
+  for (const auto& [address, answer] : m_answers) {
+    const OrderStatus expected =
+      answer.id() == 2 ? OrderStatus::kNotSent : OrderStatus::kDone;
+    EXPECT_EQ(DecodeOrderAnswer(answer).m_status, expected);
+  }
+}
+
 TEST_F(OrderCarrierTest, NewLeaderDoesNotWaitForOrdersOfAFormerOne)
 {
   std::promise<void> release;
--- a/src/jobhost/order_dispatcher.cpp
+++ b/src/jobhost/order_dispatcher.cpp
@@ -71,12 +71,13 @@
 
 void OrderDispatcher::OnCarrierAlive(const std::string& aHost,
                                      Duration aClock,
+                                     bool aBoundsStarts,
                                      TimePoint aNow)
 {
   const auto found = m_carriers.find(aHost);
   if (found != m_carriers.end()) {
     Carrier& carrier = found->second;
-    carrier.m_clockKnown = true;
+    carrier.m_clockKnown = aBoundsStarts;
     carrier.m_clock = aClock;
     carrier.m_clockReceivedAt = aNow;
     carrier.m_lastMessageAt = aNow;
@@ -213,19 +214,24 @@
   }
 }
 
-void OrderDispatcher::Flush(TimePoint aValidUntil)
+Duration OrderDispatcher::ByClockOf(const Carrier& aCarrier, TimePoint aTime)
+{
+  // The carrier read its clock before this host received the reading, so the
+  // result is never too late.
+  return aCarrier.m_clock + (aTime - aCarrier.m_clockReceivedAt);
+}
+
+void OrderDispatcher::Flush(TimePoint aValidUntil, TimePoint aStartsValidUntil)
 {
   for (auto& [name, carrier] : m_carriers) {
     if (carrier.m_batch.order_size() == 0) {
       continue;
     }
-    // The carrier read its clock before this host received the reading, so
-    // notAfter is never too late.
-    const Duration notAfter =
-      carrier.m_clock + (aValidUntil - carrier.m_clockReceivedAt);
     proto::CarriedOrders batch;
     batch.Swap(&carrier.m_batch);
-    batch.set_not_after_ms(ToMilliseconds(notAfter));
+    batch.set_not_after_ms(ToMilliseconds(ByClockOf(carrier, aValidUntil)));
+    batch.set_starts_not_after_ms(
+      ToMilliseconds(ByClockOf(carrier, aStartsValidUntil)));
     m_send(name, std::move(batch));
   }
 }
--- a/src/jobhost/order_dispatcher.h
+++ b/src/jobhost/order_dispatcher.h
@@ -53,9 +53,10 @@
   void SetHosts(const std::vector<CarrierHost>& aHosts);
 
   // Handles a HostAlive message, which was sent when the clock of aHost showed
-  // aClock.
+  // aClock. Only a host that bounds starts as Flush says can be a carrier.
   void OnCarrierAlive(const std::string& aHost,
                       Duration aClock,
+                      bool aBoundsStarts,
                       TimePoint aNow);
 
   // Returns the number of hosts that can carry orders at aNow, up to the
@@ -92,15 +93,17 @@
   // rebalances targets between carriers.
   void Tick(TimePoint aNow);
 
-  // Sends all batches. The leader may send orders until aValidUntil, by this
-  // host's clock.
-  void Flush(TimePoint aValidUntil);
+  // Sends all batches. The leader may send orders until aValidUntil, and the
+  // starts of these batches until aStartsValidUntil, by this host's clock. A
+  // later batch does not extend the latter, as withdrawals may be lost.
+  void Flush(TimePoint aValidUntil, TimePoint aStartsValidUntil);
 
 private:
   struct Carrier
   {
     CarrierHost m_host;
-    // Set once a HostAlive message has told the carrier's clock.
+    // Set once a HostAlive message has told the clock of a host that bounds
+    // starts.
     bool m_clockKnown = false;
     // The carrier's clock in its last HostAlive message, and this host's clock
     // when that message was received.
@@ -134,6 +137,8 @@
     DataCentreName m_dataCentre;
   };
 
+  // Returns aTime by the carrier's clock, or earlier.
+  static Duration ByClockOf(const Carrier& aCarrier, TimePoint aTime);
   static bool IsUsable(const Carrier& aCarrier, TimePoint aNow);
   // Returns the carrier's load if it had one more target, which is in
   // aDataCentre. A smaller load is better.
--- a/src/jobhost/order_dispatcher_test.cpp
+++ b/src/jobhost/order_dispatcher_test.cpp
@@ -50,7 +50,7 @@
 
   void ReportAlive(const std::string& aHost)
   {
-    m_dispatcher.OnCarrierAlive(aHost, seconds(50), m_now);
+    m_dispatcher.OnCarrierAlive(aHost, seconds(50), true, m_now);
   }
 
   void ReportAllAlive()
@@ -81,7 +81,7 @@
     m_dispatcher.Start(order);
   }
 
-  void Flush() { m_dispatcher.Flush(m_now + seconds(3)); }
+  void Flush() { m_dispatcher.Flush(m_now + seconds(3), m_now + seconds(2)); }
 
   std::size_t OrdersSentTo(const std::string& aHost) const
   {
@@ -157,10 +157,21 @@
   m_dispatcher.Assign(Target(1), DataCentreName("north"), m_now);
   m_now += milliseconds(700);
   SendStart(1);
-  m_dispatcher.Flush(m_now + seconds(2));
+  m_dispatcher.Flush(m_now + seconds(2), m_now + seconds(1));
   // The carrier's clock showed 50 s when its HostAlive message arrived, 0.7 s
   // ago.
   EXPECT_EQ(m_sent.front().second.not_after_ms(), 52700);
+  EXPECT_EQ(m_sent.front().second.starts_not_after_ms(), 51700);
+}
+
+// Guards against starts that a host of an earlier release sends long after
+// their job was cancelled.
+TEST_F(OrderDispatcherTest, HostThatDoesNotBoundStartsCarriesNothing)
+{
+  for (const char* host : { "a", "b", "c" }) {
+    m_dispatcher.OnCarrierAlive(host, seconds(50), false, m_now);
+  }
+  EXPECT_FALSE(m_dispatcher.Assign(Target(1), DataCentreName("north"), m_now));
 }
 
 TEST_F(OrderDispatcherTest, HostWithUnknownClockCarriesNothing)
--- a/src/jobhost/target_connection.cpp
+++ b/src/jobhost/target_connection.cpp
@@ -161,7 +161,7 @@
     aReason = "unanswered-start";
     return OrderStatus::kNotSent;
   }
-  if (!m_mayStart()) {
+  if (!m_mayStart() || BootClockNow() >= aOrder.m_notAfter) {
     aReason = "cancellations";
     return OrderStatus::kNotSent;
   }
