Keep the time of known cancellations until all connections are gone

The threads of a leader's direct connections read it right before a start, and are joined when the connections are destroyed. The member was declared after them, so that it would have been destroyed first. No caller saw anything. leader_reads_test passes.

--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -238,6 +238,9 @@
   TimePoint m_heartbeatDue;
   TimePoint m_pendingCountDue;
 
+  // All cancellations up to this time were handled. Counted from the epoch of
+  // the boot clock. The threads of m_directConnections read it.
+  std::atomic<Duration::rep> m_cancelsAsOf{ 0 };
   std::map<TargetId, std::unique_ptr<TargetConnection>> m_directConnections;
   // Closed connections whose threads may still run.
   std::vector<std::unique_ptr<TargetConnection>> m_closedConnections;
@@ -245,9 +248,6 @@
   // Those of m_watches that read progress and addresses, once.
   TableWatch* m_progressWatch = nullptr;
   TableWatch* m_addressWatch = nullptr;
-  // All cancellations up to this time were handled. Counted from the epoch of
-  // the boot clock.
-  std::atomic<Duration::rep> m_cancelsAsOf{ 0 };
 };
 
 } // namespace lycheestep
