Let leaders stand still and processes end at any moment in the cell model

New for games of the model: a leader that does nothing for a while and goes on, also after another one took over; leaders that end right after a commit, or hear of it late; targets whose wall clock was set back or whose steady clock runs as slowly as it may; orders that outlive the process they were meant for; a list that knows of a restart late. The disturbances moved to a file of their own. Games that use none of it are played as before.

--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -18,14 +18,6 @@
 // Leases of a leader that died are over after this.
 constexpr Duration kFormerLeases = std::chrono::milliseconds(9400);
 
-// A target that restarts answers nothing for this long.
-constexpr Duration kRestartTime = std::chrono::milliseconds(300);
-
-// How long the list takes to leave out a target that can't be reached, and to
-// have it again.
-constexpr Duration kUnlistTime = std::chrono::milliseconds(4500);
-constexpr Duration kRelistTime = std::chrono::milliseconds(500);
-
 // How long a long-running task works if nothing ends it.
 constexpr Duration kLongRunTime = std::chrono::hours(1);
 
@@ -160,29 +152,14 @@
             [this, &term, aJob] { term.Scheduler().OnCancel(aJob, m_now); });
 }
 
-void JobCellModel::ChangeLeader()
-{
-  m_terms.back()->Die();
-  m_leaderVersion = ++m_version;
-  StartTerm();
-}
-
-void JobCellModel::LoseLeader(Duration aTime)
-{
-  m_terms.back()->Die();
-  At(aTime, [this] {
-    m_leaderVersion = ++m_version;
-    StartTerm();
-  });
-}
-
 void JobCellModel::StartTerm()
 {
   m_terms.push_back(std::make_unique<Term>(*this));
   Term& term = *m_terms.back();
   term.SetTime();
   JobScheduler& scheduler = term.Scheduler();
-  scheduler.Targets().SetFormerLeaseExpiry(m_now + kFormerLeases);
+  scheduler.Targets().SetFormerLeaseExpiry(
+    std::max(m_now, m_formerOrdersUntil) + kFormerLeases);
   scheduler.OnCommitted(m_leaderVersion, Now(), m_now);
   for (const auto& [id, job] : m_jobs) {
     scheduler.OnJob(id, job, 0, m_now);
@@ -218,124 +195,6 @@
   }
 }
 
-bool JobCellModel::IsListed(std::size_t aTarget) const
-{
-  return !m_cut[aTarget] && !m_hidden[aTarget];
-}
-
-void JobCellModel::TellListed(std::size_t aTarget, Duration aDelay)
-{
-  Term& term = *m_terms.back();
-  const TargetRecord record = ListedRecord(aTarget);
-  term.Tell(aDelay, [this, &term, aTarget, record] {
-    if (!m_hidden[aTarget]) {
-      term.Scheduler().OnTargetRecord(record, m_now);
-    }
-  });
-}
-
-void JobCellModel::TellUnlisted(std::size_t aTarget, Duration aDelay)
-{
-  Term& term = *m_terms.back();
-  term.Tell(aDelay, [this, &term, aTarget] {
-    if (!IsListed(aTarget)) {
-      term.Scheduler().OnTargetGone(m_targets[aTarget]->Record().m_target,
-                                    m_now);
-    }
-  });
-}
-
-void JobCellModel::RestartTarget(std::size_t aTarget)
-{
-  JobTargetModel& target = *m_targets[aTarget];
-  CheckEnds();
-  target.Restart(m_now,
-                 kWallStart + std::chrono::duration_cast<WallTime>(Now()));
-  m_downUntil[aTarget] = m_now + kRestartTime;
-  m_targetHarmedAt[aTarget] = m_downUntil[aTarget];
-  m_drainingSince.erase(target.Record().m_target);
-  m_read.erase(aTarget);
-  m_seen.erase(aTarget);
-  TellListed(aTarget, kRestartTime);
-}
-
-void JobCellModel::CutTarget(std::size_t aTarget, bool aCut)
-{
-  m_cut[aTarget] = aCut;
-  m_targetHarmedAt[aTarget] = m_now;
-  if (aCut) {
-    TellUnlisted(aTarget, kUnlistTime);
-  } else {
-    TellListed(aTarget, kRelistTime);
-  }
-}
-
-void JobCellModel::HideTargetRow(std::size_t aTarget, bool aHidden)
-{
-  m_hidden[aTarget] = aHidden;
-  if (aHidden) {
-    TellUnlisted(aTarget, Way());
-  } else if (!m_cut[aTarget]) {
-    TellListed(aTarget, Way());
-  }
-}
-
-void JobCellModel::MisplaceTargetRow(std::size_t aTarget, bool aMisplaced)
-{
-  m_misplaced[aTarget] = aMisplaced;
-  TellListed(aTarget, Way());
-}
-
-void JobCellModel::SetStopTime(Duration aTime)
-{
-  for (const auto& target : m_targets) {
-    target->SetStopTime(aTime);
-  }
-}
-
-void JobCellModel::DrainTarget(std::size_t aTarget)
-{
-  m_drainingSince.try_emplace(m_targets[aTarget]->Record().m_target, m_now);
-  TellListed(aTarget, Way());
-}
-
-void JobCellModel::MuteTarget(std::size_t aTarget, bool aMute)
-{
-  m_mute[aTarget] = aMute;
-  m_targetHarmedAt[aTarget] = m_now;
-}
-
-void JobCellModel::AddFalseSuccessor(std::size_t aTarget, bool aListed)
-{
-  TargetRecord record = m_targets[aTarget]->Record();
-  record.m_target = TargetId("false-" + record.m_target.Text());
-  record.m_address = "nobody";
-  record.m_started = kWallStart + std::chrono::duration_cast<WallTime>(Now());
-  Term& term = *m_terms.back();
-  if (aListed) {
-    m_falseEntries[record.m_target] = record;
-    term.Tell(Way(), [this, &term, record] {
-      term.Scheduler().OnTargetRecord(record, m_now);
-    });
-  } else if (m_falseEntries.erase(record.m_target) > 0) {
-    term.Tell(Way(), [this, &term, id = record.m_target] {
-      term.Scheduler().OnTargetGone(id, m_now);
-    });
-  }
-}
-
-std::size_t JobCellModel::AddSuccessor(std::size_t aTarget)
-{
-  const std::size_t index = m_targets.size();
-  TargetRecord record = m_targets[aTarget]->Record();
-  record.m_target = TargetId("target-" + std::to_string(index));
-  record.m_address = "address-" + std::to_string(index);
-  record.m_started = kWallStart + std::chrono::duration_cast<WallTime>(Now());
-  AddTarget(record);
-  TellListed(index, Way());
-  return index;
-}
-
 void JobCellModel::Run(Duration aTime)
 {
   const TimePoint until = m_now + aTime;
@@ -356,8 +215,16 @@
     if (m_checksWaitingWork) {
       CheckWaitingWork();
     }
-    if (m_terms.back()->IsAlive()) {
-      m_terms.back()->Step();
+    StepLeaders();
+  }
+}
+
+void JobCellModel::StepLeaders()
+{
+  const std::size_t terms = m_terms.size();
+  for (std::size_t i = 0; i < terms; ++i) {
+    if (m_terms[i]->IsAlive()) {
+      m_terms[i]->Step();
     }
   }
 }
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -29,6 +29,15 @@
   bool m_runsFailByChance = true;
   // No call reaches the store.
   bool m_storeDown = false;
+  // The longest time until a leader hears of a commit of its own.
+  Duration m_slowCommits = Duration::zero();
+  // The share of commits after which the leader ends before it hears of them.
+  double m_leaderEnds = 0;
+  // How much later the list has a target that starts.
+  Duration m_slowList = Duration::zero();
+  // Orders that are on their way when their target ends are carried out by the
+  // process that follows under its id.
+  bool m_ordersOutliveTargets = false;
   // How long every second target takes to answer a start, a stop or a hold. The
   // order takes effect at once.
   Duration m_slowStart = Duration::zero();
@@ -95,7 +104,16 @@
   // The leader dies, and another one takes over after aTime. The time without a
   // leader is no excuse for a run that goes on.
   void LoseLeader(Duration aTime);
-  void RestartTarget(std::size_t aTarget);
+  // The leader does nothing for aTime, and goes on where it was.
+  void FreezeLeader(Duration aTime);
+  // Another leader takes over, and the former one, which does nothing for
+  // aTime, goes on for as long as its renewal is valid.
+  void OvertakeLeader(Duration aTime);
+  // The target crashes and starts again under its id. Its wall clock was set
+  // back by aSetBack meanwhile.
+  void RestartTarget(std::size_t aTarget, Duration aSetBack = Duration::zero());
+  // The target's steady clock runs as slowly as it may.
+  void SlowClock(std::size_t aTarget) { m_targets[aTarget]->SlowClock(); }
   // A target can't be reached and does not list itself, but works on.
   void CutTarget(std::size_t aTarget, bool aCut);
   // The platform's list does not have the target, which works on and answers.
@@ -207,6 +225,8 @@
   // Adds a target that works.
   void AddTarget(const TargetRecord& aRecord);
   void StartTerm();
+  // Lets all leaders that live do what is due.
+  void StepLeaders();
   // Tells a new leader what the former ones stored.
   void RestoreStoredRows(Term& aTerm);
   // Returns true if the platform's list has the target.
@@ -258,6 +278,8 @@
   std::set<JobId> m_failingJobs;
 
   std::vector<std::unique_ptr<Term>> m_terms;
+  // When the last of the leaders that were replaced sends nothing any more.
+  TimePoint m_formerOrdersUntil;
 
   // The account.
   std::map<JobId, TimePoint> m_submittedAt;
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -28,8 +28,13 @@
   bool IsAlive() const { return m_alive; }
   JobScheduler& Scheduler() { return m_scheduler; }
 
+  void Freeze(TimePoint aUntil) { m_frozenUntil = aUntil; }
+
   void Step()
   {
+    if (IsFrozen()) {
+      return;
+    }
     SetTime();
     m_scheduler.Tick(m_cell.m_now);
   }
@@ -45,7 +50,9 @@
   void Tell(Duration aDelay, std::function<void()> aTask)
   {
     m_cell.At(aDelay, [this, task = std::move(aTask)] {
-      if (m_alive) {
+      if (m_alive && IsFrozen()) {
+        Tell(m_frozenUntil - m_cell.m_now, task);
+      } else if (m_alive) {
         SetTime();
         task();
       }
@@ -139,6 +146,8 @@
 private:
   using Done = std::function<void()>;
 
+  bool IsFrozen() const { return m_cell.m_now < m_frozenUntil; }
+
   // The orders to one target on one path. One of them is on its way at a time.
   struct Connection
   {
@@ -197,11 +206,31 @@
     ++m_cell.m_commits;
     m_cell.m_leaderVersion = ++m_cell.m_version;
     m_rowVersion = m_cell.m_leaderVersion;
-    Tell(m_cell.Way(), [this, version = m_rowVersion] {
+    if (EndsAfterCommit()) {
+      m_cell.ChangeLeader();
+      return;
+    }
+    Tell(m_cell.Way() + SlowCommitTime(), [this, version = m_rowVersion] {
       m_scheduler.OnCommitted(version, m_cell.Now(), m_cell.m_now);
     });
   }
 
+  bool EndsAfterCommit()
+  {
+    const double share = m_cell.m_faults.m_leaderEnds;
+    return share > 0 && m_cell.Chance(share);
+  }
+
+  Duration SlowCommitTime()
+  {
+    const Duration longest = m_cell.m_faults.m_slowCommits;
+    if (longest == Duration::zero()) {
+      return longest;
+    }
+    std::uniform_int_distribution<Duration::rep> time(0, longest.count());
+    return Duration(time(m_cell.m_random));
+  }
+
   // Checks that the store has the address of each target to which a dispatch
   // was just stored.
   void CheckAddressesStored(const std::vector<RowWrite>& aWrites)
@@ -423,8 +452,7 @@
       std::uniform_int_distribution<Duration::rep> delay(kEarliestLate.count(),
                                                          kLatestLate.count());
       m_cell.At(Duration(delay(m_cell.m_random)), [=] {
-        // What a process has not carried out yet ends with it.
-        if (target->Record().m_started == incarnation) {
+        if (Reaches(*target, incarnation)) {
           m_cell.m_carriesOutLate = true;
           m_cell.m_ordersHarmedAt = m_cell.m_now;
           aOrder(*target);
@@ -436,8 +464,7 @@
     }
     const bool lost = m_cell.Chance(m_cell.m_faults.m_lostOrders);
     m_cell.At(m_cell.Way(), [=] {
-      if (target->Record().m_started != incarnation) {
-        // The connection ended with the process.
+      if (!Reaches(*target, incarnation)) {
         Tell(m_cell.Way(), [aAnswered] { aAnswered(Answer()); });
         return;
       }
@@ -452,6 +479,15 @@
     });
   }
 
+  // Returns true if an order that was sent to the incarnation is carried out by
+  // the process that lives now. Usually its connection ended with the process,
+  // and so did what that had not carried out yet.
+  bool Reaches(const JobTargetModel& aTarget, WallTime aIncarnation) const
+  {
+    return m_cell.m_faults.m_ordersOutliveTargets ||
+           aTarget.Record().m_started == aIncarnation;
+  }
+
   // Repeats a hold until there is an end or its wait is over.
   void HoldUntil(const HoldOrder& aOrder,
                  HoldPath aPath,
@@ -498,6 +534,7 @@
   JobScheduler m_scheduler;
   std::uint64_t m_rowVersion;
   bool m_alive = true;
+  TimePoint m_frozenUntil;
   std::size_t m_asking = 0;
   IgnoredMetrics m_metrics;
   // Fence of the last start without answer, by target.
--- a/src/standin/job_target_model.cpp
+++ b/src/standin/job_target_model.cpp
@@ -233,7 +233,8 @@
 
 TargetTime JobTargetModel::ClockAt(TimePoint aNow) const
 {
-  return std::chrono::duration_cast<TargetTime>(aNow - m_bornAt);
+  return std::chrono::duration_cast<TargetTime>((aNow - m_bornAt) *
+                                                m_clockPerMille / 1000);
 }
 
 bool JobTargetModel::IsFenced(const OrderAddress& aTo)
--- a/src/standin/job_target_model.h
+++ b/src/standin/job_target_model.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEESTEP_JOB_TARGET_MODEL_H
 #define LYCHEESTEP_JOB_TARGET_MODEL_H
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -69,6 +70,9 @@
   // What runs here stands still, and what starts here does.
   void Hang(bool aHang) { m_hangs = aHang; }
 
+  // Its clock runs as slowly as a target's may.
+  void SlowClock() { m_clockPerMille = 980; }
+
   // A run takes this long to end after its stop.
   void SetStopTime(Duration aTime) { m_stopTime = aTime; }
 
@@ -106,6 +110,7 @@
   const Planner m_planner;
   const OnStart m_onStart;
   TimePoint m_bornAt;
+  std::int64_t m_clockPerMille = 1000;
   Duration m_stopTime = std::chrono::milliseconds(300);
   bool m_hangs = false;
   bool m_failsAll = false;
