Count the longest lease for a start that no target has listed

What callers saw: a task at work on two targets, its first run without a stop.

Cause: a lease end is a time on the target's clock. A start that reaches a target which crashed and came back under its id, before the leader knows, carries a lease end of the former process. The clock of the new one is behind, so that it grants its longest lease, 10 s, while the leader counted 8 s. If the target is out of reach then, the run is given up while it works. The reply to a start does not say which process took it.

Evidence: StartThatReachesTheNextProcessHoldsForTheLongestLease printed { "TWICE job1.0.0.0 at 1009430", ... } with 4 of 6 tasks, and holds now.

While a sent run is not listed, each order that extends the lease counts until the longest lease after it. Once it is listed, its lease ends at a time on the clock that the leader knows. A run on a target that is lost within a hold of its start waits for its lease 2 s longer.

--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -212,6 +212,7 @@
       AddUnknownRun(aTarget, task.m_run, aNow);
       continue;
     }
+    run->second.m_isListed = true;
     if (!run->second.m_confirmed) {
       run->second.m_confirmed = true;
       run->second.m_confirmedAt = aNow;
@@ -281,6 +282,7 @@
   run.m_sent = true;
   run.m_confirmed = true;
   run.m_confirmedAt = TimePoint::max();
+  run.m_isListed = true;
   run.m_ofUnknownJob = true;
   RequestStop(aTarget, aRun, run, aNow);
   aTarget.m_runs.emplace(aRun, run);
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -283,6 +283,10 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.m_lease);
   const TargetTime end = aTarget.ClockLowerBound(aNow) + lease;
   aTarget.m_leaseEnd = std::max(aTarget.m_leaseEnd, end);
+  if (aTarget.HasUnlistedStart()) {
+    aTarget.m_formerLeaseExpiry =
+      std::max(aTarget.m_formerLeaseExpiry, aNow + m_settings.m_longestLease);
+  }
   return aTarget.m_leaseEnd;
 }
 
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -198,7 +198,9 @@
   bool HoldIsDue(const TargetState& aTarget, TimePoint aNow) const;
   // Moves aTarget.m_leaseEnd to one lease after the target's estimated time at
   // aNow (TargetState::ClockLowerBound) and returns it. Both times are by the
-  // target's clock. A lease end that is already later stays as it is.
+  // target's clock. A lease end that is already later stays as it is. While a
+  // run is unlisted, it may be on an incarnation whose clock is behind, which
+  // grants the longest lease; m_formerLeaseExpiry accounts for that.
   TargetTime ExtendLeaseEnd(TargetState& aTarget, TimePoint aNow) const;
   OrderAddress OrderAddressOf(const TargetState& aTarget) const;
   static std::uint64_t LastEndToForget(const TargetState& aTarget);
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -89,9 +89,9 @@
   order.m_payload = aPayload;
   order.m_checkpoint = aCheckpoint;
   order.m_ticket = aTicket;
+  run->second.m_sent = true;
   order.m_leaseEnd = ExtendLeaseEnd(target, aNow);
   target.m_fenceUsed = true;
-  run->second.m_sent = true;
   run->second.m_startedAt = aNow;
   m_effects.Start(order);
   return true;
--- a/src/jobs/target_state.cpp
+++ b/src/jobs/target_state.cpp
@@ -46,6 +46,13 @@
   m_usesAnsweredAddress = hasOther && !m_usesAnsweredAddress;
 }
 
+bool TargetState::HasUnlistedStart() const
+{
+  return std::any_of(m_runs.begin(), m_runs.end(), [](const auto& aRun) {
+    return aRun.second.m_sent && !aRun.second.m_isListed;
+  });
+}
+
 bool TargetState::TakesWork(TimePoint aNow) const
 {
   return IsInService() && m_phase == TargetPhase::kHeld &&
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -34,6 +34,9 @@
   // m_confirmedAt says when.
   bool m_confirmed = false;
   TimePoint m_confirmedAt;
+  // True once the target's known incarnation has listed the run. The reply to
+  // a start does not tell which incarnation took it.
+  bool m_isListed = false;
   // True if the target listed the run, but no job of this leader has it.
   bool m_ofUnknownJob = false;
   RunStop m_stop;
@@ -91,8 +94,8 @@
   // if the target did not reply to the order.
   TargetTime m_leaseEnd{ 0 };
   // The time by which two kinds of leases have expired: those that an earlier
-  // leader may have granted, and those that a start meant for the former
-  // incarnation may grant to this one.
+  // leader may have granted, and those that an order meant for one incarnation
+  // may grant to the next one, whose clock is behind.
   TimePoint m_formerLeaseExpiry;
 
   // True if a hold on HoldPath::kWatch, or on HoldPath::kOrders, awaits its
@@ -137,6 +140,9 @@
   // Returns true if the target's capacity is part of its service.
   bool IsInService() const { return m_listed && !m_isReplaced; }
 
+  // Returns true if a start was sent and the target has not listed its run.
+  bool HasUnlistedStart() const;
+
   // Returns true if new runs may be sent to the target.
   bool TakesWork(TimePoint aNow) const;
 
--- a/src/jobs/two_runs_test.cpp
+++ b/src/jobs/two_runs_test.cpp
@@ -163,6 +163,24 @@
   ExpectNoneAtOnce();
 }
 
+// The lease end of the start is by the clock of the former process.
+TEST(TwoRunsOfALateStart, StartThatReachesTheNextProcessHoldsForTheLongestLease)
+{
+  JobCellModel cell(3, 2);
+  cell.Faults().m_slowList = seconds(20);
+  cell.Run(milliseconds(500));
+  cell.CutTarget(0, true);
+  cell.Run(milliseconds(20));
+  cell.RestartTarget(0);
+  cell.Run(milliseconds(310));
+  cell.CutTarget(0, false);
+  cell.Submit(LongTasks(6, seconds(20)));
+  cell.Run(milliseconds(100));
+  cell.CutTarget(0, true);
+  cell.Run(seconds(90));
+  EXPECT_THAT(cell.Broken(), testing::IsEmpty());
+}
+
 TEST(TwoRunsProperty, NoDisturbanceLetsTwoRunsOverlap)
 {
   const bool held = rc::check("no task has two runs at once", [] {
