Use a target again that came back with an earlier start time

What callers saw: jobs that did not end while their targets were up.

Cause: a target that comes back under its id after its wall clock was set back tells an earlier start. The leader took each of its answers for a late one of a former process: it never took the target again, and went on to extend the lease by the clock of the process that had ended.

Any other start is that of another process, except in answers from an address that is no longer in use. Runs are kept until the target is taken under a new token or the longest lease is over, as after each restart.

--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -48,14 +48,16 @@
   const bool otherIncarnation = knownStart.count() != 0 &&
                                 aAnswer.m_started.count() != 0 &&
                                 knownStart != aAnswer.m_started;
-  if (otherIncarnation) {
-    if (knownStart < aAnswer.m_started) {
-      ResetForNewIncarnation(target, aAnswer.m_started, aNow);
-    }
-    RetryTake(target, aOrder, aPath, aNow);
+  const bool isOfOtherAddress = aOrder.m_to.m_address != target.Address();
+  const bool isOfFormer =
+    otherIncarnation && isOfOtherAddress && aAnswer.m_started < knownStart;
+  if (otherIncarnation && !isOfFormer) {
+    // The wall clock may have been set back, so that an earlier start may be
+    // that of a later incarnation.
+    ResetForNewIncarnation(target, aAnswer.m_started, aNow);
     return;
   }
-  if (aOrder.m_to.m_address != target.Address()) {
+  if (isOfOtherAddress) {
     RetryTake(target, aOrder, aPath, aNow);
     return;
   }
--- a/src/jobs/two_runs_test.cpp
+++ b/src/jobs/two_runs_test.cpp
@@ -163,6 +163,15 @@
   ExpectNoneAtOnce();
 }
 
+TEST_F(TwoRuns, TargetWhoseWallClockWasSetBackIsUsedAgain)
+{
+  for (std::size_t i = 0; i < 4; ++i) {
+    m_cell.RestartTarget(i, seconds(2000));
+  }
+  m_cell.Run(seconds(60));
+  ExpectNoneAtOnce();
+}
+
 // The lease end of the start is by the clock of the former process.
 TEST(TwoRunsOfALateStart, StartThatReachesTheNextProcessHoldsForTheLongestLease)
 {
