Let a target forget ends only just after it answered

What callers saw: a task that had ended well ran again, also more than once.

Cause: each process numbers its ends from one. A hold that allows a target to forget ends up to a number is meant for the process that listed them. While their commit is under way no hold waits at the target, so that nothing tells the leader that it restarts. The next hold then reached the new process, which forgot ends that no leader had read: their runs were missing and were given up.

Evidence: EndsOfTheNextProcessAreNotForgottenUnread, with a store that is down for 0.7 s, printed { "STARTED AFTER ITS END job2.0.0.1 at 1001620" }, and holds now.

The number is sent only if the target answered a hold less than 250 ms before, within which no process comes back. Otherwise a hold without a number, which does not wait, goes first: one more call if a commit takes longer than that. A leader that stands still between that answer and the hold, and a hold that outlives its process on the way, are not covered, as the platform takes no start time in an order.

--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -12,6 +12,9 @@
 // wait to be stored.
 constexpr int kHoldsPerLease = 4;
 
+// No target comes back under its id within this time.
+constexpr Duration kShortestRestart = std::chrono::milliseconds(250);
+
 } // namespace
 
 TargetManager::TargetManager(const TargetManagerSettings& aSettings,
@@ -246,9 +249,12 @@
     // extend it again, or the lease of a lost target would never expire.
     order.m_leaseEnd = ExtendLeaseEnd(aTarget, aNow);
   }
-  order.m_forgetEnds = LastEndToForget(aTarget);
-  const bool hasUnstoredEnds = aTarget.m_lastEndSeen != aTarget.m_lastEndStored;
-  order.m_wait = hasUnstoredEnds ? Duration::zero() : m_settings.m_holdWait;
+  order.m_forgetEnds = LastEndToForget(aTarget, aNow);
+  // Until the target may forget its ends, there is nothing to wait for.
+  const bool hasEnds = aTarget.m_lastEndSeen != aTarget.m_lastEndStored ||
+                       aTarget.m_lastEndStored > aTarget.m_lastEndForgotten;
+  const bool waits = !hasEnds || order.m_forgetEnds > 0;
+  order.m_wait = waits ? m_settings.m_holdWait : Duration::zero();
   aTarget.m_watchHoldInFlight = true;
   aTarget.m_lastHoldSent = aNow;
   m_effects.Hold(order, HoldPath::kWatch);
@@ -268,12 +274,15 @@
 // to forget; zero if the hold allows none. Each incarnation numbers its run
 // ends from the beginning, so a number meant for the former incarnation could
 // make a new one under the same id forget run ends that it has not reported. A
-// number is therefore sent only if the last hold succeeded and m_lastEndStored
-// is higher than m_lastEndForgotten.
-std::uint64_t TargetManager::LastEndToForget(const TargetState& aTarget)
+// number is therefore sent only if the last hold succeeded just before and
+// m_lastEndStored is higher than m_lastEndForgotten.
+std::uint64_t TargetManager::LastEndToForget(const TargetState& aTarget,
+                                             TimePoint aNow)
 {
   const bool hasNewEnds = aTarget.m_lastEndStored > aTarget.m_lastEndForgotten;
-  return hasNewEnds && aTarget.m_answersHolds ? aTarget.m_lastEndStored : 0;
+  const bool answeredNow =
+    aTarget.m_answersHolds && aNow - aTarget.m_clockReadAt < kShortestRestart;
+  return hasNewEnds && answeredNow ? aTarget.m_lastEndStored : 0;
 }
 
 TargetTime TargetManager::ExtendLeaseEnd(TargetState& aTarget,
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -203,7 +203,8 @@
   // grants the longest lease; m_formerLeaseExpiry accounts for that.
   TargetTime ExtendLeaseEnd(TargetState& aTarget, TimePoint aNow) const;
   OrderAddress OrderAddressOf(const TargetState& aTarget) const;
-  static std::uint64_t LastEndToForget(const TargetState& aTarget);
+  static std::uint64_t LastEndToForget(const TargetState& aTarget,
+                                       TimePoint aNow);
 
   const TargetManagerSettings m_settings;
   JobEffects& m_effects;
--- a/src/jobs/two_runs_test.cpp
+++ b/src/jobs/two_runs_test.cpp
@@ -172,6 +172,25 @@
   ExpectNoneAtOnce();
 }
 
+// An end that a target may forget before any leader has read it is lost.
+TEST(TwoRunsOfALostEnd, EndsOfTheNextProcessAreNotForgottenUnread)
+{
+  JobCellModel cell(3, 1);
+  cell.Faults().m_slowList = seconds(20);
+  cell.Run(milliseconds(200));
+  cell.Submit(LongTasks(1, milliseconds(200)));
+  cell.Run(milliseconds(50));
+  cell.Faults().m_storeDown = true;
+  cell.Run(milliseconds(400));
+  cell.RestartTarget(0);
+  cell.Run(milliseconds(310));
+  cell.Submit(LongTasks(4, milliseconds(400)));
+  cell.Faults().m_storeDown = false;
+  cell.Run(seconds(60));
+  EXPECT_THAT(cell.Broken(), testing::IsEmpty());
+  EXPECT_TRUE(cell.AllOver());
+}
+
 // The lease end of the start is by the clock of the former process.
 TEST(TwoRunsOfALateStart, StartThatReachesTheNextProcessHoldsForTheLongestLease)
 {
