Play process changes, standing leaders, gangs and large jobs in two_runs_test

The property knew one leader at a time that ended between two moves, targets whose restart the list told at once, small jobs and exact clocks. It now also plays leaders that stand still and go on beside their successor, end right after a commit or hear of it late; targets that restart unnoticed, twice, or with their wall clock set back; starts and stops on their way that reach the next process; clocks that are 2% slow; gangs; jobs whose progress takes several rows, with rows of 1.5 and 4 kB.

--- a/src/jobs/two_runs_test.cpp
+++ b/src/jobs/two_runs_test.cpp
@@ -33,6 +33,9 @@
   TwoRuns()
     : m_cell(3, 4)
   {
+    if (std::getenv("LYCHEESTEP_TRACE") != nullptr) {
+      m_cell.TraceTo(&std::cout);
+    }
     m_cell.Run(milliseconds(200));
     for (int i = 0; i < 4; ++i) {
       m_cell.Submit(LongTasks(6));
@@ -83,6 +86,30 @@
   }
 }
 
+// Ends a target's process, which starts again.
+void DisturbProcess(JobCellModel& aCell, std::size_t aTarget)
+{
+  // Not a multiple of the cell's steps, so that no two starts are the same.
+  constexpr Duration kSetBack = milliseconds(5003);
+  switch (*rc::gen::inRange(0, 3)) {
+    case 0:
+      aCell.RestartTarget(aTarget, kSetBack);
+      break;
+    case 1:
+      aCell.CutTarget(aTarget, true);
+      aCell.Run(milliseconds(20));
+      aCell.RestartTarget(aTarget);
+      aCell.Run(milliseconds(350));
+      aCell.CutTarget(aTarget, false);
+      break;
+    default:
+      aCell.RestartTarget(aTarget);
+      aCell.Run(milliseconds(*rc::gen::inRange(10, 1000)));
+      aCell.RestartTarget(aTarget);
+      break;
+  }
+}
+
 // Tasks work for half of this to one and a half times as long, so that some end
 // within a lease and others do not.
 Duration AnyTime()
@@ -90,6 +117,51 @@
   return seconds(*rc::gen::element(1, 5, 14));
 }
 
+// Submits a job with a gang, or with so many tasks that its progress takes
+// several rows.
+void SubmitAny(JobCellModel& aCell)
+{
+  JobSpec job = LongTasks(*rc::gen::inRange(1U, 8U), AnyTime());
+  JobStep& step = job.m_steps.front();
+  switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+      step.m_gang = true;
+      break;
+    case 1:
+      step.m_count = *rc::gen::inRange(40U, 150U);
+      step.m_demand = Resources(500, 1024, 0, 0, 0);
+      step.m_estimate = seconds(3);
+      break;
+    default:
+      break;
+  }
+  aCell.Submit(job);
+}
+
+// Lets leaders stand still, or end between two commits.
+void DisturbLeader(JobCellModel& aCell)
+{
+  const milliseconds time(*rc::gen::inRange(100, 6000));
+  switch (*rc::gen::inRange(0, 5)) {
+    case 0:
+      aCell.FreezeLeader(time);
+      break;
+    case 1:
+      aCell.OvertakeLeader(time);
+      break;
+    case 2:
+      aCell.Faults().m_leaderEnds = *rc::gen::element(0.0, 0.1, 0.5);
+      break;
+    case 3:
+      aCell.Faults().m_slowCommits =
+        *rc::gen::element(0, 1000) * milliseconds(1);
+      break;
+    default:
+      aCell.LoseLeader(time);
+      break;
+  }
+}
+
 // Changes the lead, or what goes wrong with orders and the store.
 void DisturbCell(JobCellModel& aCell)
 {
@@ -107,7 +179,7 @@
       aCell.Faults().m_storeDown = !aCell.Faults().m_storeDown;
       break;
     default:
-      aCell.Submit(LongTasks(*rc::gen::inRange(1U, 8U), AnyTime()));
+      SubmitAny(aCell);
       break;
   }
 }
@@ -220,14 +292,32 @@
     if (std::getenv("LYCHEESTEP_TRACE") != nullptr) {
       cell.TraceTo(&std::cout);
     }
+    if (*rc::gen::arbitrary<bool>()) {
+      cell.SetRowBytes(*rc::gen::element<std::size_t>(1500, 4000));
+    }
+    cell.Faults().m_ordersOutliveTargets = *rc::gen::arbitrary<bool>();
+    cell.Faults().m_slowList = *rc::gen::element(seconds(0), seconds(5));
+    for (std::size_t i = 0; i < targets; i += 2) {
+      cell.SlowClock(i);
+    }
     cell.Run(milliseconds(200));
     cell.Submit(LongTasks(6, AnyTime()));
     const auto moves = *rc::gen::inRange(1, 25);
     for (int i = 0; i < moves; ++i) {
-      if (*rc::gen::inRange(0, 3) == 0) {
-        DisturbCell(cell);
-      } else {
-        DisturbTarget(cell, *rc::gen::inRange<std::size_t>(0, targets));
+      const auto target = *rc::gen::inRange<std::size_t>(0, targets);
+      switch (*rc::gen::inRange(0, 6)) {
+        case 0:
+          DisturbCell(cell);
+          break;
+        case 1:
+          DisturbLeader(cell);
+          break;
+        case 2:
+          DisturbProcess(cell, target);
+          break;
+        default:
+          DisturbTarget(cell, target);
+          break;
       }
       cell.Run(milliseconds(*rc::gen::inRange(10, 2500)));
     }
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -35,8 +35,9 @@
   double m_leaderEnds = 0;
   // How much later the list has a target that starts.
   Duration m_slowList = Duration::zero();
-  // Orders that are on their way when their target ends are carried out by the
-  // process that follows under its id.
+  // Starts and stops that are on their way when their target ends are carried
+  // out by the process that follows under its id, but not those that a process
+  // carries out late.
   bool m_ordersOutliveTargets = false;
   // How long every second target takes to answer a start, a stop or a hold. The
   // order takes effect at once.
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -452,7 +453,8 @@
       std::uniform_int_distribution<Duration::rep> delay(kEarliestLate.count(),
                                                          kLatestLate.count());
       m_cell.At(Duration(delay(m_cell.m_random)), [=] {
-        if (Reaches(*target, incarnation)) {
+        // What a process has not carried out yet ends with it.
+        if (target->Record().m_started == incarnation) {
           m_cell.m_carriesOutLate = true;
           m_cell.m_ordersHarmedAt = m_cell.m_now;
           aOrder(*target);
@@ -464,7 +466,7 @@
     }
     const bool lost = m_cell.Chance(m_cell.m_faults.m_lostOrders);
     m_cell.At(m_cell.Way(), [=] {
-      if (!Reaches(*target, incarnation)) {
+      if (!Reaches<Answer>(*target, incarnation)) {
         Tell(m_cell.Way(), [aAnswered] { aAnswered(Answer()); });
         return;
       }
@@ -482,10 +484,12 @@
   // Returns true if an order that was sent to the incarnation is carried out by
   // the process that lives now. Usually its connection ended with the process,
   // and so did what that had not carried out yet.
+  template<class Answer>
   bool Reaches(const JobTargetModel& aTarget, WallTime aIncarnation) const
   {
-    return m_cell.m_faults.m_ordersOutliveTargets ||
-           aTarget.Record().m_started == aIncarnation;
+    const bool outlives = m_cell.m_faults.m_ordersOutliveTargets &&
+                          std::is_same_v<Answer, OrderAnswer>;
+    return outlives || aTarget.Record().m_started == aIncarnation;
   }
 
   // Repeats a hold until there is an end or its wait is over.
