--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -68,6 +68,9 @@
                const Resources& aDemand,
                Duration aEstimate);
 
+  // Returns true if a target lists another run of the task than aRun.
+  bool HasOtherRun(const RunName& aRun) const;
+
   // Frees the capacity reserved for a run whose start was never sent.
   void CancelReservation(const TargetId& aTarget, const RunName& aRun);
 
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -54,6 +54,20 @@
   }
 }
 
+bool TargetManager::HasOtherRun(const RunName& aRun) const
+{
+  const auto hasOther = [&aRun](const auto& aTarget) {
+    const auto& runs = aTarget.second.m_runs;
+    auto run = runs.lower_bound(RunName{ aRun.m_task, 0 });
+    if (run != runs.end() && run->first == aRun) {
+      ++run;
+    }
+    return run != runs.end() && run->first.m_task == aRun.m_task &&
+           !(run->first == aRun);
+  };
+  return std::any_of(m_targets.begin(), m_targets.end(), hasOther);
+}
+
 void TargetManager::CancelReservation(const TargetId& aTarget,
                                       const RunName& aRun)
 {
