List a target again that came back with an earlier start time

What callers saw: jobs that did not end, as the leader listed no target.

Cause: the record of a target whose wall clock was set back while it was out of reach was taken for a late one of a former process.

Evidence: NoDisturbanceLetsTwoRunsOverlap with RC_PARAMS="max_success=20000 seed=202 noshrink=1" failed after 1306 games with AllOver false. That game holds now, and so do 2,000 games of the seed.

Such a record is late only if the known process answers.

--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -39,7 +39,7 @@
   const bool restarted = !isNew && knownStart.count() != 0 &&
                          aRecord.m_started.count() != 0 &&
                          knownStart != aRecord.m_started;
-  if (restarted && aRecord.m_started < knownStart) {
+  if (restarted && aRecord.m_started < knownStart && target.m_answersHolds) {
     return; // a record of an older incarnation, delivered late
   }
   const bool beginsToDrain = aRecord.m_draining && !target.m_record.m_draining;
