Test that the next target of a machine ends no run that can't be reached

What callers saw: two runs of a task at the same time (TWICE); the first one got no stop and ended done or with its target.

Cause, mended with: the entry of the next target on a machine was taken as proof that the former one had ended. The test for it had a former target that could be reached, whose runs are stopped; here it drains, can't be reached for 6 s and works on.

--- a/src/jobs/two_runs_test.cpp
+++ b/src/jobs/two_runs_test.cpp
@@ -235,6 +235,18 @@
   ExpectNoneAtOnce();
 }
 
+TEST_F(TwoRuns, NextTargetOfAMachineEndsNoRunThatCannotBeReached)
+{
+  m_cell.DrainTarget(0);
+  m_cell.Run(seconds(1));
+  m_cell.CutTarget(0, true);
+  m_cell.AddSuccessor(0);
+  m_cell.Run(seconds(6));
+  m_cell.CutTarget(0, false);
+  m_cell.Run(seconds(40));
+  ExpectNoneAtOnce();
+}
+
 TEST_F(TwoRuns, TargetWhoseWallClockWasSetBackIsUsedAgain)
 {
   for (std::size_t i = 0; i < 4; ++i) {
