Play single causes of two runs at once in the soak, and judge each pair

What callers saw: two runs of a task at the same time (TWICE); the first one got no stop, ended done or with its target, and its end was noted.

The soak takes plays of one cause each: the entry of the next target of a machine, an entry of another writer, refusals without the store's time, a store that refuses the leader or everyone, a frozen leader; with and without targets that can't be reached. It prints each pair of runs from the targets' side as users record them, and which host sent each.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -13,11 +13,14 @@
 
 class Callers:
     def __init__(self, hosts, ledger, seed, load=1.0,
-                 cancelled_within_s=CANCELLED_WITHIN_S):
+                 cancelled_within_s=CANCELLED_WITHIN_S,
+                 cancelled=WAVE_CANCELLED, waves=None):
         self.hosts = hosts
         self.ledger = ledger
         self.random = random.Random(seed)
         self.cancelled_within_s = cancelled_within_s
+        self.cancelled = cancelled
+        self.waves = waves  # None: until the end
         self.over = threading.Event()
         self.threads = [threading.Thread(target=self.submit_all, args=(i,))
                         for i in range(round(6 * load))]
@@ -53,7 +56,9 @@
             time.sleep(chance.uniform(0, 0.5))
 
     def send_waves(self):
-        while not self.over.is_set():
+        sent = 0
+        while not self.over.is_set() and sent != self.waves:
+            sent += 1
             callers = [threading.Thread(target=self.submit_some,
                                         args=(self.random.random(),))
                        for _ in range(8)]
@@ -72,7 +77,7 @@
                     "estimate_ms": 500}
             job_id, job = self.new_job(chance, [step])
             self.submit(job_id, job, chance)
-            if job.accepted and chance.random() < WAVE_CANCELLED:
+            if job.accepted and chance.random() < self.cancelled:
                 at = time.monotonic() + chance.uniform(
                     0, self.cancelled_within_s)
                 cancels.append((at, job_id, job))
--- a/testsuite/soak/hosts.py
+++ b/testsuite/soak/hosts.py
@@ -35,12 +35,13 @@
 
 
 class Host:
-    def __init__(self, program, folder, name, base, store_port, calm,
+    def __init__(self, program, folder, name, base, store, calm,
                  retention_ms):
         self.program, self.folder, self.name = program, folder, name
         self.leads_as = name  # what the leader's row calls it
         self.front, self.ready, self.peers = base, base + 1, base + 2
-        self.store_way = Proxy(base + 4, store_port)
+        self.store_way = Proxy(base + 4, base + 5)
+        store.open_for(name, base + 5)
         self.calm = calm
         self.process = None
         # Not to be called, and when it was last disturbed but by a stop.
--- a/testsuite/soak/ledger.py
+++ b/testsuite/soak/ledger.py
@@ -9,6 +9,8 @@
 import threading
 import time
 
+from pairs import Pairs
+
 # The bounds of the platform, in seconds.
 CONTACT_S = 3.0
 CANCEL_S = 3.0
@@ -73,6 +75,7 @@
         self.max_attempts = max_attempts
         self.calm = Calm()
         self.reads = Calm()  # whole reads and the history of the store
+        self.pairs = Pairs()
         self.jobs = {}
         self.running = {}  # task -> set of (worker, life, run)
         self.done = set()  # tasks that ended well anywhere
--- a/testsuite/soak/ledger_test.py
+++ b/testsuite/soak/ledger_test.py
@@ -10,6 +10,7 @@
 import ledger
 from ledger import (CANCEL_S, CONTACT_S, DRAIN_S, LATE_S, LEAD_S, STOP_S, Job,
                     Ledger)
+from pairs import Pairs
 
 ID = "00000000000000aa"
 TASK = ID + ".0.0.0"
@@ -227,5 +228,42 @@
         self.assertIsNone(self.job.ended)
 
 
+class PairsTest(unittest.TestCase):
+    def setUp(self):
+        self.pairs = Pairs()
+
+    def report(self):
+        return self.pairs.report({("w0", TASK, 1): "h0",
+                                  ("w1", TASK, 2): "h0"})
+
+    def test_one_after_the_other(self):
+        self.pairs.on_start("w0", TASK, 1)
+        self.pairs.on_end("w0", TASK, 1, "failed")
+        self.pairs.on_start("w1", TASK, 2)
+        self.assertEqual(self.pairs.found, [])
+
+    def test_two_at_once(self):
+        self.pairs.on_start("w0", TASK, 1)
+        self.pairs.on_start("w1", TASK, 2)
+        self.pairs.on_end("w0", TASK, 1, "done")
+        self.pairs.on_noted("w0", TASK, 1)
+        self.assertIn("run 1 on w0 from h0, late false", self.report())
+        self.assertIn("1 pairs, first runs: no stop 1, noted 1, ends: done 1; "
+                      "same host 1, most in a second 1", self.report())
+
+    def test_stopped_and_not_noted(self):
+        self.pairs.on_start("w0", TASK, 1)
+        self.pairs.on_start("w1", TASK, 2)
+        self.pairs.on_stop("w0", TASK, 1)
+        self.pairs.on_end("w0", TASK, 1, "died")
+        self.assertIn("1 pairs, first runs: no stop 0, noted 0, ends: died 1;",
+                      self.report())
+
+    def test_late_start_and_unknown_host(self):
+        self.pairs.on_start("w0", TASK, 3, late=True)
+        self.pairs.on_start("w1", TASK, 2)
+        self.assertIn("run 3 on w0 from -, late true", self.report())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -4,8 +4,8 @@
 Usage: soak.py PROGRAM [--seed N] [--seconds S] [--calm S] [--hosts N]
 [--workers N] [--slow S] [--slow-stop S] [--refused-stops X]
 [--unanswered-stops X] [--slow-hold S] [--late-start S] [--work LEAST MOST]
-[--load X] [--cancelled-within S] [--retention-ms N] [--forgets-after S]
-[--logs FOLDER]
+[--load X] [--cancelled X] [--waves N] [--cancelled-within S]
+[--retention-ms N] [--forgets-after S] [--logs FOLDER]
 
 First a calm series: nothing but slow workers, workers that drain and waves of
 cancellations, so that no check with a time bound has an excuse. Then faults
@@ -22,11 +22,13 @@
 import tempfile
 import time
 
-from callers import CANCELLED_WITHIN_S, Callers
+from callers import CANCELLED_WITHIN_S, WAVE_CANCELLED, Callers
 from faults import (LEAD_CHANGES_AFTER_S, ROWS_AWAY_S, WORK_BEGINS_AFTER_S,
                     Faults)
+from former_runs import FormerRuns
 from hosts import GRACE_S, PORTS_PER_HOST, Host, free_ports
 from ledger import CONTACT_S, Ledger
+from pairs import senders_in
 from proxy import Proxy
 from store import Store
 from targets import Worker
@@ -50,7 +52,7 @@
     def __init__(self, arguments, folder):
         self.arguments = arguments
         self.random = random.Random(arguments.seed)
-        count = arguments.hosts * PORTS_PER_HOST + arguments.workers * 2 + 1
+        count = arguments.hosts * PORTS_PER_HOST + arguments.workers * 3 + 1
         base = free_ports(count)
         self.store = Store(base, arguments.seed)
         self.ledger = Ledger(MAX_ATTEMPTS)
@@ -64,13 +66,19 @@
                                        self.ledger, arguments.seed + i))
         first = base + 1 + arguments.workers * 2
         self.hosts = [Host(arguments.program, folder, "h%d" % i,
-                           first + i * PORTS_PER_HOST, base, self.ledger.calm,
+                           first + i * PORTS_PER_HOST, self.store,
+                           self.ledger.calm,
                            arguments.retention_ms)
                       for i in range(arguments.hosts)]
         self.callers = Callers(self.hosts, self.ledger, arguments.seed,
-                               arguments.load, arguments.cancelled_within)
+                               arguments.load, arguments.cancelled_within,
+                               arguments.cancelled, arguments.waves)
         self.faults = Faults(self.hosts, self.workers, self.worker_ways,
                              self.store, self.ledger, arguments.seed)
+        last = first + arguments.hosts * PORTS_PER_HOST
+        self.former_runs = FormerRuns(
+            self.faults, list(range(last, last + arguments.workers)),
+            arguments.seed)
 
     def configure(self, service="desk"):
         with self.store.lock:
@@ -125,9 +133,11 @@
                   "rows": [self.faults.rows_away],
                   "damaged": [self.faults.rows_damaged],
                   "service": [self.lose_service],
-                  "none": [self.faults.nothing]}[arguments.calm_faults]
+                  "none": [self.faults.nothing]}
+        for name, play in self.former_runs.plays().items():
+            faults[name] = [play]
         self.ledger.in_calm_series = True
-        self.faults.play(arguments.calm, faults)
+        self.faults.play(arguments.calm, faults[arguments.calm_faults])
         self.ledger.in_calm_series = False
         self.check_enough_played()
 
@@ -193,7 +203,12 @@
                         help="seconds of the calm series before the faults")
     parser.add_argument("--calm-faults", default="mixed",
                         choices=["mixed", "drain", "lead", "series", "rows",
-                                 "damaged", "misplaced", "service", "none"])
+                                 "damaged", "misplaced", "service", "none",
+                                 "successor", "successor-cut",
+                                 "second-entry",
+                                 "second-entry-cut", "clockless",
+                                 "clockless-kill", "clockless-busy",
+                                 "clockless-down", "busy", "lost-kill", "frozen"])
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--slow", type=float, default=0.3,
@@ -216,6 +231,9 @@
                         "all of them; else most are short and a share long")
     parser.add_argument("--load", type=float, default=1,
                         help="share of the callers beside the waves")
+    parser.add_argument("--cancelled", type=float, default=WAVE_CANCELLED,
+                        help="share of a wave's jobs")
+    parser.add_argument("--waves", type=int, help="as many and no more")
     parser.add_argument("--cancelled-within", type=float,
                         default=CANCELLED_WITHIN_S,
                         help="seconds after a job of a wave was accepted")
@@ -245,6 +263,7 @@
                     host.process.wait()
         ledger = soak.ledger
         ended = [job.ended for job in ledger.jobs.values() if job.ended]
+        print(ledger.pairs.report(senders_in(folder)))
         print(ledger.summary())
         print("seed %d: %d jobs, %d accepted and over (%d done), %d starts, "
               "%d promises broken" % (arguments.seed, len(ledger.jobs),
--- a/testsuite/soak/store.py
+++ b/testsuite/soak/store.py
@@ -30,6 +30,13 @@
         self.crowded = 0.0
         self.delay = 0.0
         self.read_delay = 0.0
+        # Hosts that are told to come later, by name; refusals of writes that
+        # don't tell the time; what is done once when a write is refused, and
+        # when the leader's row has been written; neither is answered yet.
+        self.busy_for = set()
+        self.clockless_refusals = False
+        self.on_refusal = None
+        self.on_renewal = None
         self.server = WebServer(port, self.serve)
 
     def serve(self, method, path, query, body, headers):
@@ -52,6 +59,12 @@
             return self.advise(body)
         return 404, {}
 
+    def open_for(self, host, port):
+        """A port for calls of this host alone."""
+        def serve(*request):
+            return (429, {}) if host in self.busy_for else self.serve(*request)
+        WebServer(port, serve)
+
     def now_ms(self):
         return int(time.monotonic() * 1000)
 
@@ -94,8 +107,12 @@
             held = all(self.rows.get(key, (None, 0))[1] == entry["ver"]
                        for key, entry in zip(keys, conditions))
             if not held:
-                return 412, {"rows": [self.row(key) for key in keys],
-                             "ver": self.version, "now_ms": self.now_ms()}
+                refusal = {"rows": [self.row(key) for key in keys],
+                           "ver": self.version, "now_ms": self.now_ms()}
+                self.note("on_refusal")
+                if self.clockless_refusals:
+                    del refusal["now_ms"]
+                return 412, refusal
             self.version += 1
             for entry in body.get("writes", []):
                 self.write(key_of(entry), base64.b64decode(entry["value"]))
@@ -105,8 +122,17 @@
                 self.version += 1
                 self.write(("crowd", "", "row"), b"")
             self.lock.notify_all()
+            if any(key_of(entry)[0] == "leader"
+                   for entry in body.get("writes", [])):
+                self.note("on_renewal")
             return 200, {"ver": self.version, "now_ms": self.now_ms()}
 
+    def note(self, event):
+        action = getattr(self, event)
+        setattr(self, event, None)
+        if action is not None:
+            action()
+
     def read(self, query):
         table, part = query["table"], query.get("part", "")
         first = query.get("from", "")
--- a/testsuite/soak/targets.py
+++ b/testsuite/soak/targets.py
@@ -45,8 +45,10 @@
 
 
 class Worker:
-    def __init__(self, name, port, address, store, ledger, seed):
+    def __init__(self, name, port, address, store, ledger, seed,
+                 machine=None):
         self.name = name
+        self.machine = machine or "m-" + name
         self.port = port
         self.address = address  # of the way to the port
         self.store = store
@@ -100,17 +102,20 @@
                 self.report()
 
     def report(self):
+        self.store.put("servers", self.name, self.entry())
+        if self.draining and self.drained_at is None:
+            self.drained_at = time.monotonic()
+
+    def entry(self):
         address = {"moved": self.port,
                    "misplaced": NOBODYS_PORT}.get(self.row, self.address)
-        self.store.put("servers", self.name, {
+        return {
             "service": "desk", "address": "127.0.0.1:%d" % address,
             "zone": "z1", "version": "1", "slots": 8, "cold_left_ms": 0,
             "state": "draining" if self.draining else "ready", "seq": 1,
             "capacity": {"cpu": self.capacity, "mem_mb": 64000},
-            "labels": ["k1", "r1"], "machine": "m-" + self.name,
-            "born": self.born})
-        if self.draining and self.drained_at is None:
-            self.drained_at = time.monotonic()
+            "labels": ["k1", "r1"], "machine": self.machine,
+            "born": self.born}
 
     def keep_row(self, how):
         self.row = how
@@ -124,12 +129,30 @@
     def restart(self):
         """A crash: nothing is left of what was before."""
         with self.lock:
-            for task, run in list(self.runs):
-                self.ledger.on_end(self, task, run, "crashed")
+            self.lose_runs()
             self.began()
             self.lock.notify_all()
         self.register()
 
+    def leave(self):
+        """For good. What is at work dies."""
+        with self.lock:
+            self.gone = True
+            self.lose_runs()
+            self.runs = {}
+            self.lock.notify_all()
+        self.register()
+
+    def leave_when_idle(self):
+        while self.runs or self.finished:
+            time.sleep(0.1)
+        self.leave()
+
+    def lose_runs(self):
+        for task, run in list(self.runs):
+            self.ledger.on_end(self, task, run, "crashed")
+            self.ledger.pairs.on_end(self.name, task, run, "died")
+
     def work(self):
         while True:
             time.sleep(0.01)
@@ -163,6 +186,7 @@
         self.highest[task] = max(run, self.highest.get(task, 0))
         self.finished.append([self.ends, task, run, how, checkpoint])
         self.ledger.on_end(self, task, run, how)
+        self.ledger.pairs.on_end(self.name, task, run, how)
         self.lock.notify_all()
 
     def serve(self, _method, path, _query, body, headers):
@@ -212,6 +236,8 @@
         checkpoint = body.get("checkpoint", "")
         entry = self.ledger.on_start(self, body["task"], body["run"],
                                      body["spec"], checkpoint) or {}
+        self.ledger.pairs.on_start(self.name, body["task"], body["run"],
+                                   self.start_late_s > 0)
         fails = self.random.random() < 0.03
         self.runs[key] = Run(self.work_time(), fails, entry, checkpoint)
         if sum(run.cpu for run in self.runs.values()) > self.capacity:
@@ -224,6 +250,7 @@
 
     def run_stop(self, body):
         key = (body["task"], body["run"])
+        self.ledger.pairs.on_stop(self.name, *key)
         if key in self.runs:
             if self.runs[key].how != "stopped":
                 self.runs[key].ends_at = time.monotonic() + STOP_S
@@ -238,7 +265,9 @@
     def hold(self, body):
         self.extend(body.get("deadline_ms", 0))
         cursor = body.get("ack_cursor", 0)
-        for number, task, _, how, _ in self.finished:
+        for number, task, run, how, _ in self.finished:
+            if number <= cursor:
+                self.ledger.pairs.on_noted(self.name, task, run)
             if number <= cursor and number not in self.lapsed_unread:
                 self.ledger.on_noted(task, how)
         self.finished = [end for end in self.finished if end[0] > cursor]
