--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -205,10 +205,11 @@
                         choices=["mixed", "drain", "lead", "series", "rows",
                                  "damaged", "misplaced", "service", "none",
                                  "successor", "successor-cut",
-                                 "second-entry",
-                                 "second-entry-cut", "clockless",
+                                 "second-entry", "second-entry-cut",
+                                 "clockless",
                                  "clockless-kill", "clockless-busy",
-                                 "clockless-down", "busy", "lost-kill", "frozen"])
+                                 "clockless-down", "busy", "lost-kill",
+                                 "frozen"])
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--slow", type=float, default=0.3,
