--- /dev/null
+++ b/testsuite/soak/day_callers.py
@@ -0,0 +1,105 @@
+"""Callers of a day: jobs of several kinds, some handed in twice, some
+cancelled, and all asked for."""
+import asyncio
+import time
+
+from day_judge import Job
+from day_web import call
+
+PREFIX = "/plans/"
+TRIES = 10
+
+
+class DayCallers:
+    def __init__(self, world, load):
+        self.world, self.judge, self.random = world, world.judge, world.random
+        self.load = load
+        self.over = False
+
+    def port(self):
+        return self.random.choice(self.world.living()).front
+
+    async def submit_all(self):
+        while not self.over:
+            asyncio.ensure_future(self.hand_in())
+            await asyncio.sleep(self.random.expovariate(self.load))
+
+    def make_job(self):
+        job_id = "%016x" % self.random.getrandbits(64)
+        steps = []
+        for number in range(self.random.choice([1, 1, 1, 2, 3])):
+            work_s = self.random.choice([
+                self.random.uniform(0.3, 2), self.random.uniform(1, 6),
+                self.random.uniform(6, 15)])
+            step = {"count": self.random.randint(1, 6),
+                    "cpu": self.random.choice([2000, 4000, 8000]),
+                    "mem_mb": 64, "estimate_ms": int(work_s * 1000)}
+            if self.random.random() < 0.4:
+                step["checkpointing"] = True
+            if self.random.random() < 0.2:
+                step["gang"] = True
+            if number:
+                step["after"] = [number - 1]
+            steps.append(step)
+        job = Job("spec of " + job_id, [
+            dict(step, work_s=step["estimate_ms"] / 1000) for step in steps])
+        self.judge.jobs[job_id] = job
+        return job_id, job, {"spec": job.spec, "steps": steps}
+
+    async def hand_in(self):
+        job_id, job, body = self.make_job()
+        for _ in range(TRIES):
+            status, _ = await call(self.port(), "POST", PREFIX + job_id, body)
+            if 200 <= status < 300:
+                job.accepted = True
+                break
+            if status not in (404, 429, 503):
+                job.doubtful = True
+            await asyncio.sleep(self.random.uniform(0.1, 0.6))
+        if self.random.random() < 0.2 and job.accepted:
+            asyncio.ensure_future(self.again(job_id, body))
+        if self.random.random() < 0.25 and job.accepted:
+            await asyncio.sleep(self.random.uniform(0, 8))
+            await self.cancel(job_id, job)
+
+    async def again(self, job_id, body):
+        await asyncio.sleep(self.random.uniform(0, 4))
+        await call(self.port(), "POST", PREFIX + job_id, body)
+
+    async def cancel(self, job_id, job):
+        job.cancel_sent = True
+        for _ in range(TRIES):
+            status, _ = await call(self.port(), "DELETE", PREFIX + job_id)
+            if status == 410 or 200 <= status < 300:
+                job.cancel_acked = time.monotonic()
+                return
+            await asyncio.sleep(0.3)
+
+    async def watch(self):
+        while not self.over:
+            open_jobs = [job_id for job_id, job in self.judge.jobs.items()
+                         if job.accepted and not job.shown]
+            for job_id in self.random.sample(open_jobs,
+                                             min(8, len(open_jobs))):
+                asyncio.ensure_future(self.ask(job_id))
+            await asyncio.sleep(0.3)
+
+    async def ask(self, job_id):
+        status, answer = await call(self.port(), "GET", PREFIX + job_id,
+                                    timeout=2.0)
+        self.judge.on_shown(job_id, answer.get("state")
+                            if status == 200 else status)
+
+    async def settle(self, seconds):
+        """Until all accepted jobs are over."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            left = [job_id for job_id, job in self.judge.jobs.items()
+                    if job.accepted and not job.shown and
+                    not job.cancel_acked]
+            if not left:
+                return
+            await asyncio.gather(*map(self.ask, left[:50]))
+            await asyncio.sleep(0.3)
+        for job_id in left[:5]:
+            print("open: %s %s" % (job_id, self.judge.jobs[job_id].steps))
--- a/testsuite/soak/store.py
+++ b/testsuite/soak/store.py
@@ -37,7 +37,8 @@
         self.clockless_refusals = False
         self.on_refusal = None
         self.on_renewal = None
-        self.server = WebServer(port, self.serve)
+        # Without a port, calls come by another way.
+        self.server = WebServer(port, self.serve) if port else None
 
     def serve(self, method, path, query, body, headers):
         if self.down:
