--- a/testsuite/soak/day_callers.py
+++ b/testsuite/soak/day_callers.py
@@ -11,9 +11,9 @@
 
 
 class DayCallers:
-    def __init__(self, world, load):
+    def __init__(self, world, load, longest_s):
         self.world, self.judge, self.random = world, world.judge, world.random
-        self.load = load
+        self.load, self.longest_s = load, longest_s
         self.over = False
 
     def port(self):
@@ -28,9 +28,9 @@
         job_id = "%016x" % self.random.getrandbits(64)
         steps = []
         for number in range(self.random.choice([1, 1, 1, 2, 3])):
-            work_s = self.random.choice([
-                self.random.uniform(0.3, 2), self.random.uniform(1, 6),
-                self.random.uniform(6, 15)])
+            work_s = self.longest_s * self.random.choice([
+                self.random.uniform(0.02, 0.13),
+                self.random.uniform(0.07, 0.4), self.random.uniform(0.4, 1)])
             step = {"count": self.random.randint(1, 6),
                     "cpu": self.random.choice([2000, 4000, 8000]),
                     "mem_mb": 64, "estimate_ms": int(work_s * 1000)}
@@ -101,5 +101,3 @@
                 return
             await asyncio.gather(*map(self.ask, left[:50]))
             await asyncio.sleep(0.3)
-        for job_id in left[:5]:
-            print("open: %s %s" % (job_id, self.judge.jobs[job_id].steps))
--- a/testsuite/soak/day_judge.py
+++ b/testsuite/soak/day_judge.py
@@ -69,6 +69,7 @@
         self.saved, self.resumed = {}, {}
         self.gangs = {}  # (step, run) -> {index: Run}
         self.counts, self.near = {}, {}
+        self.pairs = []  # of runs at once
         self.starts = 0
         self.calm_since = time.monotonic()  # no disturbance of anything
         self.store_calm_since = time.monotonic()
@@ -117,6 +118,7 @@
         for other in self.runs.get(run.task, []):
             if other.at_work() and other.target.up:
                 self.breach("two runs at once", "%r while %r" % (other, run))
+                self.pairs.append((other, run))
             elif other.end_how == "done" and other.noted:
                 self.breach("start after a noted end", "%r then %r"
                             % (other, run))
@@ -216,6 +218,8 @@
             job.shown = job.shown or state
 
     def close(self):
+        for pair in self.pairs:
+            print("at the end: %r while %r" % pair)
         started = {task.split(".")[0] for task in self.runs}
         for job_id, job in self.jobs.items():
             if not job.accepted and not job.doubtful and job_id in started:
--- a/testsuite/soak/days.py
+++ b/testsuite/soak/days.py
@@ -2,7 +2,8 @@
 """Plays a deployment's day with hosts as processes, and judges every rule.
 
 Usage: days.py PROGRAM [--seed N] [--seconds S] [--profile NAME] [--hosts N]
-[--zones N] [--targets N] [--load X] [--bare-refusals] [--logs FOLDER]
+[--zones N] [--targets N] [--load X] [--longest S] [--bare-refusals]
+[--logs FOLDER]
 
 Store, targets and callers are stand-ins in one event loop. Each way from a host
 to the store, to a target or to another host can be cut by itself. The verdict
@@ -58,7 +59,7 @@
         self.next_port = free_ports((arguments.hosts + spare) * PORTS +
                                     most_targets)
         self.judge = Judge(self, MAX_ATTEMPTS)
-        self.callers = DayCallers(self, arguments.load)
+        self.callers = DayCallers(self, arguments.load, arguments.longest)
 
     def note(self, text):
         print("%+.3f %s" % (time.monotonic() - day_judge.BEGAN, text),
@@ -223,6 +224,8 @@
     parser.add_argument("--targets", type=int, default=16)
     parser.add_argument("--load", type=float, default=1.5,
                         help="jobs handed in each second")
+    parser.add_argument("--longest", type=float, default=15,
+                        help="seconds that the longest tasks work")
     parser.add_argument("--bare-refusals", action="store_true",
                         help="the store leaves its clock out of refusals")
     parser.add_argument("--logs", help="keep the hosts' logs in this folder, "
