--- a/testsuite/soak/day_judge.py
+++ b/testsuite/soak/day_judge.py
@@ -194,8 +194,10 @@
                 member.ends_at = run.end
                 member.ends_as = "done" if how == "done" else "broken"
 
-    def on_noted(self, run):
-        if run.noted is not None:
+    def on_noted(self, run, lapsed=False):
+        """Of an end before a lapse of its target's lease, a caller has no
+        promise."""
+        if run.noted is not None or lapsed:
             return
         run.noted = time.monotonic()
         if run.end_how == "failed":
--- a/testsuite/soak/day_targets.py
+++ b/testsuite/soak/day_targets.py
@@ -68,7 +68,7 @@
         now, clock = time.monotonic(), self.clock()
         if not self.up:
             return
-        if self.lease <= clock and self.runs:
+        if self.lease <= clock:
             self.lapsed_unread |= {number for number, _ in self.finished}
             for run in list(self.runs.values()):
                 self.end(run, "lapsed")
@@ -97,7 +97,7 @@
     async def serve(self, writer, _method, path, _query, body, headers,
                     reader):
         if writer not in self.owners:
-            self.owners[writer] = self.world.owners.of(writer)
+            self.owners[writer] = await self.world.owners.of(writer)
         host = self.owners[writer]
         born = self.born
 
@@ -178,8 +178,8 @@
         self.extend(body.get("deadline_ms", 0))
         cursor, born = body.get("ack_cursor", 0), self.born
         for number, run in self.finished:
-            if number <= cursor and number not in self.lapsed_unread:
-                self.world.judge.on_noted(run)
+            if number <= cursor:
+                self.world.judge.on_noted(run, number in self.lapsed_unread)
         self.finished = [end for end in self.finished if end[0] > cursor]
         until = time.monotonic() + body.get("wait_ms", 0) / 1000
         while not self.finished and born == self.born and self.up:
--- a/testsuite/soak/day_troubles.py
+++ b/testsuite/soak/day_troubles.py
@@ -273,6 +273,8 @@
         """For good; the former process may live on, cut off from all or from
         the store alone."""
         for host in self.leading():
+            if host.gone:
+                return  # by another trouble
             host.gone = True
             how = self.random.choice(["killed", "stopped", "cut off",
                                       "cut from the store"])
@@ -289,7 +291,8 @@
                 await self.cut(ways, self.silently(),
                                self.random.uniform(6, 20))
                 await host.kill()
-            self.world.hosts.remove(host)
+            if host in self.world.hosts:
+                self.world.hosts.remove(host)
 
     async def add_host(self):
         if len(self.world.hosts) < self.world.most_hosts:
@@ -322,14 +325,17 @@
         await asyncio.sleep(self.random.uniform(0, 3))
         self.world.disturb_targets(targets, 0)
         for target in targets:
-            target.live()
-            target.up = True
-            target.report()
+            if target in self.world.targets:
+                target.live()
+                target.up = True
+                target.report()
 
     async def scale_in(self):
         """Targets drain and leave; their machines come back as others, some
         while the former still works."""
-        for target in self.some(self.world.targets, 0.1):
+        staying = [target for target in self.world.targets
+                   if not target.draining]
+        for target in self.some(staying, 0.1):
             self.tasks.append(asyncio.ensure_future(self.leave(target)))
 
     async def leave(self, target):
@@ -345,7 +351,8 @@
         self.judge.disturbed()
         target.die()
         target.unlist()
-        self.world.targets.remove(target)
+        if target in self.world.targets:
+            self.world.targets.remove(target)
         if follows_s > stays_s:
             await asyncio.sleep(follows_s - stays_s)
             await self.world.add_target(target.machine, target.zone)
--- a/testsuite/soak/day_web.py
+++ b/testsuite/soak/day_web.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import os
+import time
 import urllib.parse
 
 # What may befall a request on a way.
@@ -20,6 +21,8 @@
 SLOW = "slow"  # waits before it is carried out
 
 BLOCK = 65536
+# Between two looks at the system's list of sockets.
+LOOK_GAP_S = 0.05
 
 
 class Cut:
@@ -102,39 +105,44 @@
 
 
 class Owners:
-    """Which host a connection comes from, by the system's list of sockets."""
+    """Which host a connection comes from, by the system's list of sockets. One
+    look serves all connections that were accepted before it."""
 
     def __init__(self):
         self.processes = {}  # process id -> host's name
-        self.sockets = {}  # inode -> host's name
-
-    def of(self, writer):
-        port = writer.get_extra_info("peername")[1]
-        own = writer.get_extra_info("sockname")[1]
-        inode = inode_of(port, own)
-        if inode not in self.sockets:
-            self.look()
-        return self.sockets.get(inode)
+        self.names = {}  # (remote port, own port) -> host's name
+        self.looked_at = 0.0
+
+    async def of(self, writer):
+        accepted_at = time.monotonic()
+        while self.looked_at < accepted_at:
+            await asyncio.sleep(
+                max(0.0, self.looked_at + LOOK_GAP_S - time.monotonic()))
+            if self.looked_at < accepted_at:
+                self.look()
+        return self.names.get((writer.get_extra_info("peername")[1],
+                               writer.get_extra_info("sockname")[1]))
 
     def look(self):
-        self.sockets = {}
+        self.looked_at = time.monotonic()
+        owners = {}  # inode -> host's name
         for process, name in list(self.processes.items()):
             folder = "/proc/%d/fd/" % process
             try:
                 for entry in os.listdir(folder):
                     text = os.readlink(folder + entry)
                     if text.startswith("socket:["):
-                        self.sockets[text[8:-1]] = name
+                        owners[text[8:-1]] = name
             except OSError:
-                continue
-
-
-def inode_of(port, remote):
-    needle = " 0100007F:%04X 0100007F:%04X " % (port, remote)
-    with open("/proc/net/tcp", encoding="ascii") as file:
-        text = file.read()
-    at = text.find(needle)
-    return text[at:at + 150].split()[8] if at >= 0 else None
+                continue  # it has ended
+        self.names = {}
+        with open("/proc/net/tcp", encoding="ascii") as file:
+            for line in file:
+                fields = line.split()
+                if fields[9] in owners:
+                    ends = tuple(int(field.split(":")[1], 16)
+                                 for field in fields[1:3])
+                    self.names[ends] = owners[fields[9]]
 
 
 class Server:
@@ -250,7 +258,7 @@
             self.reset(ways)
 
     async def accept(self, reader, writer):
-        source = self.owners.of(writer)
+        source = await self.owners.of(writer)
         try:
             answers, server = await asyncio.open_connection("127.0.0.1",
                                                             self.upstream)
--- a/testsuite/soak/days.py
+++ b/testsuite/soak/days.py
@@ -34,6 +34,8 @@
 # After the last trouble every accepted job ends within this.
 SETTLE_S = 90
 TICK_S = 0.02
+# So long a halt of the stand-ins counts as a disturbance of all of them.
+STALL_S = 0.5
 QUEUE = {"name": "r1", "host": "desk.example", "path_prefix": "/plans/",
          "service": "desk", "priority": 0, "max_attempts": MAX_ATTEMPTS,
          "slack_factor": 2.0, "target_latency_ms": 1000}
@@ -121,11 +123,23 @@
             "limits": {"max_body_bytes": 262144}})
 
     async def tick(self):
+        last = time.monotonic()
         while True:
             await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            if now - last > STALL_S:
+                self.stalled(now - last)
+            last = now
             for target in list(self.targets):
                 target.tick()
 
+    def stalled(self, seconds):
+        """All stand-ins stood still, as the machine gave them no time."""
+        self.note("the play stood still for %.2f s" % seconds)
+        self.judge.disturbed(store=True)
+        for host in self.hosts:
+            host.disturb()
+
     async def beat(self):
         """Targets write their rows again."""
         while True:
