--- a/testsuite/soak/day_hosts.py
+++ b/testsuite/soak/day_hosts.py
@@ -48,6 +48,8 @@
 
     def start(self, owners):
         self.disturb()
+        if self.process is not None:
+            owners.processes.pop(self.process.pid, None)
         with open(os.path.join(self.folder, self.name + ".log"),
                   "ab") as log:
             self.process = subprocess.Popen(
--- a/testsuite/soak/day_judge.py
+++ b/testsuite/soak/day_judge.py
@@ -70,7 +70,7 @@
         self.gangs = {}  # (step, run) -> {index: Run}
         self.counts, self.near = {}, {}
         self.pairs = []  # of runs at once
-        self.starts = 0
+        self.starts = self.nameless = 0  # the latter: from an unknown host
         self.calm_since = time.monotonic()  # no disturbance of anything
         self.store_calm_since = time.monotonic()
 
@@ -94,6 +94,7 @@
     def on_start(self, run, spec):
         """The entry of the task's step, or None if nobody asked for it."""
         self.starts += 1
+        self.nameless += run.host is None
         job_id, _, step, index = run.task.split(".")
         job = self.jobs.get(job_id)
         if job is None or int(step) >= len(job.steps) or \
--- a/testsuite/soak/day_targets.py
+++ b/testsuite/soak/day_targets.py
@@ -97,7 +97,7 @@
     async def serve(self, writer, _method, path, _query, body, headers,
                     reader):
         if writer not in self.owners:
-            self.owners[writer] = await self.world.owners.of(writer)
+            self.owners[writer] = self.world.owners.of(writer)
         host = self.owners[writer]
         born = self.born
 
--- a/testsuite/soak/day_web.py
+++ b/testsuite/soak/day_web.py
@@ -6,7 +6,8 @@
 import asyncio
 import json
 import os
-import time
+import socket
+import struct
 import urllib.parse
 
 # What may befall a request on a way.
@@ -21,8 +22,10 @@
 SLOW = "slow"  # waits before it is carried out
 
 BLOCK = 65536
-# Between two looks at the system's list of sockets.
-LOOK_GAP_S = 0.05
+# Of the system's interface for sockets.
+NETLINK_SOCK_DIAG = 4
+SOCK_DIAG_BY_FAMILY = 20
+INODE_AT = 84
 
 
 class Cut:
@@ -105,44 +108,47 @@
 
 
 class Owners:
-    """Which host a connection comes from, by the system's list of sockets. One
-    look serves all connections that were accepted before it."""
+    """Which host a connection comes from: the system tells the inode of its
+    other end, and the host's open files have it."""
 
     def __init__(self):
         self.processes = {}  # process id -> host's name
-        self.names = {}  # (remote port, own port) -> host's name
-        self.looked_at = 0.0
-
-    async def of(self, writer):
-        accepted_at = time.monotonic()
-        while self.looked_at < accepted_at:
-            await asyncio.sleep(
-                max(0.0, self.looked_at + LOOK_GAP_S - time.monotonic()))
-            if self.looked_at < accepted_at:
-                self.look()
-        return self.names.get((writer.get_extra_info("peername")[1],
-                               writer.get_extra_info("sockname")[1]))
+        self.names = {}  # inode -> host's name
+        self.diagnosis = socket.socket(socket.AF_NETLINK, socket.SOCK_RAW,
+                                       NETLINK_SOCK_DIAG)
+
+    def of(self, writer):
+        inode = self.inode(writer.get_extra_info("peername")[1],
+                           writer.get_extra_info("sockname")[1])
+        if inode not in self.names:
+            self.look()
+        return self.names.get(inode)
+
+    def inode(self, port, remote):
+        """Of the socket on loopback with this port and remote port."""
+        address = socket.inet_aton("127.0.0.1").ljust(16, b"\0")
+        ends = struct.pack("!HH", port, remote) + address * 2 + \
+            struct.pack("=III", 0, 2 ** 32 - 1, 2 ** 32 - 1)
+        body = struct.pack("=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0,
+                           2 ** 32 - 1) + ends
+        self.diagnosis.send(struct.pack("=IHHII", 16 + len(body),
+                                        SOCK_DIAG_BY_FAMILY, 1, 0, 0) + body)
+        answer = self.diagnosis.recv(BLOCK)
+        if struct.unpack_from("=H", answer, 4)[0] != SOCK_DIAG_BY_FAMILY:
+            return 0  # the other end is gone
+        return struct.unpack_from("=I", answer, INODE_AT)[0]
 
     def look(self):
-        self.looked_at = time.monotonic()
-        owners = {}  # inode -> host's name
+        self.names = {}
         for process, name in list(self.processes.items()):
             folder = "/proc/%d/fd/" % process
             try:
                 for entry in os.listdir(folder):
                     text = os.readlink(folder + entry)
                     if text.startswith("socket:["):
-                        owners[text[8:-1]] = name
+                        self.names[int(text[8:-1])] = name
             except OSError:
                 continue  # it has ended
-        self.names = {}
-        with open("/proc/net/tcp", encoding="ascii") as file:
-            for line in file:
-                fields = line.split()
-                if fields[9] in owners:
-                    ends = tuple(int(field.split(":")[1], 16)
-                                 for field in fields[1:3])
-                    self.names[ends] = owners[fields[9]]
 
 
 class Server:
@@ -258,7 +264,7 @@
             self.reset(ways)
 
     async def accept(self, reader, writer):
-        source = await self.owners.of(writer)
+        source = self.owners.of(writer)
         try:
             answers, server = await asyncio.open_connection("127.0.0.1",
                                                             self.upstream)
--- a/testsuite/soak/days.py
+++ b/testsuite/soak/days.py
@@ -218,12 +218,12 @@
                 print("%s: %s: %d" % (what, rule, count))
         jobs = judge.jobs.values()
         print("seed %d, %s: %d jobs, %d accepted, %d done, %d cancelled, %d "
-              "starts, %d rules broken" % (
+              "starts, %d of them from hosts that had ended, %d rules broken" % (
                   self.arguments.seed, self.arguments.profile, len(jobs),
                   sum(job.accepted for job in jobs),
                   sum(job.shown == "done" for job in jobs),
                   sum(job.cancel_acked is not None for job in jobs),
-                  judge.starts, sum(judge.counts.values())))
+                  judge.starts, judge.nameless, sum(judge.counts.values())))
 
 
 def parse_arguments():
