--- a/testsuite/soak/day_troubles.py
+++ b/testsuite/soak/day_troubles.py
@@ -31,6 +31,9 @@
              "store_resets_leader", "leader_cut_one_way", "kill_leader",
              "freeze_leader", "replace_leader", "cut_from_targets",
              "cut_pairs", "deaf_targets", "leader_cut"],
+    # Targets leave and come back as others while the lead changes.
+    "leaving": ["scale_in", "scale_in", "scale_in", "kill_leader",
+                "freeze_leader", "cut_pairs", "crash_targets"],
     "none": [],
 }
 # Troubles come in groups, each within a lease of a run.
