--- a/testsuite/soak/day_troubles.py
+++ b/testsuite/soak/day_troubles.py
@@ -34,6 +34,7 @@
     # Targets leave and come back as others while the lead changes.
     "leaving": ["scale_in", "scale_in", "scale_in", "kill_leader",
                 "freeze_leader", "cut_pairs", "crash_targets"],
+    "unreached": ["kill_leader_unreached"],
     "none": [],
 }
 # Troubles come in groups, each within a lease of a run.
@@ -236,6 +237,15 @@
     async def kill_leader(self):
         await self.kill_and_start(self.leading(), self.random.uniform(0.2, 4))
 
+    async def kill_leader_unreached(self):
+        """While answers of the store are lost and targets out of reach."""
+        targets = self.some(self.world.targets, 0.4)
+        await asyncio.gather(
+            self.store(self.world.hosts, Cut(day_web.RESET_BACK, 0.5), 0.6),
+            self.cut(self.to_targets(self.world.hosts, targets),
+                     Cut(day_web.LOST), 6),
+            self.kill_leader())
+
     async def kill_hosts(self):
         await self.kill_and_start(self.some(self.world.living(), 0.3),
                                   self.random.uniform(1, 4))
