--- a/testsuite/soak/day_troubles.py
+++ b/testsuite/soak/day_troubles.py
@@ -328,7 +328,8 @@
             setattr(target, field, False)
 
     async def crash_targets(self):
-        targets = self.some(self.world.targets, 0.14)
+        targets = self.some([target for target in self.world.targets
+                             if target.up], 0.14)
         self.world.disturb_targets(targets, 6)
         for target in targets:
             target.die()
@@ -338,7 +339,7 @@
         await asyncio.sleep(self.random.uniform(0, 3))
         self.world.disturb_targets(targets, 0)
         for target in targets:
-            if target in self.world.targets:
+            if target in self.world.targets and not target.up:
                 target.live()
                 target.up = True
                 target.report()
