--- a/src/jobhost/lead_play_test.cpp
+++ b/src/jobhost/lead_play_test.cpp
@@ -5,7 +5,6 @@
 
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <cstdlib>
 #include <future>
 #include <list>
@@ -15,11 +14,10 @@
 #include <thread>
 
 #include "boot_clock.h"
-#include "commit_writer.h"
 #include "event_log.h"
 #include "job_rows.h"
-#include "leader_election.h"
 #include "metrics_registry.h"
+#include "played_process.h"
 #include "row_store_model.h"
 
 namespace lycheestep {
@@ -48,94 +46,12 @@
 
 namespace {
 
-constexpr Duration kLease = seconds(8);
-constexpr Duration kValidity = seconds(4);
-// A lease of kLease on a target whose clock is 2% slow.
+// A lease of kPlayedLease on a target whose clock is 2% slow.
 constexpr Duration kLongestLease = milliseconds(8164);
 constexpr Duration kWriteTimeout = milliseconds(900);
 constexpr Duration kReadTimeout = milliseconds(600);
 // The store's clock is ahead of that of the hosts.
 constexpr Duration kStoreClockLead = seconds(5000);
-// How long the play waits, in real time, for a thread to make its next call.
-constexpr Duration kThreadWait = milliseconds(400);
-
-// A write on its way to the store or back.
-struct Call
-{
-  RowTransaction m_transaction;
-  TimePoint m_sent;
-  // When the store does the write, if it does, and when the answer is read.
-  std::optional<TimePoint> m_doneAt;
-  TimePoint m_answeredAt;
-  bool m_planned = false;
-  bool m_lost = false;
-  bool m_refused = false;
-  bool m_tellsClock = true;
-  RowAnswer m_answer;
-  std::promise<RowAnswer> m_reply;
-};
-
-// The store as one host reaches it: each write waits until the play answers it.
-class PlayedStore : public RowStore
-{
-public:
-  RowAnswer Transact(const RowTransaction& aTransaction,
-                     Duration /*aTimeout*/) override
-  {
-    std::future<RowAnswer> reply;
-    {
-      const std::lock_guard<std::mutex> lock(m_mutex);
-      if (m_closed) {
-        return RowAnswer();
-      }
-      m_calls.emplace_back();
-      m_calls.back().m_transaction = aTransaction;
-      m_calls.back().m_sent = BootClockNow();
-      reply = m_calls.back().m_reply.get_future();
-    }
-    m_called.notify_all();
-    return reply.get();
-  }
-
-  RowAnswer Read(const RowRange& /*aRange*/, Duration /*aTimeout*/) override
-  {
-    return RowAnswer();
-  }
-
-  RowAnswer Feed(const std::string& /*aTable*/,
-                 std::uint64_t /*aVersion*/,
-                 Duration /*aWait*/,
-                 Duration /*aTimeout*/) override
-  {
-    return RowAnswer();
-  }
-
-  // Waits in real time until there is a call.
-  bool WaitForCall()
-  {
-    std::unique_lock<std::mutex> lock(m_mutex);
-    return m_called.wait_for(
-      lock, kThreadWait, [this] { return !m_calls.empty(); });
-  }
-
-  // Answers no call from now on.
-  void Close()
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    m_closed = true;
-    for (Call& call : m_calls) {
-      call.m_reply.set_value(RowAnswer());
-    }
-    m_calls.clear();
-  }
-
-  std::mutex m_mutex;
-  std::list<Call> m_calls;
-
-private:
-  std::condition_variable m_called;
-  bool m_closed = false;
-};
 
 // One time that a process led.
 struct Term
@@ -148,63 +64,6 @@
   TimePoint m_lastOrder;
 };
 
-// How a process reaches the store.
-enum class Weather
-{
-  kCalm,
-  kLosing,
-  kLate,
-  kRefusing,
-  kSuspended,
-};
-
-struct Process
-{
-  Process(const std::string& aName,
-          std::uint64_t aIncarnation,
-          EventLog& aLog,
-          MetricsSink& aMetrics)
-    : m_election(aName, aIncarnation)
-    , m_writer(
-        LeaderIdentity{ aName, aIncarnation, kLease, kValidity },
-        m_store,
-        aLog,
-        aMetrics,
-        [this](std::uint64_t aVersion, Duration /*aStoreClock*/) {
-          m_token = aVersion;
-        },
-        [this] { m_lost = true; },
-        [] {})
-  {
-  }
-
-  ~Process()
-  {
-    m_store.Close();
-    if (m_acquiring.valid()) {
-      m_acquiring.wait();
-    }
-  }
-  Process(const Process&) = delete;
-  Process& operator=(const Process&) = delete;
-
-  PlayedStore m_store;
-  LeaderElection m_election;
-  std::atomic<std::uint64_t> m_token{ 0 };
-  std::atomic<bool> m_lost{ false };
-  Weather m_weather = Weather::kCalm;
-  TimePoint m_weatherUntil;
-  std::optional<LeaderRecord> m_read;
-  TimePoint m_readSent;
-  TimePoint m_readHandledAt;
-  LeadClaim m_claim;
-  std::future<bool> m_acquiring;
-  // The index of the term in which it leads.
-  std::optional<std::size_t> m_term;
-  TimePoint m_nextRenewal;
-  CommitWriter m_writer;
-};
-
 class LeadPlay
 {
 public:
@@ -217,7 +76,7 @@
     std::vector<ElectionHost> hosts;
     for (std::size_t i = 0; i < names.size(); ++i) {
       m_processes.push_back(
-        std::make_unique<Process>(names[i], i + 1, m_log, m_metrics));
+        std::make_unique<PlayedProcess>(names[i], i + 1, m_log, m_metrics));
       hosts.push_back(ElectionHost{ names[i], 0.5 });
     }
     for (const auto& process : m_processes) {
@@ -257,7 +116,7 @@
 
   void Advance(std::size_t aIndex)
   {
-    Process& process = *m_processes[aIndex];
+    PlayedProcess& process = *m_processes[aIndex];
     const TimePoint now = BootClockNow();
     if (now >= process.m_weatherUntil) {
       process.m_weather =
@@ -277,7 +136,7 @@
   }
 
   // Draws what becomes of a write that was just sent.
-  void Plan(Process& aProcess, Call& aCall)
+  void Plan(PlayedProcess& aProcess, PlayedCall& aCall)
   {
     const TimePoint now = BootClockNow();
     aCall.m_planned = true;
@@ -311,14 +170,14 @@
     }
   }
 
-  void AdvanceCalls(Process& aProcess)
+  void AdvanceCalls(PlayedProcess& aProcess)
   {
     DoLateWrites();
     bool answered = false;
     bool retries = false;
     {
       const std::lock_guard<std::mutex> lock(aProcess.m_store.m_mutex);
-      std::list<Call>& calls = aProcess.m_store.m_calls;
+      std::list<PlayedCall>& calls = aProcess.m_store.m_calls;
       for (auto call = calls.begin(); call != calls.end();) {
         if (!call->m_planned) {
           Plan(aProcess, *call);
@@ -349,7 +208,7 @@
     }
   }
 
-  static RowAnswer MakeUnanswered(const Call& aCall)
+  static RowAnswer MakeUnanswered(const PlayedCall& aCall)
   {
     RowAnswer answer;
     answer.m_status =
@@ -358,7 +217,7 @@
   }
 
   // Does the write if it is due.
-  void AdvanceCall(Call& aCall)
+  void AdvanceCall(PlayedCall& aCall)
   {
     if (!aCall.m_doneAt || BootClockNow() < *aCall.m_doneAt) {
       return;
@@ -390,7 +249,7 @@
 
   void FinishAcquiring(std::size_t aIndex)
   {
-    Process& process = *m_processes[aIndex];
+    PlayedProcess& process = *m_processes[aIndex];
     if (process.m_acquiring.wait_for(seconds(0)) != std::future_status::ready) {
       return;
     }
@@ -409,7 +268,7 @@
     m_terms.push_back(term);
   }
 
-  void Lead(Process& aProcess)
+  void Lead(PlayedProcess& aProcess)
   {
     const TimePoint now = BootClockNow();
     Term& term = m_terms[*aProcess.m_term];
@@ -432,14 +291,14 @@
     }
   }
 
-  static void StepDown(Process& aProcess)
+  static void StepDown(PlayedProcess& aProcess)
   {
     aProcess.m_writer.StopWithoutRelease();
     aProcess.m_term.reset();
     aProcess.m_election.Begin(BootClockNow(), milliseconds(300));
   }
 
-  void Follow(Process& aProcess)
+  void Follow(PlayedProcess& aProcess)
   {
     const TimePoint now = BootClockNow();
     if (aProcess.m_read) {
@@ -468,7 +327,7 @@
   }
 
   // As JobHost::TryToLead does.
-  void HandleRead(Process& aProcess)
+  void HandleRead(PlayedProcess& aProcess)
   {
     const TimePoint now = BootClockNow();
     LeaderRecord record = *aProcess.m_read;
@@ -524,7 +383,7 @@
   std::minstd_rand m_random;
   RowStoreModel m_rows;
   std::list<std::pair<TimePoint, RowTransaction>> m_late;
-  std::vector<std::unique_ptr<Process>> m_processes;
+  std::vector<std::unique_ptr<PlayedProcess>> m_processes;
   std::vector<Term> m_terms;
   std::string m_failure;
 };
