Count the longest lease from when a target may have carried a start out

What callers could see: a task at work on two targets, its first run without a stop.

Cause: a start that waits on its way and reaches the next process of its target holds for 10 s from then, and the leader counted 10.4 s from when it made the order. A start may wait for 2.7 s at a carrier, and for longer in a direct connection.

Evidence: LongestLeaseOfAStartCountsFromItsAnswer failed before (the lease was over 2.6 s earlier than the bound, with an answer after 2.6 s). Found by review; the cell model carries orders out within its own times, so that its property can't find it.

The longest lease now counts again when a start or a hold that extends the lease was answered, or may have been carried out without an answer.

--- a/src/jobs/remembered_target_test.cpp
+++ b/src/jobs/remembered_target_test.cpp
@@ -106,6 +106,40 @@
   EXPECT_EQ(Target().m_lastEndSeen, 0U);
 }
 
+// Guards against a target that is never used again after its wall clock was set
+// back.
+TEST_F(RememberedTargetTest,
+       EarlierStartInTheListIsOfTheNextLifeOfASilentTarget)
+{
+  m_manager.Tick(m_now);
+  m_manager.OnHoldAnswer(m_hold, HoldPath::kWatch, HoldAnswer(), m_now);
+  m_record.m_started = WallTime(500);
+  m_manager.OnTargetListed(m_record, m_now);
+  EXPECT_EQ(Target().m_record.m_started, WallTime(500));
+  EXPECT_EQ(Target().m_phase, TargetPhase::kUntaken);
+}
+
+// Guards against a run that is given up while it works, as its start waited on
+// its way and reached the next life of its target.
+TEST_F(RememberedTargetTest, LongestLeaseOfAStartCountsFromItsAnswer)
+{
+  const RunName run{ TaskName{ StepName{ JobId("a"), 0, 0 }, 0 }, 1 };
+  StartOrder start;
+  ON_CALL(m_effects, Start(_))
+    .WillByDefault([&start](const StartOrder& aOrder) { start = aOrder; });
+  m_record.m_started = WallTime(1000);
+  m_manager.OnTargetListed(m_record, m_now);
+  m_manager.Reserve(
+    m_record.m_target, run, Resources(100, 100, 0, 0, 0), seconds(9));
+  ASSERT_TRUE(m_manager.Send(m_record.m_target, run, "", "", "", m_now));
+  m_now += milliseconds(2600);
+  OrderAnswer answer;
+  answer.m_status = OrderStatus::kDone;
+  m_manager.OnStartAnswer(start, answer, m_now);
+  EXPECT_GE(Target().LeaseExpiry(),
+            m_now + TargetManagerSettings().m_longestLease);
+}
+
 // Guards against jobs that never end because ends of the new life are ignored.
 TEST_P(RememberedTargetCellTest, JobsEndThoughTargetsStartAgain)
 {
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -113,6 +113,11 @@
                                  OrderStatus aStatus,
                                  TimePoint aNow)
 {
+  const bool mayBeExtended =
+    aStatus == OrderStatus::kUnknown && aOrder.m_leaseEnd.count() > 0;
+  if (mayBeExtended) {
+    CountLongestLease(aTarget, aNow);
+  }
   if (aOrder.m_to.m_fence != aTarget.m_fence) {
     return;
   }
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -292,11 +292,17 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.m_lease);
   const TargetTime end = aTarget.ClockLowerBound(aNow) + lease;
   aTarget.m_leaseEnd = std::max(aTarget.m_leaseEnd, end);
+  CountLongestLease(aTarget, aNow);
+  return aTarget.m_leaseEnd;
+}
+
+void TargetManager::CountLongestLease(TargetState& aTarget,
+                                      TimePoint aNow) const
+{
   if (aTarget.HasUnlistedStart()) {
     aTarget.m_formerLeaseExpiry =
       std::max(aTarget.m_formerLeaseExpiry, aNow + m_settings.m_longestLease);
   }
-  return aTarget.m_leaseEnd;
 }
 
 OrderAddress TargetManager::OrderAddressOf(const TargetState& aTarget) const
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -208,6 +208,10 @@
   // run is unlisted, it may be on an incarnation whose clock is behind, which
   // grants the longest lease; m_formerLeaseExpiry accounts for that.
   TargetTime ExtendLeaseEnd(TargetState& aTarget, TimePoint aNow) const;
+  // Counts the longest lease from aNow on while a run is unlisted. Called when
+  // an order that extends the lease is made, and again when the target may have
+  // carried one out, as orders wait on their way.
+  void CountLongestLease(TargetState& aTarget, TimePoint aNow) const;
   OrderAddress OrderAddressOf(const TargetState& aTarget) const;
   static std::uint64_t LastEndToForget(const TargetState& aTarget,
                                        TimePoint aNow);
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -133,6 +133,11 @@
     return;
   }
   TargetState& target = found->second;
+  const bool mayBeDone = aAnswer.m_status == OrderStatus::kDone ||
+                         aAnswer.m_status == OrderStatus::kUnknown;
+  if (mayBeDone) {
+    CountLongestLease(target, aNow);
+  }
   const auto run = target.m_runs.find(aOrder.m_run);
   const bool current = aOrder.m_to.m_fence == target.m_fence &&
                        target.m_phase == TargetPhase::kHeld;
