Place no task while a target lists an unknown run of it

Cause: the older run was asked for when the start was to leave, after the dispatch was stored. The delay before the next try is read for single tasks only.

Evidence: older_run_test failed before: run 12 of the gang and run 7 of the task where run 2 is due. An unknown run of the number that would be next holds the task back as well (RunOfTheNextNumberElsewhereHoldsTheTaskBackToo).

The run is asked for before placing, and again when the start leaves.

--- a/src/jobs/job_placing.cpp
+++ b/src/jobs/job_placing.cpp
@@ -372,7 +372,10 @@
   std::size_t missing = 0;
   for (std::uint32_t i = 0; i < progress.m_tasks.size(); ++i) {
     JobTask& task = progress.m_tasks[i];
-    if (task.m_state != TaskState::kWaiting || task.m_notBefore > aNow) {
+    const bool mayPlace = task.m_state == TaskState::kWaiting &&
+                          task.m_notBefore <= aNow &&
+                          !m_keeper.HasUnknownRun(TaskName{ aStep.m_name, i });
+    if (!mayPlace) {
       continue;
     }
     const TargetId avoid = task.m_failures > 0 ? task.m_target : TargetId();
@@ -392,12 +395,25 @@
   return missing;
 }
 
+bool JobScheduler::IsHeldBack(const ReadyStep& aGang) const
+{
+  for (std::uint32_t i = 0; i < aGang.m_step->m_count; ++i) {
+    if (m_keeper.HasUnknownRun(TaskName{ aGang.m_name, i })) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::size_t JobScheduler::PlaceGang(
   const ReadyStep& aStep,
   const std::vector<PlacementCandidate>& aCandidates)
 {
   const JobStep& step = *aStep.m_step;
   StepProgress& progress = *aStep.m_progress;
+  if (IsHeldBack(aStep)) {
+    return 0;
+  }
   const auto isHealthy = [](const PlacementCandidate& aCandidate) {
     return !aCandidate.m_quarantined;
   };
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -338,6 +338,8 @@
   std::size_t PlaceTasks(const ReadyStep& aStep,
                          std::vector<PlacementCandidate>& aCandidates,
                          TimePoint aNow);
+  // Returns true if a target lists a run of a member that no job expects.
+  bool IsHeldBack(const ReadyStep& aGang) const;
   std::size_t PlaceGang(const ReadyStep& aStep,
                         const std::vector<PlacementCandidate>& aCandidates);
   // Dispatches the tasks of a gang to the candidates with the chosen indexes.
--- a/src/jobs/job_starts.cpp
+++ b/src/jobs/job_starts.cpp
@@ -14,9 +14,6 @@
 // sent.
 constexpr Duration kMinValidityAtSend = std::chrono::milliseconds(60);
 
-// The delay before the next try to start a task that a target still runs.
-constexpr Duration kOtherRunDelay = std::chrono::milliseconds(200);
-
 } // namespace
 
 void JobScheduler::SendStarts(TimePoint aNow)
@@ -107,7 +104,6 @@
   }
   if (m_keeper.HasUnknownRun(aRun.m_task)) {
     // A former leader may reach a process that has seen no token yet.
-    ref.m_task->m_notBefore = aNow + kOtherRunDelay;
     return false;
   }
   return !ref.m_job->m_terms.m_advice.m_required ||
--- a/src/jobs/older_run_test.cpp
+++ b/src/jobs/older_run_test.cpp
@@ -51,8 +51,6 @@
     for (const char* target : { "first", "second" }) {
       m_scheduler.OnTargetRecord(RecordOf(target), m_now);
     }
-    AddJob();
-    Pass();
   }
 
   static TargetRecord RecordOf(const char* aTarget)
@@ -76,12 +74,14 @@
     m_scheduler.SetConfig(config);
   }
 
-  void AddJob()
+  // Adds a job of aTasks tasks, the first of which the former leader gave up.
+  void AddJob(std::uint32_t aTasks, bool aGang)
   {
     StoredJob job;
     job.m_terms.m_name = QueueName("plans");
     job.m_spec.m_steps.resize(1);
-    job.m_spec.m_steps[0].m_count = 1;
+    job.m_spec.m_steps[0].m_count = aTasks;
+    job.m_spec.m_steps[0].m_gang = aGang;
     job.m_spec.m_steps[0].m_demand = Resources(100, 100, 0, 0, 0);
     job.m_spec.m_steps[0].m_estimate = seconds(1);
     m_scheduler.OnJob(m_run.m_task.m_step.m_job, job, 0, m_now);
@@ -91,6 +91,7 @@
     StoredProgress progress;
     progress.m_tasks.push_back(stored);
     m_scheduler.OnProgress(m_run.m_task.m_step.m_job, progress, m_now);
+    Pass();
   }
 
   // Answers all holds to the target, which lists aRunning.
@@ -153,11 +154,31 @@
 
 TEST_F(OlderRunTest, TaskIsNotStartedBesideAnOlderRunThatATargetLists)
 {
+  AddJob(1, false);
   Play({ m_run });
   EXPECT_THAT(m_starts, IsEmpty());
   Play({});
   ASSERT_THAT(m_starts, SizeIs(1));
-  EXPECT_GT(m_starts.front().m_run.m_run, m_run.m_run);
+  EXPECT_EQ(m_starts.front().m_run.m_run, m_run.m_run + 1);
+}
+
+// It is not placed either, which would take a commit each time.
+TEST_F(OlderRunTest, GangIsNotPlacedBesideAnOlderRunOfAMember)
+{
+  AddJob(2, true);
+  Play({ m_run });
+  EXPECT_THAT(m_starts, IsEmpty());
+  Play({});
+  ASSERT_THAT(m_starts, SizeIs(2));
+  EXPECT_EQ(m_starts.front().m_run.m_run, m_run.m_run + 1);
+}
+
+// A run of the same number elsewhere is another one as well.
+TEST_F(OlderRunTest, RunOfTheNextNumberElsewhereHoldsTheTaskBackToo)
+{
+  AddJob(1, false);
+  Play({ RunName{ m_run.m_task, m_run.m_run + 1 } });
+  EXPECT_THAT(m_starts, IsEmpty());
 }
 
 } // namespace lycheestep
