Withdraw no job on a read that does not tell the store's clock

What callers could see: a submission answered 503, its DELETE answered 410, and the work runs all the same; or a count of pending jobs of a leader that is gone.

Cause: a read without the store's clock gave the time zero. A withdrawal of that time is older than its retention, and the leader removes it at once.

Such a read is repeated like one without an answer wherever the time is used. Found by review; no store is known that does so.

--- a/src/jobhost/job_request_handler.cpp
+++ b/src/jobhost/job_request_handler.cpp
@@ -301,6 +301,10 @@
   RowAnswer answer;
   do {
     answer = m_store.Read(range, m_settings.m_callTimeout);
+    const bool tellsClock = answer.m_storeClock != Duration::zero();
+    if (answer.m_status == RowStatus::kOk && !tellsClock && aStoreClock) {
+      answer.m_status = RowStatus::kUnknown;
+    }
     if (answer.m_status == RowStatus::kOk) {
       const bool found = !answer.m_rows.empty() &&
                          answer.m_rows.front().m_key.m_key == aKey.m_key;
--- a/src/jobhost/job_request_handler_test.cpp
+++ b/src/jobhost/job_request_handler_test.cpp
@@ -153,8 +153,9 @@
 
 TEST_F(JobRequestHandlerTest, JobIsReportedMissingIfTheStoreHasNoRow)
 {
-  EXPECT_CALL(m_store, Read(_, _))
-    .WillRepeatedly(Return(MakeRowAnswer(RowStatus::kOk)));
+  RowAnswer noRow = MakeRowAnswer(RowStatus::kOk);
+  noRow.m_storeClock = std::chrono::milliseconds(10000);
+  EXPECT_CALL(m_store, Read(_, _)).WillRepeatedly(Return(noRow));
   EXPECT_CALL(m_store, Transact(_, _))
     .WillOnce(Return(MakeRowAnswer(RowStatus::kOk)))
     .WillRepeatedly(Return(MakeRowAnswer(RowStatus::kRefused)));
@@ -164,6 +165,16 @@
   EXPECT_EQ(m_handler.Cancel(JobId("a")), JobRequestStatus::kNotServed);
 }
 
+// Guards against a withdrawal that is removed at once, as it seems as old as
+// the store, so that a submission which was held up runs after all.
+TEST_F(JobRequestHandlerTest, NoJobIsWithdrawnWithoutTheStoresClock)
+{
+  EXPECT_CALL(m_store, Read(_, _))
+    .WillRepeatedly(Return(MakeRowAnswer(RowStatus::kOk)));
+  EXPECT_CALL(m_store, Transact(_, _)).Times(0);
+  EXPECT_EQ(m_handler.Cancel(JobId("a")), JobRequestStatus::kNotServed);
+}
+
 TEST_F(JobRequestHandlerTest, FailedReadDoesNotReportAJobAsMissing)
 {
   ON_CALL(m_store, Read(_, _))
