--- a/testsuite/soak/lead_plays.py
+++ b/testsuite/soak/lead_plays.py
@@ -96,7 +96,8 @@
             self.ledger.workers += (worker,)
         first = base + 1 + WORKERS * 2
         self.hosts = [Host(arguments.program, folder, "h%d" % i,
-                           first + i * PORTS_PER_HOST, base, self.ledger.calm,
+                           first + i * PORTS_PER_HOST, self.store,
+                           self.ledger.calm,
                            0) for i in range(HOSTS + 1)]
         self.spare = self.hosts.pop()
 
