--- a/src/jobhost/late_lead_test.cpp
+++ b/src/jobhost/late_lead_test.cpp
@@ -8,6 +8,7 @@
 #include <future>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include "boot_clock.h"
 #include "commit_writer.h"
@@ -145,6 +146,7 @@
         [this](std::uint64_t aTerm,
                std::uint64_t /*aVersion*/,
                Duration /*aStoreClock*/) {
+          const std::lock_guard<std::mutex> lock(m_reportMutex);
           m_reportedTerms.push_back(aTerm);
           m_committed.set_value();
           m_committed = std::promise<void>();
@@ -198,8 +200,9 @@
   EventLog m_log;
   FatefulStore m_store;
   const TimePoint m_begun;
+  // Guards what reports change. They come on two threads.
+  std::mutex m_reportMutex;
   std::promise<void> m_committed;
-  // The terms of the reports so far; read while none is under way.
   std::vector<std::uint64_t> m_reportedTerms;
   CommitWriter m_writer;
 };
@@ -264,6 +267,7 @@
   ASSERT_EQ(committed.wait_for(seconds(5)), std::future_status::ready);
   m_writer.StopWithoutRelease();
   ASSERT_TRUE(TakeLead());
+  const std::lock_guard<std::mutex> lock(m_reportMutex);
   EXPECT_EQ(m_reportedTerms, (std::vector<std::uint64_t>{ 1, 1, 2 }));
   EXPECT_EQ(m_writer.Term(), 2U);
 }
