Cancel a stored job also on a read without the store's clock

Only a withdrawal and the age of a count need the clock: without it a withdrawal is answered 503 and a count is not served, and a stored job is cancelled.

--- a/src/jobhost/job_request_handler.cpp
+++ b/src/jobhost/job_request_handler.cpp
@@ -164,6 +164,10 @@
   if (ReadRow(JobKey(aJob), row, &storeClock) != RowStatus::kOk) {
     return JobRequestStatus::kNotServed;
   }
+  if (!row && storeClock == Duration::zero()) {
+    // The withdrawal would seem as old as the store and be removed at once.
+    return JobRequestStatus::kNotServed;
+  }
   if (!row) {
     return Withdraw(aJob, storeClock);
   }
@@ -253,7 +257,8 @@
   if (parsed && leader.pending_row_count() > 0) {
     return ReadPendingRow(aQueue, leader.pending_row_count());
   }
-  const bool known = parsed && leader.pending_known();
+  const bool known =
+    parsed && leader.pending_known() && storeClock != Duration::zero();
   const Duration age = storeClock - HolderOf(leader).m_renewed;
   if (!known || age > kMaxPendingCountAge) {
     // No leader counts at present, and an old count would be wrong.
@@ -281,7 +286,8 @@
     return answer;
   }
   const auto count = DecodePendingRow(aQueue, row->m_value);
-  if (count && storeClock - count->m_renewed <= kMaxPendingCountAge) {
+  const bool known = count && storeClock != Duration::zero();
+  if (known && storeClock - count->m_renewed <= kMaxPendingCountAge) {
     answer.m_status = JobRequestStatus::kOk;
     answer.m_pending = count->m_pending;
   }
@@ -301,10 +307,6 @@
   RowAnswer answer;
   do {
     answer = m_store.Read(range, m_settings.m_callTimeout);
-    const bool tellsClock = answer.m_storeClock != Duration::zero();
-    if (answer.m_status == RowStatus::kOk && !tellsClock && aStoreClock) {
-      answer.m_status = RowStatus::kUnknown;
-    }
     if (answer.m_status == RowStatus::kOk) {
       const bool found = !answer.m_rows.empty() &&
                          answer.m_rows.front().m_key.m_key == aKey.m_key;
--- a/src/jobhost/late_write_test.cpp
+++ b/src/jobhost/late_write_test.cpp
@@ -28,6 +28,7 @@
     : m_log("test", m_metrics)
     , m_handler(m_store, m_log, m_metrics, QuickSettings())
   {
+    m_store.SetStoreClock(seconds(100));
   }
 
   RowStoreModel& Store() { return m_store; }
--- a/src/jobhost/row_store_model.h
+++ b/src/jobhost/row_store_model.h
@@ -24,6 +24,10 @@
     m_late.clear();
   }
 
+  // Sets the store's clock that all answers tell; zero, as before the first
+  // call, if they tell none.
+  void SetStoreClock(Duration aClock) { m_storeClock = aClock; }
+
   bool Has(const RowKey& aKey) const { return m_rows.count(aKey) > 0; }
 
   RowAnswer Transact(const RowTransaction& aTransaction,
@@ -42,6 +46,7 @@
     RowAnswer answer;
     answer.m_status = RowStatus::kOk;
     answer.m_version = m_version;
+    answer.m_storeClock = m_storeClock;
     for (const auto& [key, row] : m_rows) {
       const bool inRange = key.m_table == aRange.m_table &&
                            key.m_partition == aRange.m_partition &&
@@ -68,6 +73,7 @@
   {
     RowAnswer answer;
     answer.m_status = RowStatus::kOk;
+    answer.m_storeClock = m_storeClock;
     for (const RowCondition& condition : aTransaction.m_conditions) {
       const auto found = m_rows.find(condition.m_key);
       Row row = found != m_rows.end() ? found->second : Row();
@@ -93,6 +99,7 @@
 
   std::map<RowKey, Row> m_rows;
   std::uint64_t m_version = 0;
+  Duration m_storeClock = Duration::zero();
   int m_delayed = 0;
   std::vector<RowTransaction> m_late;
 };
