Log for which process of a target an order was made

The logs could not tell an order that a target's present process carried out from one that was meant for the process before it: run-sent, run-given-up and target-taken named the target and the fencing token only, and no line said which run ends a hold let a target forget. They name the process by its start time now, and ends-forgotten says up to which number. No decision changes.

--- a/src/jobs/job_starts.cpp
+++ b/src/jobs/job_starts.cpp
@@ -135,9 +135,9 @@
                                   permission,
                                   aNow);
   const TargetState* state = m_keeper.Find(target);
-  const FencingToken fence = state != nullptr ? state->m_fence : 0;
   m_effects.Log(sent ? "run-sent" : "run-held-back",
-                RunFields(aRun, target) + " fence=" + std::to_string(fence));
+                RunFields(aRun, target) + " " +
+                  HoldFields(state != nullptr ? *state : TargetState()));
   if (!sent) {
     RequeueTask(ref, aRun.m_task);
   }
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -67,8 +67,7 @@
   target.m_holdFailures = 0;
   const bool answersAgain = !std::exchange(target.m_answersHolds, true);
   target.m_answeredAddress = aOrder.m_to.m_address;
-  target.m_lastEndForgotten =
-    std::max(target.m_lastEndForgotten, aOrder.m_forgetEnds);
+  NoteEndsForgotten(target, aOrder);
   if (answersAgain) {
     UpdateReplaced(target.m_record.m_machine);
   }
@@ -88,12 +87,25 @@
   DropAbsentRuns(target, aAnswer, aNow);
   target.m_phase = TargetPhase::kHeld;
   m_effects.Log("target-taken",
-                "target=" + aOrder.m_to.m_target.Text() +
-                  " fence=" + std::to_string(target.m_fence) +
+                "target=" + aOrder.m_to.m_target.Text() + " " +
+                  HoldFields(target) +
                   " running=" + std::to_string(aAnswer.m_running.size()) +
                   " ended=" + std::to_string(aAnswer.m_ended.size()));
 }
 
+void TargetManager::NoteEndsForgotten(TargetState& aTarget,
+                                      const HoldOrder& aOrder)
+{
+  if (aOrder.m_forgetEnds <= aTarget.m_lastEndForgotten) {
+    return;
+  }
+  aTarget.m_lastEndForgotten = aOrder.m_forgetEnds;
+  m_effects.Log("ends-forgotten",
+                "target=" + aTarget.m_record.m_target.Text() + " " +
+                  HoldFields(aTarget) +
+                  " up_to=" + std::to_string(aOrder.m_forgetEnds));
+}
+
 void TargetManager::RetryTake(TargetState& aTarget,
                               const HoldOrder& aOrder,
                               HoldPath aPath,
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -148,6 +148,8 @@
   void UpdateReplaced(const MachineName& aMachine);
   // Returns true if a later target on the same machine is listed and answers.
   bool HasSuccessor(const TargetRecord& aRecord) const;
+  // Notes up to which run end an answered hold let the target forget.
+  void NoteEndsForgotten(TargetState& aTarget, const HoldOrder& aOrder);
   // Lets the target be taken again after an answer that does not count.
   void RetryTake(TargetState& aTarget,
                  const HoldOrder& aOrder,
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -211,7 +211,7 @@
       : "never";
   m_effects.LogNotable("run-given-up",
                        RunFields(aRun, target) + " reason=\"" + aReason +
-                         "\" fence=" + std::to_string(aTarget.m_fence) +
+                         "\" " + HoldFields(aTarget) +
                          " lease_left_ms=" + std::to_string(leaseLeft) +
                          " answered_ms_ago=" + answered);
   DropRun(aTarget, aRun);
--- a/src/jobs/target_state.cpp
+++ b/src/jobs/target_state.cpp
@@ -80,4 +80,10 @@
   return m_clock + passed * (1000 - kMaxClockDriftPerMille) / 1000;
 }
 
+std::string HoldFields(const TargetState& aTarget)
+{
+  return "fence=" + std::to_string(aTarget.m_fence) +
+         " process=" + std::to_string(aTarget.m_record.m_started.count());
+}
+
 } // namespace lycheestep
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -161,6 +161,10 @@
   TargetTime ClockLowerBound(TimePoint aNow) const;
 };
 
+// Returns the log fields that say under which fencing token the leader holds
+// the target, and which process of it (its start time; 0 if unknown).
+std::string HoldFields(const TargetState& aTarget);
+
 } // namespace lycheestep
 
 #endif
