--- a/src/include/lycheestep/target_orders.h
+++ b/src/include/lycheestep/target_orders.h
@@ -26,6 +26,9 @@
   TargetId m_target;
   std::string m_address;
   FencingToken m_fence = 0;
+  // When the process of the target started that the order is meant for; zero
+  // if the sender does not know it.
+  WallTime m_started{ 0 };
 };
 
 // Starts one run.
