Send an order to no other process of a target than its own

Callers saw a task run twice, and a task that had ended well start again.

Cause: an order named a target and not the process that it was made for. A process that comes back under its target's id knows no fencing token, numbers its run ends anew and has a clock of its own, so a start, a lease end or an ack_cursor of the former process counted there. A leader that stood still, was overtaken within its right to send, or had an order wait on its way sent such orders. The class: a proof was used for something else than it was made of.

Change: each order names the start time of the process that it is made for. The adapter sends a start or a hold only on a connection on which that process has said when it started, as a process takes its connections along when it ends; if the connection ended, the body is withheld, and if another process listens, the leader gets its answer and learns of it at once. Stops are safe on any process and stay unbound. A host of an earlier release carries no orders. The assumption that no process comes back within 250 ms is gone, and a list entry without a start time no longer erases a known one.

--- a/src/http/http_connections.h
+++ b/src/http/http_connections.h
@@ -8,52 +8,12 @@
 #include <string>
 #include <vector>
 
-#include "http_router.h"
+#include "http_messages.h"
 #include "lycheestep/time_types.h"
 
-namespace httplib {
-class Client;
-}
-
 namespace lycheestep {
 
-// Tells how far a call got.
-enum class HttpProgress
-{
-  kAnswered, // the whole answer was received
-  kNotSent,  // no connection, or the body was withheld: the call had no effect
-  kLost,     // sent, at least in part, and not answered
-};
-
-// One header line.
-struct HttpHeader
-{
-  std::string m_name;
-  std::string m_value;
-};
-
-// The answer to a call.
-struct HttpReply
-{
-  HttpProgress m_progress = HttpProgress::kLost;
-  // The HTTP status. Valid only if m_progress is kAnswered.
-  int m_status = 0;
-  std::string m_body;
-};
-
-// One call with its own timeout.
-struct HttpRequest
-{
-  HttpMethod m_method = HttpMethod::kGet;
-  std::string m_address;
-  // The path, with the query string if there is one.
-  std::string m_path;
-  std::vector<HttpHeader> m_headers;
-  // The JSON body. Empty when the request has no body.
-  std::string m_body;
-  // Limits each of connecting, writing and reading.
-  Duration m_timeout = std::chrono::seconds(1);
-};
+class HttpConnection;
 
 // A pool of keep-alive HTTP connections to several addresses. The class is
 // thread-safe: each call has exclusive use of its connection.
@@ -83,30 +43,35 @@
   // the address when the call is not answered.
   HttpReply Call(const HttpRequest& aRequest);
 
-  // Closes the idle connections to aAddress.
-  void Drop(const std::string& aAddress);
-
   // Sends a GET request for aPath to aAddress.
   HttpReply Get(const std::string& aAddress, const std::string& aPath);
 
+  // Removes an idle connection to aAddress from the pool, or makes one that
+  // connects with its first call. The caller has exclusive use of it.
+  std::unique_ptr<HttpConnection> Take(const std::string& aAddress);
+
+  // Returns a connection whose last call was answered to the pool. Closes it
+  // when the pool already holds the most idle connections for aAddress.
+  void GiveBack(const std::string& aAddress,
+                std::unique_ptr<HttpConnection> aConnection);
+
+  // Closes the idle connections to aAddress.
+  void Drop(const std::string& aAddress);
+
 private:
   // A connection that no call uses.
   struct Idle
   {
-    std::unique_ptr<httplib::Client> m_client;
+    std::unique_ptr<HttpConnection> m_connection;
     // When the last call on the connection ended.
     TimePoint m_since;
   };
 
   using IdleList = std::vector<Idle>;
 
-  // Removes an idle connection to aAddress from the pool, or makes a client
-  // that connects with its first call.
-  std::unique_ptr<httplib::Client> Take(const std::string& aAddress);
-  // Returns a connection to the pool. Closes it when the pool already holds the
-  // most idle connections for aAddress.
-  void GiveBack(const std::string& aAddress,
-                std::unique_ptr<httplib::Client> aClient);
+  // Makes a call and returns its connection to the pool if it was answered.
+  HttpReply CallAndGiveBack(const std::string& aAddress,
+                            const HttpRequest& aRequest);
 
   const Duration m_timeout;
   const Duration m_idleAge;
--- a/src/include/lycheestep/target_orders.h
+++ b/src/include/lycheestep/target_orders.h
@@ -26,8 +26,9 @@
   TargetId m_target;
   std::string m_address;
   FencingToken m_fence = 0;
-  // When the process of the target started that the order is meant for; zero
-  // if the sender does not know it.
+  // When the process of the target started that the order is meant for. No
+  // other process carries out a start or a hold. Zero if the sender does not
+  // know the process: whichever gets the order carries it out.
   WallTime m_started{ 0 };
 };
 
--- a/src/jobhost/job_host_peers.cpp
+++ b/src/jobhost/job_host_peers.cpp
@@ -49,13 +49,13 @@
     const Duration clock =
       std::chrono::milliseconds(aMessage.host_alive().clock_ms());
     const bool reachesStore = !aMessage.host_alive().needs_relay();
-    const bool boundsStarts = aMessage.host_alive().bounds_starts();
-    m_queue.Add(
-      [this, host = aMessage.from(), clock, reachesStore, boundsStarts] {
-        if (m_leader) {
-          m_leader->OnHostAlive(host, clock, reachesStore, boundsStarts);
-        }
-      });
+    const bool canCarry = aMessage.host_alive().bounds_starts() &&
+                          aMessage.host_alive().checks_process();
+    m_queue.Add([this, host = aMessage.from(), clock, reachesStore, canCarry] {
+      if (m_leader) {
+        m_leader->OnHostAlive(host, clock, reachesStore, canCarry);
+      }
+    });
   } else if (aMessage.has_carried_orders()) {
     m_carrier.Carry(aMessage);
   } else if (aMessage.has_carried_answers()) {
@@ -126,6 +126,7 @@
     ToMilliseconds(BootClockNow().time_since_epoch()));
   answer.mutable_host_alive()->set_needs_relay(!m_store.IsDirect());
   answer.mutable_host_alive()->set_bounds_starts(true);
+  answer.mutable_host_alive()->set_checks_process(true);
   m_peers.Send(aLeaderAddress, std::move(answer));
 }
 
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -147,9 +147,9 @@
 void Leader::OnHostAlive(const std::string& aHost,
                          Duration aClock,
                          bool aReachesStore,
-                         bool aBoundsStarts)
+                         bool aCanCarry)
 {
-  m_orderDispatcher.OnCarrierAlive(aHost, aClock, aBoundsStarts, m_now);
+  m_orderDispatcher.OnCarrierAlive(aHost, aClock, aCanCarry, m_now);
   const auto host = m_hosts.find(aHost);
   if (host != m_hosts.end()) {
     host->second.m_lastSeen = m_now;
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -82,11 +82,11 @@
   void OnAdvice(const AdviceAnswer& aAnswer);
   // Handles a host's reply to a heartbeat. aClock is the host's clock when it
   // replied, and aReachesStore is true if it needs no relay to the store.
-  // aBoundsStarts is true if it can carry orders, see OrderDispatcher.
+  // aCanCarry is as in OrderDispatcher::OnCarrierAlive.
   void OnHostAlive(const std::string& aHost,
                    Duration aClock,
                    bool aReachesStore,
-                   bool aBoundsStarts);
+                   bool aCanCarry);
   // Handles the targets' replies to orders that aHost carried.
   void OnCarriedAnswers(const std::string& aHost,
                         const proto::CarriedAnswers& aAnswers);
--- a/src/jobhost/order_dispatcher.cpp
+++ b/src/jobhost/order_dispatcher.cpp
@@ -71,13 +71,13 @@
 
 void OrderDispatcher::OnCarrierAlive(const std::string& aHost,
                                      Duration aClock,
-                                     bool aBoundsStarts,
+                                     bool aCanCarry,
                                      TimePoint aNow)
 {
   const auto found = m_carriers.find(aHost);
   if (found != m_carriers.end()) {
     Carrier& carrier = found->second;
-    carrier.m_clockKnown = aBoundsStarts;
+    carrier.m_clockKnown = aCanCarry;
     carrier.m_clock = aClock;
     carrier.m_clockReceivedAt = aNow;
     carrier.m_lastMessageAt = aNow;
--- a/src/jobhost/order_dispatcher.h
+++ b/src/jobhost/order_dispatcher.h
@@ -53,10 +53,11 @@
   void SetHosts(const std::vector<CarrierHost>& aHosts);
 
   // Handles a HostAlive message, which was sent when the clock of aHost showed
-  // aClock. Only a host that bounds starts as Flush says can be a carrier.
+  // aClock. aCanCarry is true if the host bounds starts as Flush says and sends
+  // orders to no other process than the one that they name.
   void OnCarrierAlive(const std::string& aHost,
                       Duration aClock,
-                      bool aBoundsStarts,
+                      bool aCanCarry,
                       TimePoint aNow);
 
   // Returns the number of hosts that can carry orders at aNow, up to the
@@ -102,8 +103,8 @@
   struct Carrier
   {
     CarrierHost m_host;
-    // Set once a HostAlive message has told the clock of a host that bounds
-    // starts.
+    // Set once a HostAlive message has told the clock of a host that can carry
+    // orders.
     bool m_clockKnown = false;
     // The carrier's clock in its last HostAlive message, and this host's clock
     // when that message was received.
--- a/src/jobhost/order_messages.cpp
+++ b/src/jobhost/order_messages.cpp
@@ -26,13 +26,15 @@
   aMessage.set_target(aTo.m_target.Text());
   aMessage.set_address(aTo.m_address);
   aMessage.set_fence(aTo.m_fence);
+  aMessage.set_process_started_ms(aTo.m_started.count());
 }
 
 OrderAddress DecodeAddress(const proto::CarriedOrder& aMessage)
 {
   return OrderAddress{ TargetId(aMessage.target()),
                        aMessage.address(),
-                       aMessage.fence() };
+                       aMessage.fence(),
+                       WallTime(aMessage.process_started_ms()) };
 }
 
 OrderStatus DecodeStatus(std::uint32_t aStatus)
--- a/src/jobhost/order_messages_test.cpp
+++ b/src/jobhost/order_messages_test.cpp
@@ -84,13 +84,15 @@
 {
   return OrderAddress{ TargetId(RandomName()),
                        RandomName(),
-                       RandomNumber<std::uint64_t>() };
+                       RandomNumber<std::uint64_t>(),
+                       WallTime(RandomNumber<std::int32_t>()) };
 }
 
 bool IsSameAddress(const OrderAddress& aLeft, const OrderAddress& aRight)
 {
   return aLeft.m_target == aRight.m_target &&
-         aLeft.m_address == aRight.m_address && aLeft.m_fence == aRight.m_fence;
+         aLeft.m_address == aRight.m_address &&
+         aLeft.m_fence == aRight.m_fence && aLeft.m_started == aRight.m_started;
 }
 
 // Passes a message through the bytes that hosts exchange.
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -184,7 +184,7 @@
   aTarget.m_phase = TargetPhase::kUntaken;
   aTarget.m_clockKnown = false;
   aTarget.m_leaseEnd = TargetTime(0);
-  // A start sent to the former incarnation may still reach the new one.
+  // A start of a former leader that knew no process may still reach this one.
   aTarget.m_formerLeaseExpiry = aNow + m_settings.m_longestLease;
   aTarget.m_lastEndSeen = 0;
   aTarget.m_lastEndStored = 0;
@@ -271,9 +271,8 @@
 }
 
 // Marks the target as uncertain if a run that was confirmed before the hold was
-// sent is missing from the reply and its end was not reported either. A run end
-// can get lost because a hold meant for the former incarnation may reach the
-// new one and make it forget a run end that it has not reported yet.
+// sent is missing from the reply and its end was not reported either. A former
+// leader may have read the end, and let the target forget it.
 void TargetManager::DetectMissingRuns(TargetState& aTarget,
                                       const std::set<RunName>& aListed)
 {
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -12,9 +12,6 @@
 // wait to be stored.
 constexpr int kHoldsPerLease = 4;
 
-// No target comes back under its id within this time.
-constexpr Duration kShortestRestart = std::chrono::milliseconds(250);
-
 } // namespace
 
 TargetManager::TargetManager(const TargetManagerSettings& aSettings,
@@ -48,6 +45,9 @@
     target.m_usesAnsweredAddress = target.m_answersHolds;
   }
   target.m_record = aRecord;
+  if (aRecord.m_started.count() == 0) {
+    target.m_record.m_started = knownStart;
+  }
   target.m_listed = true;
   UpdateUnknownRuns(target);
   if (beginsToDrain) {
@@ -249,7 +249,7 @@
     // extend it again, or the lease of a lost target would never expire.
     order.m_leaseEnd = ExtendLeaseEnd(aTarget, aNow);
   }
-  order.m_forgetEnds = LastEndToForget(aTarget, aNow);
+  order.m_forgetEnds = LastEndToForget(aTarget);
   // Until the target may forget its ends, there is nothing to wait for.
   const bool hasEnds = aTarget.m_lastEndSeen != aTarget.m_lastEndStored ||
                        aTarget.m_lastEndStored > aTarget.m_lastEndForgotten;
@@ -271,18 +271,14 @@
 }
 
 // Returns the number of the last run end that the next hold allows the target
-// to forget; zero if the hold allows none. Each incarnation numbers its run
-// ends from the beginning, so a number meant for the former incarnation could
-// make a new one under the same id forget run ends that it has not reported. A
-// number is therefore sent only if the last hold succeeded just before and
-// m_lastEndStored is higher than m_lastEndForgotten.
-std::uint64_t TargetManager::LastEndToForget(const TargetState& aTarget,
-                                             TimePoint aNow)
+// to forget; zero if the hold allows none. Each process numbers its run ends
+// from the beginning, so the number counts for the process alone that the hold
+// names.
+std::uint64_t TargetManager::LastEndToForget(const TargetState& aTarget)
 {
   const bool hasNewEnds = aTarget.m_lastEndStored > aTarget.m_lastEndForgotten;
-  const bool answeredNow =
-    aTarget.m_answersHolds && aNow - aTarget.m_clockReadAt < kShortestRestart;
-  return hasNewEnds && answeredNow ? aTarget.m_lastEndStored : 0;
+  const bool namesProcess = aTarget.m_record.m_started.count() != 0;
+  return hasNewEnds && namesProcess ? aTarget.m_lastEndStored : 0;
 }
 
 TargetTime TargetManager::ExtendLeaseEnd(TargetState& aTarget,
@@ -309,7 +305,8 @@
 {
   return OrderAddress{ aTarget.m_record.m_target,
                        aTarget.Address(),
-                       aTarget.m_fence };
+                       aTarget.m_fence,
+                       aTarget.m_record.m_started };
 }
 
 } // namespace lycheestep
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -215,8 +215,7 @@
   // carried one out, as orders wait on their way.
   void CountLongestLease(TargetState& aTarget, TimePoint aNow) const;
   OrderAddress OrderAddressOf(const TargetState& aTarget) const;
-  static std::uint64_t LastEndToForget(const TargetState& aTarget,
-                                       TimePoint aNow);
+  static std::uint64_t LastEndToForget(const TargetState& aTarget);
 
   const TargetManagerSettings m_settings;
   JobEffects& m_effects;
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -108,10 +108,7 @@
   TimePoint m_retryAt;
   std::uint32_t m_holdFailures = 0;
   // True if the last hold succeeded. False before the first reply to a hold,
-  // after a failed hold and after the target restarted: the next order may then
-  // reach an incarnation that the leader does not know yet. While it is false,
-  // holds do not allow the target to forget run ends (see
-  // TargetManager::LastEndToForget).
+  // after a failed hold and after the target restarted.
   bool m_answersHolds = false;
 
   // False if the last stop found no connection to the target.
--- a/src/standin/job_target_model.cpp
+++ b/src/standin/job_target_model.cpp
@@ -42,6 +42,10 @@
     answer.m_status = OrderStatus::kFenced;
     return answer;
   }
+  if (IsForOtherProcess(aOrder.m_to)) {
+    answer.m_status = OrderStatus::kOtherTarget;
+    return answer;
+  }
   if (aOrder.m_leaseEnd <= ClockAt(aNow)) {
     answer.m_status = OrderStatus::kLeaseOver;
     return answer;
@@ -99,10 +103,10 @@
     return answer;
   }
   answer.m_status = OrderStatus::kDone;
-  if (aOrder.m_leaseEnd.count() > 0) {
+  if (!IsForOtherProcess(aOrder.m_to)) {
     ExtendLease(aOrder.m_leaseEnd, aNow);
+    m_forgotten = std::max(m_forgotten, aOrder.m_forgetEnds);
   }
-  m_forgotten = std::max(m_forgotten, aOrder.m_forgetEnds);
   for (const auto& [name, run] : m_running) {
     RunningTask task;
     task.m_run = name;
@@ -237,6 +241,11 @@
                                                 m_clockPerMille / 1000);
 }
 
+bool JobTargetModel::IsForOtherProcess(const OrderAddress& aTo) const
+{
+  return aTo.m_started.count() != 0 && aTo.m_started != m_record.m_started;
+}
+
 bool JobTargetModel::IsFenced(const OrderAddress& aTo)
 {
   m_fence = std::max(m_fence, aTo.m_fence);
--- a/src/standin/job_target_model.h
+++ b/src/standin/job_target_model.h
@@ -58,7 +58,8 @@
 
   OrderAnswer Start(const StartOrder& aOrder, TimePoint aNow);
   OrderAnswer Stop(const StopOrder& aOrder, TimePoint aNow);
-  // The lists as they are now; waiting is the caller's part.
+  // The lists as they are now; waiting is the caller's part. An order that
+  // names another process is answered and has no other effect.
   HoldAnswer Hold(const HoldOrder& aOrder, TimePoint aNow);
 
   // Lets time pass: ends work, stops and lapsed leases.
@@ -104,6 +105,9 @@
   TargetTime ClockAt(TimePoint aNow) const;
   static std::uint32_t PercentOf(const ModelRun& aRun, TimePoint aNow);
   bool IsFenced(const OrderAddress& aTo);
+  // Returns true if the order names another process, so that TargetOrders does
+  // not let it reach this one.
+  bool IsForOtherProcess(const OrderAddress& aTo) const;
   void ExtendLease(TargetTime aEnd, TimePoint aNow);
 
   TargetRecord m_record;
