--- a/src/include/lycheestep/target_orders.h
+++ b/src/include/lycheestep/target_orders.h
@@ -26,6 +26,10 @@
   TargetId m_target;
   std::string m_address;
   FencingToken m_fence = 0;
+  // When the process of the target started that the order is meant for. No
+  // other process carries out a start or a hold. Zero if the sender does not
+  // know the process: whichever gets the order carries it out.
+  WallTime m_started{ 0 };
 };
 
 // Starts one run.
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -148,6 +148,8 @@
   void UpdateReplaced(const MachineName& aMachine);
   // Returns true if a later target on the same machine is listed and answers.
   bool HasSuccessor(const TargetRecord& aRecord) const;
+  // Notes up to which run end an answered hold let the target forget.
+  void NoteEndsForgotten(TargetState& aTarget, const HoldOrder& aOrder);
   // Lets the target be taken again after an answer that does not count.
   void RetryTake(TargetState& aTarget,
                  const HoldOrder& aOrder,
@@ -213,8 +215,7 @@
   // carried one out, as orders wait on their way.
   void CountLongestLease(TargetState& aTarget, TimePoint aNow) const;
   OrderAddress OrderAddressOf(const TargetState& aTarget) const;
-  static std::uint64_t LastEndToForget(const TargetState& aTarget,
-                                       TimePoint aNow);
+  static std::uint64_t LastEndToForget(const TargetState& aTarget);
 
   const TargetManagerSettings m_settings;
   JobEffects& m_effects;
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -108,10 +108,7 @@
   TimePoint m_retryAt;
   std::uint32_t m_holdFailures = 0;
   // True if the last hold succeeded. False before the first reply to a hold,
-  // after a failed hold and after the target restarted: the next order may then
-  // reach an incarnation that the leader does not know yet. While it is false,
-  // holds do not allow the target to forget run ends (see
-  // TargetManager::LastEndToForget).
+  // after a failed hold and after the target restarted.
   bool m_answersHolds = false;
 
   // False if the last stop found no connection to the target.
@@ -161,6 +158,10 @@
   TargetTime ClockLowerBound(TimePoint aNow) const;
 };
 
+// Returns the log fields that say under which fencing token the leader holds
+// the target, and which process of it (its start time; 0 if unknown).
+std::string HoldFields(const TargetState& aTarget);
+
 } // namespace lycheestep
 
 #endif
