Let an end count for the job alone whose run it is

Callers saw a job as done that had only started, and a task could get a second run beside its first: an id was used again for a new job, and a target that had been out of reach since before the old job was removed listed a run of that one.

Cause: the leader took an end for its own if the run's number was not above the newest, and gave up the newest run when another target lost a run of the same number. Numbers start again with the new job, so they do not tell the two apart.

Change: an end or a loss counts for the newest run on the target that has it, or for a run that this leader gave up there. A later leader no longer believes the end of a run that an earlier one gave up. That is only read where the lease had lapsed before, so the task has been started again already or will be, as is allowed.

Before: former_run_test red, and the new case of older_run_test starts a second run.

--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -4,6 +4,20 @@
 
 namespace lycheestep {
 
+bool JobTask::IsNewestRun(std::uint32_t aRun, const TargetId& aTarget) const
+{
+  return aRun == m_run && aTarget == m_target;
+}
+
+bool JobTask::IsOwnRun(std::uint32_t aRun, const TargetId& aTarget) const
+{
+  const auto isRun = [&](const GivenUpRun& aGivenUp) {
+    return aGivenUp.m_run == aRun && aGivenUp.m_target == aTarget;
+  };
+  return IsNewestRun(aRun, aTarget) ||
+         std::any_of(m_givenUp.begin(), m_givenUp.end(), isRun);
+}
+
 std::uint32_t Job::CountDispatched() const
 {
   std::uint32_t count = 0;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -33,6 +33,13 @@
   kDone = 2,
 };
 
+// A run of a task that its leader took for over without having read its end.
+struct GivenUpRun
+{
+  std::uint32_t m_run = 0;
+  TargetId m_target;
+};
+
 // One task of a step.
 struct JobTask
 {
@@ -43,8 +50,11 @@
   // The checkpoint that the next run resumes from; empty if it starts at the
   // beginning.
   std::string m_checkpoint;
-  // The target that the newest run was placed on.
+  // The target that the newest run was placed on. Empty if an earlier leader
+  // placed the run and gave it up.
   TargetId m_target;
+  // The runs that this leader gave up. Their ends may still be listed.
+  std::vector<GivenUpRun> m_givenUp;
   // True if the dispatch is in the row store.
   bool m_dispatchStored = false;
   // True if the start order of the newest run was sent, or may have been sent
@@ -62,6 +72,12 @@
   TimePoint m_progressAt;
   // The next run is not placed before this time.
   TimePoint m_notBefore;
+
+  // Returns true if this is the newest run, on the target that has it.
+  bool IsNewestRun(std::uint32_t aRun, const TargetId& aTarget) const;
+  // Returns true if the task has or had this run on this target. Another run,
+  // also one of the same number, is of a former job under the job's id.
+  bool IsOwnRun(std::uint32_t aRun, const TargetId& aTarget) const;
 };
 
 // The progress of one step in one occurrence of a job.
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -31,17 +31,6 @@
   ++aProgress.m_done;
 }
 
-// Returns true if the task's job never dispatched the run to the target. It is
-// of a former job with the same id then.
-bool IsOfFormerJob(const JobTask& aTask,
-                   const TargetId& aTarget,
-                   std::uint32_t aRun)
-{
-  // The target of a waiting task may be unknown to a new leader.
-  const bool elsewhere = !aTask.m_target.Empty() && aTask.m_target != aTarget;
-  return aRun > aTask.m_run || (aRun == aTask.m_run && elsewhere);
-}
-
 } // namespace
 
 void JobScheduler::OnRunProgress(const TargetId& aTarget,
@@ -50,8 +39,7 @@
 {
   TaskRef ref = FindTask(aTask.m_run.m_task);
   const bool current = ref.m_task != nullptr &&
-                       ref.m_task->m_run == aTask.m_run.m_run &&
-                       ref.m_task->m_target == aTarget;
+                       ref.m_task->IsNewestRun(aTask.m_run.m_run, aTarget);
   if (!current || ref.m_task->m_state != TaskState::kDispatched) {
     return;
   }
@@ -125,11 +113,11 @@
     SettleRunOfEndedJob(ref, aTarget, aTask.m_run);
     return;
   }
-  if (IsOfFormerJob(*ref.m_task, aTarget, aTask.m_run.m_run)) {
-    return;
+  if (!ref.m_task->IsOwnRun(aTask.m_run.m_run, aTarget)) {
+    return; // of a former job under this id
   }
   MarkRunning(ref.m_job->m_id);
-  const bool newest = ref.m_task->m_run == aTask.m_run.m_run;
+  const bool newest = ref.m_task->IsNewestRun(aTask.m_run.m_run, aTarget);
   if (newest) {
     UpdateCheckpoint(ref, aTask.m_checkpoint);
   }
@@ -176,7 +164,7 @@
   m_effects.LogNotable(
     "run-over", RunFields(aRun, aTarget) + " status=" + ToString(aStatus));
   TaskRef ref = FindTask(aRun.m_task);
-  if (ref.m_task == nullptr || ref.m_task->m_run != aRun.m_run ||
+  if (ref.m_task == nullptr || !ref.m_task->IsNewestRun(aRun.m_run, aTarget) ||
       ref.m_task->m_state != TaskState::kDispatched) {
     return;
   }
@@ -184,6 +172,9 @@
     SettleRunOfEndedJob(ref, aTarget, aRun);
     return;
   }
+  if (aStatus == OrderStatus::kUnknown) {
+    ref.m_task->m_givenUp.push_back({ aRun.m_run, aTarget });
+  }
   if (aStatus == OrderStatus::kTicketRefused) {
     m_advice.InvalidatePermission(aRun.m_task.m_step, aTarget);
   }
@@ -201,7 +192,7 @@
 {
   JobTask& task = *aRef.m_task;
   const bool isExpected = task.m_state == TaskState::kDispatched &&
-                          task.m_run == aRun.m_run && task.m_target == aTarget;
+                          task.IsNewestRun(aRun.m_run, aTarget);
   if (!isExpected) {
     return;
   }
--- a/src/jobs/older_run_test.cpp
+++ b/src/jobs/older_run_test.cpp
@@ -100,7 +100,7 @@
     HoldAnswer answer;
     answer.m_status = OrderStatus::kDone;
     answer.m_targetClock = TargetTime(ToMilliseconds(m_now.time_since_epoch()));
-    answer.m_started = WallTime(1000);
+    answer.m_started = WallTime(m_restarted == aTarget ? 2000 : 1000);
     for (const RunName& run : aRunning) {
       RunningTask task;
       task.m_run = run;
@@ -148,6 +148,8 @@
   bool m_committing = false;
   std::vector<StartOrder> m_starts;
   std::map<std::string, std::vector<SentHold>> m_holds;
+  // The target that has a new process; empty for none.
+  std::string m_restarted;
 };
 
 } // namespace
@@ -181,4 +183,28 @@
   EXPECT_THAT(m_starts, IsEmpty());
 }
 
+TEST_F(OlderRunTest, RunOfAFormerJobThatIsGivenUpEndsNoRunOfItsNamesake)
+{
+  AddJob(1, false);
+  Play({});
+  ASSERT_THAT(m_starts, SizeIs(1));
+  const StartOrder own = m_starts.front();
+  const char* other = own.m_to.m_target.Text() == "first" ? "second" : "first";
+  for (int i = 0; i < 10; ++i) {
+    AnswerHolds(own.m_to.m_target.Text().c_str(), { own.m_run });
+    AnswerHolds(other, { own.m_run });
+    Pass();
+  }
+  m_restarted = other;
+  for (int i = 0; i < 10; ++i) {
+    AnswerHolds(own.m_to.m_target.Text().c_str(), { own.m_run });
+    AnswerHolds(other, {});
+    Pass();
+    if (std::exchange(m_committing, false)) {
+      m_scheduler.OnCommitted(++m_fence, Duration::zero(), m_now);
+    }
+  }
+  EXPECT_THAT(m_starts, SizeIs(1));
+}
+
 } // namespace lycheestep
