--- a/src/standin/job_cell_checks.cpp
+++ b/src/standin/job_cell_checks.cpp
@@ -15,6 +15,9 @@
 constexpr Duration kCancelTime = std::chrono::seconds(3);
 constexpr Duration kStopTime = std::chrono::milliseconds(900);
 
+// A job that was shown as done starts nothing after this.
+constexpr Duration kDoneTime = std::chrono::seconds(1);
+
 // A target that drains may be sent nothing after this.
 constexpr Duration kDrainTime = std::chrono::seconds(2);
 
@@ -32,6 +35,10 @@
       aNow > cancelled->second + kCancelTime) {
     Break("STARTED AFTER ITS CANCEL " + TaskText(aRun.m_task));
   }
+  const auto done = m_doneAt.find(aRun.m_task.m_step.m_job);
+  if (done != m_doneAt.end() && aNow > done->second + kDoneTime) {
+    Break("STARTED AFTER ITS JOB WAS SHOWN AS DONE " + TaskText(aRun.m_task));
+  }
   const auto draining = m_drainingSince.find(aTarget.Record().m_target);
   if (draining != m_drainingSince.end() &&
       aNow > draining->second + kDrainTime) {
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -113,6 +113,7 @@
   m_cancels.erase(aJob);
   m_cancelledAt.erase(aJob);
   m_endedAt.erase(aJob);
+  m_doneAt.erase(aJob);
   const auto isOfJob = [&aJob](const TaskName& aTask) {
     return aTask.m_step.m_job == aJob;
   };
@@ -124,6 +125,9 @@
   for (auto it = m_failures.begin(); it != m_failures.end();) {
     it = isOfJob(it->first) ? m_failures.erase(it) : std::next(it);
   }
+  for (auto it = m_startsOf.begin(); it != m_startsOf.end();) {
+    it = isOfJob(it->first) ? m_startsOf.erase(it) : std::next(it);
+  }
 }
 
 void JobCellModel::Store(const JobId& aJob, const JobSpec& aSpec)
@@ -358,6 +362,7 @@
     }
   }
   CheckStartTime(aTarget, aOrder.m_run, aNow);
+  ++m_startsOf[task];
 }
 
 void JobCellModel::CheckEnds()
@@ -366,8 +371,10 @@
     const JobTargetModel& target = *m_targets[i];
     std::size_t& seen = m_seen[i];
     for (; seen < target.Ledger().size(); ++seen) {
-      if (target.Ledger()[seen].m_end == RunEnd::kDone) {
-        m_done.insert(target.Ledger()[seen].m_run.m_task);
+      const EndedTask& ended = target.Ledger()[seen];
+      if (ended.m_end == RunEnd::kDone) {
+        m_done.insert(ended.m_run.m_task);
+        m_startsBefore[{ i, ended.m_number }] = m_startsOf[ended.m_run.m_task];
       }
     }
     std::uint64_t& read = m_read[i];
@@ -378,6 +385,11 @@
       }
       if (ended.m_end == RunEnd::kDone) {
         m_noted.insert(ended.m_run.m_task);
+        if (m_startsOf[ended.m_run.m_task] >
+            m_startsBefore[{ i, ended.m_number }]) {
+          Break("STARTED AFTER AN END NOTED SINCE " +
+                TaskText(ended.m_run.m_task));
+        }
       } else if (ended.m_end == RunEnd::kFailed) {
         ++m_failures[ended.m_run.m_task];
       } else if (ended.m_end == RunEnd::kGangAlone &&
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -285,6 +285,8 @@
   // The account.
   std::map<JobId, TimePoint> m_submittedAt;
   std::map<JobId, TimePoint> m_endedAt;
+  // When callers were first shown the job as done.
+  std::map<JobId, TimePoint> m_doneAt;
   std::map<JobId, TimePoint> m_cancelledAt;
   // The stops of each run that vanished.
   std::map<RunName, std::uint32_t> m_vanishedStops;
@@ -293,6 +295,10 @@
   // Tasks that ended well anywhere, and those whose end may be forgotten.
   std::set<TaskName> m_done;
   std::set<TaskName> m_noted;
+  // The starts of each task so far, and of the task of a run that ended well,
+  // by target and number of the end, those before that end.
+  std::map<TaskName, std::size_t> m_startsOf;
+  std::map<std::pair<std::size_t, std::uint64_t>, std::size_t> m_startsBefore;
   std::map<std::size_t, std::size_t> m_seen;
   // Tasks whose gang did not come together although no order was lost.
   std::set<TaskName> m_alone;
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -203,6 +203,9 @@
       if (over) {
         m_cell.m_endedAt.try_emplace(job, m_cell.m_now);
       }
+      if (progress && progress->m_state == JobState::kDone) {
+        m_cell.m_doneAt.try_emplace(job, m_cell.m_now);
+      }
     }
     ++m_cell.m_commits;
     m_cell.m_leaderVersion = ++m_cell.m_version;
--- a/testsuite/soak/day_judge.py
+++ b/testsuite/soak/day_judge.py
@@ -9,6 +9,7 @@
 CANCEL_S = 3.0
 STOP_S = 0.9
 GANG_S = 3.0
+DONE_S = 1.0
 
 
 class Run:
@@ -49,7 +50,7 @@
     def __init__(self, spec, steps):
         self.spec, self.steps = spec, steps
         self.accepted = self.doubtful = self.cancel_sent = False
-        self.cancel_acked = self.shown = None
+        self.cancel_acked = self.shown = self.done_shown = None
 
     def tasks_of(self, job_id, step):
         return {"%s.0.%d.%d" % (job_id, step, i)
@@ -112,6 +113,7 @@
         if self.failures.get(run.task, 0) >= self.max_attempts:
             self.breach("beyond its attempts", repr(run))
         self.check_cancelled(run, job)
+        self.check_shown_as_done(run, job)
         self.runs.setdefault(run.task, []).append(run)
         return entry
 
@@ -138,15 +140,26 @@
         if job.cancel_acked is None or run.late or \
                 run.start <= job.cancel_acked + CANCEL_S:
             return
+        (self.breach if self.is_in_contact(run) else self.beside)(
+            "start after a cancelling", "%.2f s after it, %r" %
+            (run.start - job.cancel_acked, run))
+
+    def check_shown_as_done(self, run, job):
+        if job.done_shown is None or run.late or \
+                run.start <= job.done_shown + DONE_S:
+            return
+        (self.breach if self.is_in_contact(run) else self.beside)(
+            "start after its job was shown as done", "%.2f s after it, %r" %
+            (run.start - job.done_shown, run))
+
+    def is_in_contact(self, run):
+        """Whether nothing disturbed the sender, its store or its way."""
         host = self.world.host(run.host)
-        calm = self.store_calm_since + CONTACT_S < run.start and \
+        return self.store_calm_since + CONTACT_S < run.start and \
             host is not None and \
             host.disturbed_until + CONTACT_S < run.start and \
             self.world.way_calm_since(run.host,
                                       run.target_name) + CONTACT_S < run.start
-        (self.breach if calm else self.beside)(
-            "start after a cancelling", "%.2f s after it, %r" %
-            (run.start - job.cancel_acked, run))
 
     def check_gone(self, run):
         job = self.jobs.get(run.task.split(".")[0])
@@ -214,6 +227,8 @@
         job = self.jobs[job_id]
         if state == "done" and not job.tasks(job_id) <= self.done:
             self.breach("shown as done too early", job_id)
+        if state == "done" and job.done_shown is None:
+            job.done_shown = time.monotonic()
         if state == "cancelled" and not job.cancel_sent:
             self.breach("cancelled by nobody", job_id)
         if state in ("done", "failed", "cancelled") or \
--- a/testsuite/soak/day_judge_test.py
+++ b/testsuite/soak/day_judge_test.py
@@ -72,6 +72,30 @@
         self.assertEqual(self.judge.counts,
                          {"start after an end noted since": 1})
 
+    def test_start_after_its_job_was_shown_as_done(self):
+        for index in range(2):
+            self.judge.on_end(self.start(JOB + ".0.0.%d" % index), "done")
+        self.judge.on_end(self.start(JOB + ".0.1.0"), "done")
+        self.judge.on_shown(JOB, "done")
+        self.now += 1
+        self.judge.on_end(self.start(number=2), "stopped")
+        self.assertEqual(self.judge.counts, {})
+        self.now += 0.1
+        self.judge.on_end(self.start(number=3, late=True), "stopped")
+        self.start(JOB + ".0.0.1", number=2)
+        self.assertEqual(self.judge.counts,
+                         {"start after its job was shown as done": 1})
+
+    def test_start_of_a_disturbed_host_after_its_job_was_shown_as_done(self):
+        self.judge.on_shown(JOB, "done")
+        self.judge.counts.clear()
+        self.now += 5
+        self.host.disturbed_until = self.now
+        self.start()
+        self.assertEqual(self.judge.counts, {})
+        self.assertEqual(self.judge.near,
+                         {"start after its job was shown as done": 1})
+
     def test_starts_that_nobody_sent(self):
         self.start(task="f" * 16 + ".0.0.0")
         self.start(task=JOB + ".0.0.2")
