Play jobs whose id is used again, with the lead and targets disturbed

No game submitted a job under the id of a removed one beside a target that was out of reach since, restarts of targets and changes of the lead.

--- a/src/jobs/two_runs_test.cpp
+++ b/src/jobs/two_runs_test.cpp
@@ -2,6 +2,7 @@
 // only if its target says that it is over, or if its lease is over by any
 // clock, and never because of what a list says of the target.
 #include "job_cell_model.h"
+#include "job_rows.h"
 #include "single_step_job.h"
 
 #include <cstddef>
@@ -117,9 +118,9 @@
   return seconds(*rc::gen::element(1, 5, 14));
 }
 
-// Submits a job with a gang, or with so many tasks that its progress takes
+// Returns a job with a gang, or with so many tasks that its progress takes
 // several rows.
-void SubmitAny(JobCellModel& aCell)
+JobSpec AnyJob()
 {
   JobSpec job = LongTasks(*rc::gen::inRange(1U, 8U), AnyTime());
   JobStep& step = job.m_steps.front();
@@ -135,7 +136,12 @@
     default:
       break;
   }
-  aCell.Submit(job);
+  return job;
+}
+
+JobId SubmitAny(JobCellModel& aCell)
+{
+  return aCell.Submit(AnyJob());
 }
 
 // Lets leaders stand still, or end between two commits.
@@ -341,4 +347,48 @@
   EXPECT_TRUE(held);
 }
 
+TEST(TwoRunsProperty, NoRunOfAFormerJobCountsForItsNamesake)
+{
+  const bool held = rc::check("a namesake's tasks have one run at once", [] {
+    const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
+    const auto targets = *rc::gen::inRange<std::size_t>(2, 5);
+    JobCellModel cell(seed, targets);
+    if (std::getenv("LYCHEESTEP_TRACE") != nullptr) {
+      cell.TraceTo(&std::cout);
+    }
+    cell.Run(milliseconds(200));
+    const JobId job = SubmitAny(cell);
+    cell.Run(milliseconds(*rc::gen::inRange(100, 4000)));
+    const auto cut = *rc::gen::inRange<std::size_t>(0, targets);
+    cell.CutTarget(cut, true);
+    cell.Cancel(job);
+    cell.Run(seconds(200));
+    RC_PRE(cell.Table().Find(ProgressKey(job)) == nullptr);
+    cell.SubmitAgain(job, AnyJob());
+    const auto moves = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < moves; ++i) {
+      switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+          DisturbLeader(cell);
+          break;
+        case 1:
+          DisturbProcess(cell, *rc::gen::inRange<std::size_t>(0, targets));
+          break;
+        case 2:
+          cell.CutTarget(cut, *rc::gen::arbitrary<bool>());
+          break;
+        default:
+          DisturbCell(cell);
+          break;
+      }
+      cell.Run(milliseconds(*rc::gen::inRange(10, 2500)));
+    }
+    EndDisturbances(cell, targets);
+    cell.Run(seconds(110));
+    RC_ASSERT(cell.Broken() == std::vector<std::string>());
+    RC_ASSERT(cell.AllOver());
+  });
+  EXPECT_TRUE(held);
+}
+
 } // namespace lycheestep
