Do not send a start once it is too late for it, whatever it waited for

A start was checked against the time until which cancellations are known before it got a connection. To ask which process listens may take most of the order's timeout, so the start could leave up to 0.7 s later than allowed. The time goes with the order now, also of a leader that sends it itself, and is checked right before the body is written. The case of stopped_start_test gives the same limit as a time instead of a yes or no.

--- a/src/jobhost/leader_orders.cpp
+++ b/src/jobhost/leader_orders.cpp
@@ -122,7 +122,7 @@
       [&writer] { return BootClockNow() < writer.OrdersValidUntil(); },
       MakeAnswerHandlers(m_dependencies.m_post),
       SenderLimit::OfHost(),
-      [this] { return BootClockNow() < StartsValidUntil(); });
+      [this] { return StartsValidUntil(); });
   }
   return *connection;
 }
--- a/src/jobhost/stopped_start_test.cpp
+++ b/src/jobhost/stopped_start_test.cpp
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <vector>
 
+#include "boot_clock.h"
 #include "event_log.h"
 #include "metrics_registry.h"
 #include "mock_target_orders.h"
@@ -131,7 +132,7 @@
     [] { return true; },
     Handlers(),
     SenderLimit::OfHost(),
-    [&mayStart] { return mayStart.load(); });
+    [&mayStart] { return mayStart ? TimePoint::max() : BootClockNow(); });
   BlockConnection(connection);
   connection.Start(MakeStart(2));
   mayStart = false;
--- a/src/jobhost/target_connection.cpp
+++ b/src/jobhost/target_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <pthread.h>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -45,12 +46,12 @@
                                    std::function<bool()> aMaySend,
                                    OrderAnswerHandlers aAnswers,
                                    SenderLimit& aLimit,
-                                   std::function<bool()> aMayStart)
+                                   std::function<TimePoint()> aStartsNotAfter)
   : m_orders(aOrders)
   , m_log(aLog)
   , m_metrics(aMetrics)
   , m_maySend(std::move(aMaySend))
-  , m_mayStart(std::move(aMayStart))
+  , m_startsNotAfter(std::move(aStartsNotAfter))
   , m_answers(std::move(aAnswers))
   , m_stopSenders(m_orderQueue, aLimit, [this](const QueuedOrder& aQueued) {
     Send(aQueued, HoldPath::kOrders);
@@ -161,16 +162,17 @@
     aReason = "unanswered-start";
     return OrderStatus::kNotSent;
   }
-  if (!m_mayStart() || BootClockNow() >= aOrder.m_notAfter) {
+  if (BootClockNow() >= aOrder.m_notAfter) {
     aReason = "cancellations";
     return OrderStatus::kNotSent;
   }
   return OrderStatus::kDone;
 }
 
-OrderAnswer TargetConnection::SendStart(const StartOrder& aOrder,
+OrderAnswer TargetConnection::SendStart(StartOrder aOrder,
                                         const QueuedOrder& aQueued)
 {
+  aOrder.m_notAfter = std::min(aOrder.m_notAfter, m_startsNotAfter());
   OrderAnswer answer;
   const char* reason = "";
   answer.m_status = CheckStart(aOrder, aQueued, reason);
--- a/src/jobhost/target_connection.h
+++ b/src/jobhost/target_connection.h
@@ -29,8 +29,9 @@
   // called right before each order. aAnswers are called on these threads, and
   // may be called on several at the same time. aLog and aMetrics are told how
   // long starts and stops wait in the queue. aLimit bounds the threads for
-  // stops of all connections. aMayStart is called right before each start,
-  // which is not sent if it returns false.
+  // stops of all connections. aStartsNotAfter is called right before each
+  // start, which does not leave this host after the boot clock's time that it
+  // returns.
   TargetConnection(
     TargetOrders& aOrders,
     EventLog& aLog,
@@ -38,7 +39,9 @@
     std::function<bool()> aMaySend,
     OrderAnswerHandlers aAnswers,
     SenderLimit& aLimit = SenderLimit::OfHost(),
-    std::function<bool()> aMayStart = [] { return true; });
+    std::function<TimePoint()> aStartsNotAfter = [] {
+      return TimePoint::max();
+    });
   ~TargetConnection() override;
   TargetConnection(const TargetConnection&) = delete;
   TargetConnection& operator=(const TargetConnection&) = delete;
@@ -69,7 +72,7 @@
   // Sends an order if it may be sent, and reports it.
   void Send(const QueuedOrder& aQueued, HoldPath aPath);
   // Send an order if it may be sent, and return what is reported of it.
-  OrderAnswer SendStart(const StartOrder& aOrder, const QueuedOrder& aQueued);
+  OrderAnswer SendStart(StartOrder aOrder, const QueuedOrder& aQueued);
   OrderAnswer SendStop(const StopOrder& aOrder, const QueuedOrder& aQueued);
   HoldAnswer SendHold(const HoldOrder& aOrder, const QueuedOrder& aQueued);
   void SendPace(const PaceOrder& aOrder, const QueuedOrder& aQueued);
@@ -92,7 +95,7 @@
   EventLog& m_log;
   MetricsSink& m_metrics;
   const std::function<bool()> m_maySend;
-  const std::function<bool()> m_mayStart;
+  const std::function<TimePoint()> m_startsNotAfter;
   const OrderAnswerHandlers m_answers;
   // Holds that wait until a run ends.
   OrderQueue m_watchQueue;
