Break a game in which a job is shown as done before its tasks are

Nothing in the model knew that a job was shown as done too early, and its draws seldom let an old run end out of reach.

The model checks each job that is stored as done, a gang by any of its members, and the property keeps the cut target apart from those that restart.

--- a/src/jobs/two_runs_test.cpp
+++ b/src/jobs/two_runs_test.cpp
@@ -357,14 +357,14 @@
       cell.TraceTo(&std::cout);
     }
     cell.Run(milliseconds(200));
-    const JobId job = SubmitAny(cell);
-    cell.Run(milliseconds(*rc::gen::inRange(100, 4000)));
+    const JobId job = cell.Submit(LongTasks(*rc::gen::inRange(1U, 8U)));
+    cell.Run(milliseconds(*rc::gen::inRange(100, 2000)));
     const auto cut = *rc::gen::inRange<std::size_t>(0, targets);
     cell.CutTarget(cut, true);
     cell.Cancel(job);
     cell.Run(seconds(200));
     RC_PRE(cell.Table().Find(ProgressKey(job)) == nullptr);
-    cell.SubmitAgain(job, AnyJob());
+    cell.SubmitAgain(job, LongTasks(*rc::gen::inRange(1U, 8U), AnyTime()));
     const auto moves = *rc::gen::inRange(1, 12);
     for (int i = 0; i < moves; ++i) {
       switch (*rc::gen::inRange(0, 4)) {
@@ -372,16 +372,14 @@
           DisturbLeader(cell);
           break;
         case 1:
-          DisturbProcess(cell, *rc::gen::inRange<std::size_t>(0, targets));
-          break;
-        case 2:
           cell.CutTarget(cut, *rc::gen::arbitrary<bool>());
           break;
         default:
-          DisturbCell(cell);
+          DisturbProcess(
+            cell, (cut + *rc::gen::inRange<std::size_t>(1, targets)) % targets);
           break;
       }
-      cell.Run(milliseconds(*rc::gen::inRange(10, 2500)));
+      cell.Run(milliseconds(*rc::gen::inRange(10, 5000)));
     }
     EndDisturbances(cell, targets);
     cell.Run(seconds(110));
--- a/src/standin/job_cell_checks.cpp
+++ b/src/standin/job_cell_checks.cpp
@@ -66,6 +66,22 @@
   }
 }
 
+void JobCellModel::CheckShownAsDone(const JobId& aJob)
+{
+  CheckEnds();
+  const std::vector<JobStep>& steps = m_jobs.at(aJob).m_spec.m_steps;
+  for (std::uint32_t s = 0; s < steps.size(); ++s) {
+    const auto first =
+      m_done.lower_bound(TaskName{ StepName{ aJob, 0, s }, 0 });
+    const bool anyDone =
+      first != m_done.end() && first->m_step == StepName{ aJob, 0, s };
+    const bool done = steps[s].m_gang ? anyDone : IsStepDone(aJob, s);
+    if (!done && m_jobs.at(aJob).m_spec.m_occurrences == 0) {
+      Break("DONE TOO EARLY " + aJob.Text());
+    }
+  }
+}
+
 bool JobCellModel::IsStepDone(const JobId& aJob, std::uint32_t aStep) const
 {
   const JobStep& step = m_jobs.at(aJob).m_spec.m_steps[aStep];
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -204,6 +204,9 @@
                       TimePoint aNow);
   // Checks that no run of a cancelled job goes on. Looks at calm targets only.
   void CheckCancelledRuns();
+  // Checks that all tasks of a job that is shown as done have ended well. A
+  // gang is done as soon as one of its members is.
+  void CheckShownAsDone(const JobId& aJob);
   // Checks that accepted work starts while there is capacity for it.
   void CheckWaitingWork();
   std::vector<OpenTarget> OpenTargets() const;
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -205,6 +205,7 @@
       }
       if (progress && progress->m_state == JobState::kDone) {
         m_cell.m_doneAt.try_emplace(job, m_cell.m_now);
+        m_cell.CheckShownAsDone(job);
       }
     }
     ++m_cell.m_commits;
