Count a hold that was not sent to its process as not carried out

A hold that was made for the former process of a target is not sent, and its answer is that of the next one. When the leader had heard of that process from the list in between, it took the hold as carried out and booked the number up to which the former process could forget its ends for the next one: its ends of lower numbers were never acknowledged, and each hold was answered at once by what it listed, so that holds followed each other without a pause.

The leader compares the answer with the process that the hold names. An answer of another process also closes the connections that were kept, should something between keep them open across a restart, and the model answers such a hold at once as the adapter does. unsent_hold_test was red before (number 0 instead of 2) and is green. Found in review.

--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -57,7 +57,10 @@
     ResetForNewIncarnation(target, aAnswer.m_started, aNow);
     return;
   }
-  if (isOfOtherAddress) {
+  const bool isNotSent = aOrder.m_to.m_started.count() != 0 &&
+                         aAnswer.m_started.count() != 0 &&
+                         aOrder.m_to.m_started != aAnswer.m_started;
+  if (isOfOtherAddress || isNotSent) {
     RetryTake(target, aOrder, aPath, aNow);
     return;
   }
--- a/src/standin/job_cell_orders.cpp
+++ b/src/standin/job_cell_orders.cpp
@@ -235,7 +235,11 @@
   const JobTargetModel* target = TargetAt(aOrder.m_to, &index);
   const WallTime incarnation =
     target != nullptr ? target->Record().m_started : WallTime(0);
-  HoldUntil(aOrder, aPath, m_cell.m_now + aOrder.m_wait, incarnation, aDone);
+  const bool isForOther =
+    aOrder.m_to.m_started.count() != 0 && aOrder.m_to.m_started != incarnation;
+  // TargetOrders answers a hold for another process at once.
+  const Duration wait = isForOther ? Duration::zero() : aOrder.m_wait;
+  HoldUntil(aOrder, aPath, m_cell.m_now + wait, incarnation, aDone);
 }
 
 JobTargetModel* JobCellModel::Term::TargetAt(const OrderAddress& aTo,
