Send a run to the process on which it was placed and to no other

A run is placed, its dispatch is stored, and then its start is sent, to the process that the leader knew by then. If that is a new one, which the leader took under the same token, a start could reach it though a next leader had proved by a list of the former process that the run is on no target, and had started the task elsewhere: two runs at once.

The reservation names the process, and a start for another one is not sent; the task is placed again. placed_run_process_test was red before (the start was sent) and is green. Runs that last are no longer remembered as given up, as their ends do not finish their tasks. Found in review.

--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -172,7 +172,7 @@
     SettleRunOfEndedJob(ref, aTarget, aRun);
     return;
   }
-  if (aStatus == OrderStatus::kUnknown) {
+  if (aStatus == OrderStatus::kUnknown && !ref.m_step->m_longRunning) {
     ref.m_task->m_givenUp.push_back({ aRun.m_run, aTarget });
   }
   if (aStatus == OrderStatus::kTicketRefused) {
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -48,6 +48,7 @@
   TargetState& target = m_targets.at(aTarget);
   TargetRun run;
   run.m_demand = aDemand;
+  run.m_process = target.m_record.m_started;
   run.m_estimate = aEstimate;
   if (target.m_runs.emplace(aRun, run).second) {
     target.m_used += aDemand;
@@ -92,7 +93,8 @@
   if (run == target.m_runs.end()) {
     return false;
   }
-  if (!target.TakesWork(aNow)) {
+  const bool isSameProcess = run->second.m_process == target.m_record.m_started;
+  if (!target.TakesWork(aNow) || !isSameProcess) {
     DropRun(target, aRun);
     return false;
   }
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -28,6 +28,9 @@
 struct TargetRun
 {
   Resources m_demand;
+  // When the process started on which a reserved run was placed. The start goes
+  // to no other: a next leader may have proved that no run is on this one.
+  WallTime m_process{ 0 };
   // True once the start was sent. Until then, the run only reserves capacity.
   bool m_sent = false;
   // True once the target has listed the run or confirmed its start;
