Reserve the ports of a play for as long as it runs

Cause: free_ports of the soaks looked whether ports were free and let them go, so that plays that began at one moment were given the same ones, and one of them ended as a port was taken. Change: each block of 50 ports has a lock file in the system's folder for temporary files, and a play holds the locks of all blocks that its range touches until it ends; it looks at the whole range once round.

--- a/testsuite/soak/hosts.py
+++ b/testsuite/soak/hosts.py
@@ -1,39 +1,74 @@
 """Hosts as processes, each with its own way to the store."""
+import fcntl
 import json
 import os
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 
 from proxy import Proxy
 
 PORTS_PER_HOST = 6
 GRACE_S = 6
+# Ports are reserved in blocks of so many, one lock file each. All are below
+# those that the system gives to outgoing connections, as it may do between a
+# look and the use.
+PORT_BLOCK = 50
+LOWEST_PORT, HIGHEST_PORT = 20000, 32000
+RESERVED = []  # lock files; each is held until this process ends
 
 
 def free_ports(count):
-    """The first of so many free ports in a row, below those that the system
-    gives to outgoing connections, as it may do between a look and the use."""
-    # Soaks of the same moment look in different places.
-    start = 20000 + os.getpid() * 173 % 9000
-    for first in range(start, 32000, 83):
-        probes = []
-        try:
-            for port in range(first, first + count):
-                probe = socket.socket()
-                probes.append(probe)
-                probe.bind(("127.0.0.1", port))
+    """The first of so many free ports in a row, which nobody else who asks here
+    is given as long as this process lives."""
+    starts = range(LOWEST_PORT, HIGHEST_PORT - count + 1, PORT_BLOCK)
+    # Processes of the same moment look in different places.
+    begin = os.getpid() * 7 % len(starts)
+    for first in [*starts[begin:], *starts[:begin]]:
+        ports = range(first, first + count)
+        locks = reserve(ports)
+        if locks and are_free(ports):
+            RESERVED.extend(locks)
             return first
-        except OSError:
-            continue
-        finally:
-            for probe in probes:
-                probe.close()
+        for lock in locks:
+            lock.close()
     sys.exit("no free ports")
 
 
+def reserve(ports):
+    """The lock files of all blocks that these ports touch, or none."""
+    locks = []
+    try:
+        for block in range(ports[0] // PORT_BLOCK,
+                           ports[-1] // PORT_BLOCK + 1):
+            locks.append(open(os.path.join(
+                tempfile.gettempdir(), "lycheestep-ports-%d" %
+                (block * PORT_BLOCK)), "ab"))
+            fcntl.flock(locks[-1], fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        for lock in locks:
+            lock.close()
+        return []
+    return locks
+
+
+def are_free(ports):
+    probes = []
+    try:
+        for port in ports:
+            probes.append(socket.socket())
+            probes[-1].bind(("127.0.0.1", port))
+        return True
+    except OSError:
+        return False
+    finally:
+        for probe in probes:
+            probe.close()
+
+
 class Host:
     def __init__(self, program, folder, name, base, store, calm,
                  retention_ms):
