--- a/testsuite/soak/day_callers.py
+++ b/testsuite/soak/day_callers.py
@@ -21,7 +21,7 @@
 
     async def submit_all(self):
         while not self.over:
-            asyncio.ensure_future(self.hand_in())
+            self.world.tasks.begin(self.hand_in())
             await asyncio.sleep(self.random.expovariate(self.load))
 
     def make_job(self):
@@ -57,7 +57,7 @@
                 job.doubtful = True
             await asyncio.sleep(self.random.uniform(0.1, 0.6))
         if self.random.random() < 0.2 and job.accepted:
-            asyncio.ensure_future(self.again(job_id, body))
+            self.world.tasks.begin(self.again(job_id, body))
         if self.random.random() < 0.25 and job.accepted:
             await asyncio.sleep(self.random.uniform(0, 8))
             await self.cancel(job_id, job)
@@ -81,7 +81,7 @@
                          if job.accepted and not job.shown]
             for job_id in self.random.sample(open_jobs,
                                              min(8, len(open_jobs))):
-                asyncio.ensure_future(self.ask(job_id))
+                self.world.tasks.begin(self.ask(job_id))
             await asyncio.sleep(0.3)
 
     async def ask(self, job_id):
--- a/testsuite/soak/day_store.py
+++ b/testsuite/soak/day_store.py
@@ -24,7 +24,7 @@
             async def carry_out(_late):
                 return await self.carry_out(path, query, body)
             return await self.ways.carry((host, "store"), carry_out, reader)
-        self.servers[host] = Server(port, serve)
+        self.servers[host] = Server(port, serve, self.ways.tasks)
         await self.servers[host].open()
 
     def close(self):
--- a/testsuite/soak/day_targets.py
+++ b/testsuite/soak/day_targets.py
@@ -24,7 +24,7 @@
         self.up = True
         self.hangs = False  # works on, and answers nobody
         self.errors = False  # refuses what it is asked
-        self.server = Server(port, self.serve)
+        self.server = Server(port, self.serve, world.tasks)
         self.owners = {}  # connection -> host
         self.live()
 
--- a/testsuite/soak/day_troubles.py
+++ b/testsuite/soak/day_troubles.py
@@ -69,7 +69,7 @@
 
     def begin(self, kind):
         self.world.note("trouble: " + kind)
-        self.tasks.append(asyncio.ensure_future(self.noted(kind)))
+        self.tasks.append(self.world.tasks.begin(self.noted(kind)))
 
     async def noted(self, kind):
         self.judge.disturbed()
@@ -273,7 +273,8 @@
     async def stop_in_turn(self):
         for host in self.some(self.world.living(), 0.45):
             self.judge.disturbed()
-            self.tasks.append(asyncio.ensure_future(self.stop_and_start(host)))
+            self.tasks.append(self.world.tasks.begin(
+                self.stop_and_start(host)))
             await asyncio.sleep(1.3)
 
     async def stop_and_start(self, host):
@@ -350,7 +351,7 @@
         staying = [target for target in self.world.targets
                    if not target.draining]
         for target in self.some(staying, 0.1):
-            self.tasks.append(asyncio.ensure_future(self.leave(target)))
+            self.tasks.append(self.world.tasks.begin(self.leave(target)))
 
     async def leave(self, target):
         target.draining = True
--- a/testsuite/soak/day_web.py
+++ b/testsuite/soak/day_web.py
@@ -28,6 +28,32 @@
 INODE_AT = 84
 
 
+class Tasks:
+    """What goes on beside a play. An error of one of them is the play's."""
+
+    def __init__(self):
+        self.open = set()
+        self.error = None  # the first
+
+    def begin(self, work):
+        task = asyncio.ensure_future(work)
+        self.open.add(task)
+        task.add_done_callback(self.ended)
+        return task
+
+    def ended(self, task):
+        self.open.discard(task)
+        if not task.cancelled():
+            self.error = self.error or task.exception()
+
+    async def end(self):
+        """Also those that begin meanwhile."""
+        while self.open:
+            for task in self.open:
+                task.cancel()
+            await asyncio.wait(self.open, timeout=1)
+
+
 class Cut:
     def __init__(self, kind, share=1.0, seconds=0.0):
         self.kind, self.share, self.seconds = kind, share, seconds
@@ -36,8 +62,8 @@
 class Ways:
     """Which ways are cut, and how. Cuts of one way may overlap."""
 
-    def __init__(self, chance):
-        self.chance = chance
+    def __init__(self, chance, tasks):
+        self.chance, self.tasks = chance, tasks
         self.cuts = {}  # way -> [Cut]
         self.proxies = []
 
@@ -86,7 +112,7 @@
                     return None
                 await asyncio.sleep(0.02)
         if kind == LATE:
-            asyncio.ensure_future(later(
+            self.tasks.begin(later(
                 self.chance.uniform(0.5, cut.seconds), carry_out))
             return await hung_up(reader)
         if kind == SLOW:
@@ -154,8 +180,8 @@
 class Server:
     """Calls serve(connection, method, path, query, body, headers, reader)."""
 
-    def __init__(self, port, serve):
-        self.port, self.serve = port, serve
+    def __init__(self, port, serve, tasks):
+        self.port, self.serve, self.tasks = port, serve, tasks
         self.writers = set()
         self.listener = None
 
@@ -171,14 +197,16 @@
         self.listener.close()
         self.reset()
 
-    async def accept(self, reader, writer):
+    def accept(self, reader, writer):
         self.writers.add(writer)
+        self.tasks.begin(self.answer_all(reader, writer))
+
+    async def answer_all(self, reader, writer):
         try:
             while await self.answer(reader, writer):
                 pass
-        except (OSError, asyncio.IncompleteReadError, ValueError,
-                asyncio.CancelledError):
-            pass  # the caller has left, or the day is over
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            pass  # the caller has left
         finally:
             self.writers.discard(writer)
             writer.transport.abort()
@@ -248,10 +276,18 @@
         self.name, self.port, self.upstream = name, port, upstream
         self.ways, self.owners = ways, owners
         self.open_pairs = {}  # source's name -> {(writer, writer)}
+        self.listener = None
         ways.proxies.append(self)
 
     async def open(self):
-        await asyncio.start_server(self.accept, "127.0.0.1", self.port)
+        self.listener = await asyncio.start_server(self.accept, "127.0.0.1",
+                                                   self.port)
+
+    def close(self):
+        self.listener.close()
+        for pairs in self.open_pairs.values():
+            for pair in pairs:
+                drop(pair)
 
     def reset(self, ways):
         for source, pairs in self.open_pairs.items():
@@ -263,7 +299,10 @@
         if cut.kind != HELD:
             self.reset(ways)
 
-    async def accept(self, reader, writer):
+    def accept(self, reader, writer):
+        self.ways.tasks.begin(self.carry(reader, writer))
+
+    async def carry(self, reader, writer):
         source = self.owners.of(writer)
         try:
             answers, server = await asyncio.open_connection("127.0.0.1",
@@ -277,10 +316,9 @@
         try:
             await asyncio.gather(self.pump(source, reader, server),
                                  self.pump(source, answers, writer))
-        except asyncio.CancelledError:
-            pass  # the day is over
-        drop(pair)
-        pairs.discard(pair)
+        finally:
+            drop(pair)
+            pairs.discard(pair)
 
     async def pump(self, source, reader, writer):
         way = (source, self.name)
@@ -295,7 +333,7 @@
                     break
                 writer.write(data)
                 await writer.drain()
-        except (OSError, asyncio.CancelledError):
+        except OSError:
             pass
         writer.transport.abort()
 
--- a/testsuite/soak/days.py
+++ b/testsuite/soak/days.py
@@ -26,7 +26,7 @@
 from day_store import DayStore
 from day_targets import Target
 from day_troubles import PROFILES, Troubles
-from day_web import Owners, Ways, call
+from day_web import Owners, Tasks, Ways, call
 from hosts import free_ports
 
 MAX_ATTEMPTS = 3
@@ -48,7 +48,8 @@
         self.arguments, self.folder = arguments, folder
         self.random = random.Random(arguments.seed)
         self.zones = ["z%d" % i for i in range(arguments.zones)]
-        self.ways = Ways(random.Random(arguments.seed + 1))
+        self.tasks = Tasks()
+        self.ways = Ways(random.Random(arguments.seed + 1), self.tasks)
         self.owners = Owners()
         self.store = DayStore(arguments.seed, self.ways,
                               arguments.bare_refusals)
@@ -175,10 +176,10 @@
                                   self.zones[i % len(self.zones)])
         for i in range(self.arguments.hosts):
             await self.add_host(self.zones[i % len(self.zones)])
-        always = [asyncio.ensure_future(work) for work in (
+        always = [self.tasks.begin(work) for work in (
             self.tick(), self.beat(), self.report_leaders())]
         await self.ready()
-        callers = [asyncio.ensure_future(work) for work in (
+        callers = [self.tasks.begin(work) for work in (
             self.callers.submit_all(), self.callers.watch())]
         troubles = Troubles(self, self.arguments.seed)
         await troubles.play(PROFILES[self.arguments.profile],
@@ -196,13 +197,22 @@
             task.cancel()
 
     async def play_whole(self):
+        """Until the play is over or any task has failed. Hosts end first, so
+        that nobody calls, then the stand-ins, and then all tasks."""
+        play = self.tasks.begin(self.play())
         try:
-            await self.play()
+            while not play.done() and self.tasks.error is None:
+                await asyncio.sleep(TICK_S)
         finally:
             self.end_all()
             self.store.close()
             for target in self.targets:
                 target.server.close()
+            for proxy in self.ways.proxies:
+                proxy.close()
+            await self.tasks.end()
+        if self.tasks.error is not None:
+            raise self.tasks.error
 
     def end_all(self):
         for host in self.all_hosts.values():
@@ -254,6 +264,9 @@
     world = World(arguments, folder)
     try:
         asyncio.run(world.play_whole())
+    except Exception:
+        print("logs of the hosts: " + folder)
+        raise
     finally:
         world.end_all()
     world.summary()
