--- a/testsuite/soak/day_troubles.py
+++ b/testsuite/soak/day_troubles.py
@@ -2,6 +2,7 @@
 import asyncio
 import random
 import signal
+import time
 
 import day_web
 from day_web import Cut
@@ -31,6 +32,10 @@
              "store_resets_leader", "leader_cut_one_way", "kill_leader",
              "freeze_leader", "replace_leader", "cut_from_targets",
              "cut_pairs", "deaf_targets", "leader_cut"],
+    # Several disturbances of one leader, and targets that restart beside them.
+    "lead-series": ["leader_series", "leader_series", "leader_series",
+                    "slow_leader", "slow_leader", "restart_targets",
+                    "restart_targets", "cut_pairs", "store_answers_lost"],
     # Targets leave and come back as others while the lead changes.
     "leaving": ["scale_in", "scale_in", "scale_in", "kill_leader",
                 "freeze_leader", "cut_pairs", "crash_targets"],
@@ -41,6 +46,9 @@
 GROUP_S = 8.0
 GROUP_GAP_S = (6.0, 11.0)
 GROUP_SIZE = (2, 5)
+# A host that is slowed is stopped and runs in turns.
+SLOWED_STOPPED_S = 0.08
+SLOWED_RUNS_S = 0.02
 
 
 class Troubles:
@@ -254,8 +262,7 @@
         await self.kill_and_start(self.world.living(),
                                   self.random.uniform(0.5, 9))
 
-    async def freeze(self, hosts):
-        seconds = self.random.uniform(1, 6)
+    async def freeze(self, hosts, seconds):
         self.judge.disturbed(seconds)
         for host in hosts:
             host.disturb(seconds)
@@ -265,10 +272,36 @@
             host.send(signal.SIGCONT)
 
     async def freeze_leader(self):
-        await self.freeze(self.leading())
+        await self.freeze(self.leading(), self.random.uniform(1, 6))
 
     async def freeze_host(self):
-        await self.freeze(self.some(self.world.living(), 0.15))
+        await self.freeze(self.some(self.world.living(), 0.15),
+                          self.random.uniform(1, 6))
+
+    async def leader_series(self):
+        """One leader is stopped, then cut one way, then killed; targets
+        restart beside each."""
+        for host in self.leading():
+            for part in (
+                    self.freeze([host], self.random.uniform(0.4, 3)),
+                    self.cut(self.to_store([host]), Cut(self.random.choice(
+                        [day_web.MUTE, day_web.LOST])),
+                             self.random.uniform(0.5, 3)),
+                    self.kill_and_start([host], self.random.uniform(0.2, 2))):
+                await asyncio.gather(part, self.restart_targets())
+
+    async def slow_leader(self):
+        """It gets the processor for a fifth of the time."""
+        seconds = self.random.uniform(0.5, 3)
+        end = time.monotonic() + seconds
+        for host in self.leading():
+            self.judge.disturbed(seconds)
+            host.disturb(seconds)
+            while time.monotonic() < end:
+                host.send(signal.SIGSTOP)
+                await asyncio.sleep(SLOWED_STOPPED_S)
+                host.send(signal.SIGCONT)
+                await asyncio.sleep(SLOWED_RUNS_S)
 
     async def stop_in_turn(self):
         for host in self.some(self.world.living(), 0.45):
@@ -338,6 +371,20 @@
         for target in targets:
             target.unlist()
         await asyncio.sleep(self.random.uniform(0, 3))
+        self.come_back(targets)
+
+    async def restart_targets(self):
+        """Under their ids, while their rows stay."""
+        targets = self.some([target for target in self.world.targets
+                             if target.up], 0.2)
+        seconds = self.random.uniform(0.3, 0.8)
+        self.world.disturb_targets(targets, seconds)
+        for target in targets:
+            target.die()
+        await asyncio.sleep(seconds)
+        self.come_back(targets)
+
+    def come_back(self, targets):
         self.world.disturb_targets(targets, 0)
         for target in targets:
             if target in self.world.targets and not target.up:
