--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -75,9 +75,9 @@
   // Frees the capacity reserved for a run whose start was never sent.
   void CancelReservation(const TargetId& aTarget, const RunName& aRun);
 
-  // Sends the start of a reserved run. Returns false if the reservation is gone,
-  // or if the target no longer accepts starts or has another process than the
-  // one on which the run was placed; the capacity is free again then.
+  // Sends the start of a reserved run. Returns false if the reservation is
+  // gone, or if the target no longer accepts starts or has another process than
+  // the one on which the run was placed; the capacity is free again then.
   bool Send(const TargetId& aTarget,
             const RunName& aRun,
             const std::string& aPayload,
