--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -187,7 +187,7 @@
   aTarget.m_phase = TargetPhase::kUntaken;
   aTarget.m_clockKnown = false;
   aTarget.m_leaseEnd = TargetTime(0);
-  // A start of a former leader that knew no process may still reach this one.
+  // A start of a leader of an earlier release may still reach this process.
   aTarget.m_formerLeaseExpiry = aNow + m_settings.m_longestLease;
   aTarget.m_lastEndSeen = 0;
   aTarget.m_lastEndStored = 0;
