Log what a new leader loaded, each cancellation it reads, and its state

The logs could not tell whether the leader of a run that goes on held its cancellation. Now leader-loaded counts the runs that it expects, those to stop and those on targets without an address, and how long the load took; cancellation-read names each cancellation with its age, which the row of a cancellation holds from now on by the store's clock; job-ended names how many runs are stopped; leader-state says every five seconds what the leader knows and how old its knowledge of cancellations is. Rows of earlier releases, which do not parse, have an unknown age. No decision reads any of it. cancellation_row_test, job_request_handler_test, leader_reads_test and late_write_test pass.

--- a/src/jobhost/commit_writer.cpp
+++ b/src/jobhost/commit_writer.cpp
@@ -163,6 +163,12 @@
   return m_term;
 }
 
+Duration CommitWriter::StoreClock(TimePoint aNow) const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return StoreClockAt(aNow);
+}
+
 TimePoint CommitWriter::OrdersValidUntil() const
 {
   const TimePoint renewed{ Duration(m_renewedAt.load()) };
--- a/src/jobhost/commit_writer.h
+++ b/src/jobhost/commit_writer.h
@@ -98,6 +98,9 @@
   // queued commit.
   void StopWithoutRelease();
 
+  // Returns an estimate of the store's clock at aNow. Safe from any thread.
+  Duration StoreClock(TimePoint aNow) const;
+
   // Returns the time until which orders may be sent, by the boot clock. Safe
   // from any thread.
   TimePoint OrdersValidUntil() const;
--- a/src/jobhost/job_request_handler.cpp
+++ b/src/jobhost/job_request_handler.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "boot_clock.h"
+#include "cancellation_row.h"
 #include "event_log.h"
 #include "job_rows.h"
 #include "jobs.pb.h"
@@ -180,7 +181,7 @@
   transaction.m_conditions.push_back(
     RowCondition{ JobKey(aJob), row->m_version });
   transaction.m_conditions.push_back(RowCondition{ CancelKey(aJob), 0 });
-  transaction.m_writes.push_back(RowWrite{ CancelKey(aJob), "cancelled" });
+  transaction.m_writes.push_back(RowWrite{ CancelKey(aJob), EncodeCancellation(storeClock) });
   const RowAnswer answer =
     m_store.Transact(transaction, m_settings.m_callTimeout);
   if (answer.m_status != RowStatus::kConflict) {
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -179,6 +179,7 @@
     m_pendingCountDue = m_now + kPendingCountPeriod;
     m_dependencies.m_writer.SetPending(m_scheduler.Pending());
   }
+  ReportStateIfDue();
   if (valid && CanSendOrders()) {
     CheckCancellations();
     m_scheduler.Tick(m_now);
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -167,6 +167,13 @@
   // Returns the time until which the cancellations that were handled are new
   // enough to start tasks. Safe from any thread.
   TimePoint StartsValidUntil() const;
+  // Log what the leader has loaded, what it knows every few seconds, and a
+  // cancellation that was read.
+  void ReportLoad();
+  void ReportStateIfDue();
+  void ReportCancellation(const Row& aRow);
+  // Returns the log fields about runs and targets.
+  std::string RunTotalFields() const;
   void SendHeartbeats();
   // Removes the rows of hosts that have not replied to heartbeats for a long
   // time.
@@ -233,10 +240,11 @@
   JobRowReader m_jobRowReader;
   TargetList m_targets;
   PeerHosts m_hosts;
-  // When the next heartbeats are sent, and when the waiting jobs are next
-  // counted for the leader row.
+  // When the next heartbeats are sent, when the waiting jobs are next counted
+  // for the leader row, and when the next line about the state is written.
   TimePoint m_heartbeatDue;
   TimePoint m_pendingCountDue;
+  TimePoint m_stateReportDue;
 
   // All cancellations up to this time were handled. Counted from the epoch of
   // the boot clock. The threads of m_directConnections read it.
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -89,18 +89,14 @@
   AddJobs(*m_jobRows);
   AddProgress(*m_progressRows, *m_jobRows);
   AddCancels(*m_cancelRows);
-  LogUnlimited("leader-loaded",
-               "jobs=" + std::to_string(m_jobRows->size()) +
-                 " progress=" + std::to_string(m_progressRows->size()) +
-                 " cancels=" + std::to_string(m_cancelRows->size()) +
-                 " addresses=" + std::to_string(m_addressRows->size()));
+  for (const TargetRecord& record : m_targets.UsableTargets()) {
+    m_scheduler.OnTargetRecord(record, m_now);
+  }
+  ReportLoad();
   m_jobRows.reset();
   m_cancelRows.reset();
   m_progressRows.reset();
   m_addressRows.reset();
-  for (const TargetRecord& record : m_targets.UsableTargets()) {
-    m_scheduler.OnTargetRecord(record, m_now);
-  }
 }
 
 void Leader::AddJobs(const std::vector<Row>& aRows)
@@ -159,6 +155,7 @@
     if (row.m_removed) {
       m_scheduler.OnCancelRemoved(job);
     } else {
+      ReportCancellation(row);
       m_scheduler.OnCancel(job, m_now);
     }
   }
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -367,7 +367,8 @@
              "job-ended",
              "job=" + aJob.m_id.Text() + " state=" +
                std::to_string(static_cast<int>(aState)) + " after_ms=" +
-               std::to_string(ToMilliseconds(aNow - aJob.m_acceptedAt)));
+               std::to_string(ToMilliseconds(aNow - aJob.m_acceptedAt)) +
+               " runs=" + std::to_string(aJob.CountDispatched()));
   StopAllRuns(aJob, aNow);
   m_advice.RemoveJob(aJob.m_id, aNow);
   m_keeper.Quarantine().OnJobOver(aJob.m_id);
--- a/src/jobs/target_manager.h
+++ b/src/jobs/target_manager.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "job_effects.h"
+#include "run_totals.h"
 #include "stop_monitor.h"
 #include "target_address.h"
 #include "target_quarantine.h"
@@ -123,6 +124,7 @@
   bool NeedsFencingToken() const { return m_needsFencingToken; }
 
   const std::map<TargetId, TargetState>& Targets() const { return m_targets; }
+  RunTotals CountRuns() const;
   // Returns the sum of the capacities of the listed targets.
   Resources ListedCapacity() const;
   // Returns null when the target is not managed.
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -112,6 +112,22 @@
   return true;
 }
 
+RunTotals TargetManager::CountRuns() const
+{
+  RunTotals totals;
+  for (const auto& [id, target] : m_targets) {
+    ++totals.m_targets;
+    totals.m_heldTargets += target.m_phase == TargetPhase::kHeld ? 1 : 0;
+    totals.m_runs += target.m_runs.size();
+    totals.m_withoutAddress +=
+      target.Address().empty() ? target.m_runs.size() : 0;
+    for (const auto& [name, run] : target.m_runs) {
+      totals.m_toStop += run.m_stop.m_isRequested ? 1 : 0;
+    }
+  }
+  return totals;
+}
+
 void TargetManager::WithdrawStart(const TargetId& aTarget, const RunName& aRun)
 {
   const TargetState* target = Find(aTarget);
