Send a stop without an answer by another host

Callers saw a run of a cancelled job at work until its lease was over where one host, the leader, could not reach the run's target: all stops left by that host, however often they failed, though every other host reached the target. Now a stop that finds no connection, gets no answer in time or no report changes the route of all stops to that target: by another live host in turn, those in the target's data centre first, and by the usual one again when that fails too. A route that works is kept. Hosts that carry orders know how to send them since carriers exist, and the right to send ends with the leader's.

--- a/src/include/lycheestep/target_orders.h
+++ b/src/include/lycheestep/target_orders.h
@@ -49,11 +49,19 @@
   TimePoint m_notAfter = TimePoint::max();
 };
 
+// The host that sends an order to its target.
+enum class OrderRoute
+{
+  kUsual,       // the one that sends all other orders to the target
+  kAnotherHost, // any other one that can; the usual one if there is none
+};
+
 // Stops one run; the target never starts that run afterwards.
 struct StopOrder
 {
   OrderAddress m_to;
   RunName m_run;
+  OrderRoute m_route = OrderRoute::kUsual;
 };
 
 // Withdraws starts that still wait on their way to a target. The target never
@@ -103,7 +111,8 @@
   kWithdrawn,     // its reason was gone before it was sent: it had no effect
 };
 
-// The name of an order's status, for logs.
+// The names of a route and of an order's status, for logs.
+const char* ToString(OrderRoute aRoute);
 const char* ToString(OrderStatus aStatus);
 
 // A target's answer to a start, stop or pace.
--- a/src/jobhost/leader_orders.cpp
+++ b/src/jobhost/leader_orders.cpp
@@ -60,7 +60,13 @@
 
 void Leader::Stop(const StopOrder& aOrder)
 {
-  RouteTo(aOrder.m_to.m_target).Stop(aOrder);
+  const TargetId& target = aOrder.m_to.m_target;
+  const bool byAnotherHost =
+    aOrder.m_route == OrderRoute::kAnotherHost &&
+    m_orderDispatcher.StopByAnotherHost(aOrder, DataCentreOf(target), m_now);
+  if (!byAnotherHost) {
+    RouteTo(target).Stop(aOrder);
+  }
 }
 
 void Leader::Pace(const PaceOrder& aOrder)
--- a/src/jobhost/order_dispatcher.cpp
+++ b/src/jobhost/order_dispatcher.cpp
@@ -106,34 +106,57 @@
 
 void OrderDispatcher::Start(const StartOrder& aOrder)
 {
-  if (proto::CarriedOrder* message = AddToBatch(aOrder.m_to.m_target)) {
+  const std::string carrier = CarrierOf(aOrder.m_to.m_target);
+  if (proto::CarriedOrder* message = AddToBatch(carrier)) {
     EncodeStart(aOrder, *message);
     StartOrder kept = aOrder;
     kept.m_payload.clear(); // not needed to handle the answer
-    AddPending(*message, aOrder.m_to.m_target, std::move(kept));
+    AddPending(*message, carrier, std::move(kept));
   }
 }
 
 void OrderDispatcher::Stop(const StopOrder& aOrder)
 {
-  if (proto::CarriedOrder* message = AddToBatch(aOrder.m_to.m_target)) {
+  StopBy(CarrierOf(aOrder.m_to.m_target), aOrder);
+}
+
+void OrderDispatcher::StopBy(const std::string& aCarrier,
+                             const StopOrder& aOrder)
+{
+  if (proto::CarriedOrder* message = AddToBatch(aCarrier)) {
     EncodeStop(aOrder, *message);
-    AddPending(*message, aOrder.m_to.m_target, aOrder);
+    AddPending(*message, aCarrier, aOrder);
+  }
+}
+
+bool OrderDispatcher::StopByAnotherHost(const StopOrder& aOrder,
+                                        const DataCentreName& aDataCentre,
+                                        TimePoint aNow)
+{
+  m_now = aNow;
+  const std::vector<std::string> hosts =
+    OtherHosts(aOrder.m_to.m_target, aDataCentre, aNow);
+  if (hosts.empty()) {
+    return false;
   }
+  StopBy(hosts[m_otherHostTurn++ % hosts.size()], aOrder);
+  return true;
 }
 
 void OrderDispatcher::Pace(const PaceOrder& aOrder)
 {
-  if (proto::CarriedOrder* message = AddToBatch(aOrder.m_to.m_target)) {
+  if (proto::CarriedOrder* message =
+        AddToBatch(CarrierOf(aOrder.m_to.m_target))) {
     EncodePace(aOrder, *message);
   }
 }
 
 void OrderDispatcher::Hold(const HoldOrder& aOrder, HoldPath aPath)
 {
-  if (proto::CarriedOrder* message = AddToBatch(aOrder.m_to.m_target)) {
+  const std::string carrier = CarrierOf(aOrder.m_to.m_target);
+  if (proto::CarriedOrder* message = AddToBatch(carrier)) {
     EncodeHold(aOrder, aPath, *message);
-    AddPending(*message, aOrder.m_to.m_target, PendingHold{ aOrder, aPath });
+    AddPending(*message, carrier, PendingHold{ aOrder, aPath });
   }
 }
 
@@ -297,13 +320,31 @@
   }
 }
 
-proto::CarriedOrder* OrderDispatcher::AddToBatch(const TargetId& aTarget)
+std::string OrderDispatcher::CarrierOf(const TargetId& aTarget) const
 {
   const auto assignment = m_assigned.find(aTarget);
-  if (assignment == m_assigned.end()) {
-    return nullptr;
-  }
-  const auto carrier = m_carriers.find(assignment->second.m_carrier);
+  return assignment != m_assigned.end() ? assignment->second.m_carrier
+                                        : std::string();
+}
+
+std::vector<std::string> OrderDispatcher::OtherHosts(
+  const TargetId& aTarget,
+  const DataCentreName& aDataCentre,
+  TimePoint aNow) const
+{
+  std::vector<std::string> hosts = FindCandidates(aNow);
+  const std::string carrier = CarrierOf(aTarget);
+  hosts.erase(std::remove(hosts.begin(), hosts.end(), carrier), hosts.end());
+  std::stable_partition(
+    hosts.begin(), hosts.end(), [&](const std::string& aHost) {
+      return m_carriers.at(aHost).m_host.m_dataCentre == aDataCentre;
+    });
+  return hosts;
+}
+
+proto::CarriedOrder* OrderDispatcher::AddToBatch(const std::string& aCarrier)
+{
+  const auto carrier = m_carriers.find(aCarrier);
   if (carrier == m_carriers.end()) {
     return nullptr;
   }
@@ -314,14 +355,13 @@
 
 void OrderDispatcher::AddPending(
   const proto::CarriedOrder& aMessage,
-  const TargetId& aTarget,
+  const std::string& aCarrier,
   std::variant<StartOrder, StopOrder, PendingHold> aOrder)
 {
-  if (std::holds_alternative<StartOrder>(aOrder)) {
-    m_pendingStarts[aTarget].insert(aMessage.id());
+  if (const auto* start = std::get_if<StartOrder>(&aOrder)) {
+    m_pendingStarts[start->m_to.m_target].insert(aMessage.id());
   }
-  m_pending[aMessage.id()] =
-    Pending{ m_assigned.at(aTarget).m_carrier, m_now, std::move(aOrder) };
+  m_pending[aMessage.id()] = Pending{ aCarrier, m_now, std::move(aOrder) };
 }
 
 OrderDispatcher::Pending OrderDispatcher::TakePending(
--- a/src/jobhost/order_dispatcher.h
+++ b/src/jobhost/order_dispatcher.h
@@ -77,6 +77,13 @@
   void Pace(const PaceOrder& aOrder) override;
   void Hold(const HoldOrder& aOrder, HoldPath aPath) override;
 
+  // Adds a stop to the batch of a host that is not the target's carrier, each
+  // time of another one, those in the target's data centre first. Returns false
+  // if there is none.
+  bool StopByAnotherHost(const StopOrder& aOrder,
+                         const DataCentreName& aDataCentre,
+                         TimePoint aNow);
+
   // Withdraws starts from each carrier at which they may wait, also if the
   // target has been assigned to another one since.
   void Withdraw(const WithdrawOrder& aOrder);
@@ -153,12 +160,21 @@
                             TimePoint aNow) const;
   // Changes the carrier of an assignment; an empty name removes the carrier.
   void Reassign(Assignment& aAssignment, const std::string& aCarrier);
-  // Adds an order with a new id to the batch of the target's carrier. Returns
-  // null if the target has no carrier.
-  proto::CarriedOrder* AddToBatch(const TargetId& aTarget);
-  // Keeps an order of the batch until its reply arrives.
+  // Adds a stop to a carrier's batch.
+  void StopBy(const std::string& aCarrier, const StopOrder& aOrder);
+  // Returns the target's carrier; empty if it has none.
+  std::string CarrierOf(const TargetId& aTarget) const;
+  // Returns the hosts that can send a stop to the target besides its carrier,
+  // those in its data centre first.
+  std::vector<std::string> OtherHosts(const TargetId& aTarget,
+                                      const DataCentreName& aDataCentre,
+                                      TimePoint aNow) const;
+  // Adds an order with a new id to a carrier's batch. Returns null if there is
+  // no such carrier.
+  proto::CarriedOrder* AddToBatch(const std::string& aCarrier);
+  // Keeps an order of a carrier's batch until its reply arrives.
   void AddPending(const proto::CarriedOrder& aMessage,
-                  const TargetId& aTarget,
+                  const std::string& aCarrier,
                   std::variant<StartOrder, StopOrder, PendingHold> aOrder);
   // Adds a withdrawal to the carrier's batch, if the carrier is still a host.
   void AddWithdrawal(const std::string& aCarrier, const WithdrawOrder& aOrder);
@@ -177,6 +193,8 @@
   std::uint64_t m_lastId;
   std::map<std::string, Carrier> m_carriers;
   std::map<TargetId, Assignment> m_assigned;
+  // Counts the stops that were sent by other hosts than the targets' carriers.
+  std::size_t m_otherHostTurn = 0;
   // Keyed by the order's id.
   std::map<std::uint64_t, Pending> m_pending;
   // The ids of the starts in m_pending. Targets without one have no entry.
--- a/src/jobhost/order_dispatcher_test.cpp
+++ b/src/jobhost/order_dispatcher_test.cpp
@@ -297,4 +297,39 @@
   EXPECT_EQ(withdrawal.m_run, std::optional<RunName>(RunName()));
 }
 
+// Guards against a run that goes on because one host can't reach its target.
+TEST_F(OrderDispatcherTest, StopByAnotherHostLeavesOutTheCarrier)
+{
+  const DataCentreName near("north");
+  ASSERT_TRUE(m_dispatcher.Assign(Target(1), near, m_now));
+  StopOrder stop;
+  stop.m_to.m_target = Target(1);
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(m_dispatcher.StopByAnotherHost(stop, near, m_now));
+  }
+  Flush();
+  EXPECT_EQ(OrdersSentTo("a"), 0U);
+  EXPECT_EQ(OrdersSentTo("b"), 2U);
+  EXPECT_EQ(OrdersSentTo("c"), 2U);
+}
+
+TEST_F(OrderDispatcherTest, StopByAnotherHostNeedsNoCarrierOfItsTarget)
+{
+  StopOrder stop;
+  stop.m_to.m_target = Target(1);
+  EXPECT_TRUE(
+    m_dispatcher.StopByAnotherHost(stop, DataCentreName("south"), m_now));
+  Flush();
+  EXPECT_EQ(OrdersSentTo("b"), 1U);
+}
+
+TEST_F(OrderDispatcherTest, StopIsNotSentByAHostThatIsSilent)
+{
+  m_now += seconds(2);
+  StopOrder stop;
+  stop.m_to.m_target = Target(1);
+  EXPECT_FALSE(
+    m_dispatcher.StopByAnotherHost(stop, DataCentreName("south"), m_now));
+}
+
 } // namespace lycheestep
--- a/src/jobs/run_stop.cpp
+++ b/src/jobs/run_stop.cpp
@@ -25,6 +25,11 @@
   return m_sentCount > 0 && !m_answer && aNow - m_sentAt < kReportTimeout;
 }
 
+bool RunStop::IsLost(TimePoint aNow) const
+{
+  return m_sentCount > 0 && !m_answer && !IsUnderWay(aNow);
+}
+
 bool RunStop::IsDue(TimePoint aNow) const
 {
   if (!m_isRequested || IsUnderWay(aNow)) {
@@ -37,8 +42,9 @@
   return aNow - m_answeredAt >= (wasTaken ? kEndTimeout : kRetryInterval);
 }
 
-void RunStop::NoteSent(TimePoint aNow)
+void RunStop::NoteSent(OrderRoute aRoute, TimePoint aNow)
 {
+  m_sentBy = aRoute;
   m_sentAt = aNow;
   m_answer.reset();
   ++m_sentCount;
--- a/src/jobs/run_stop.h
+++ b/src/jobs/run_stop.h
@@ -19,6 +19,7 @@
   // The number of stop orders that were sent, and when the last one was.
   std::uint32_t m_sentCount = 0;
   TimePoint m_sentAt;
+  OrderRoute m_sentBy = OrderRoute::kUsual;
   // What was reported of the last order, and when; nothing while the order is
   // on its way.
   std::optional<OrderStatus> m_answer;
@@ -27,11 +28,14 @@
   // Returns true if an order is on its way and does not count as lost.
   bool IsUnderWay(TimePoint aNow) const;
 
+  // Returns true if no report came of the last order in time.
+  bool IsLost(TimePoint aNow) const;
+
   // Returns true if an order has to be sent.
   bool IsDue(TimePoint aNow) const;
 
   // Notes that an order was sent.
-  void NoteSent(TimePoint aNow);
+  void NoteSent(OrderRoute aRoute, TimePoint aNow);
 };
 
 } // namespace lycheestep
--- a/src/jobs/target_orders.cpp
+++ b/src/jobs/target_orders.cpp
@@ -2,6 +2,11 @@
 
 namespace lycheestep {
 
+const char* ToString(OrderRoute aRoute)
+{
+  return aRoute == OrderRoute::kUsual ? "usual" : "another-host";
+}
+
 const char* ToString(OrderStatus aStatus)
 {
   switch (aStatus) {
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -116,6 +116,9 @@
 
   // False if the last stop found no connection to the target.
   bool m_isConnected = true;
+  // Which host sends the stops. It changes with each stop that gets no answer,
+  // as a target may be out of reach of one host only.
+  OrderRoute m_stopRoute = OrderRoute::kUsual;
 
   // No starts are sent before this time, because the target refused m_refusals
   // of them in a row.
@@ -133,6 +136,9 @@
   // Chooses the other one of two addresses, if there are two.
   void TryOtherAddress();
 
+  // Lets the next stops take another route than aFailed.
+  void AvoidStopRoute(OrderRoute aFailed);
+
   // Returns the free capacity. It is negative if runs whose demand is unknown
   // may be on the target.
   Resources Free() const { return m_record.m_capacity - m_used; }
--- a/src/jobs/target_stops.cpp
+++ b/src/jobs/target_stops.cpp
@@ -51,13 +51,19 @@
     run->second.m_stop.m_answer = aAnswer.m_status;
     run->second.m_stop.m_answeredAt = aNow;
   }
+  const bool isUnanswered = aAnswer.m_status == OrderStatus::kUnknown ||
+                            aAnswer.m_status == OrderStatus::kNotSent;
+  if (isUnanswered) {
+    target.AvoidStopRoute(aOrder.m_route);
+  }
   if (aAnswer.m_status == OrderStatus::kWithdrawn) {
     return; // a later stop of the run takes its place, or it never started
   }
   if (aAnswer.m_status != OrderStatus::kDone) {
     m_effects.LogNotable("stop-refused",
                          RunFields(aOrder.m_run, aOrder.m_to.m_target) +
-                           " status=" + ToString(aAnswer.m_status));
+                           " status=" + ToString(aAnswer.m_status) +
+                           " route=" + ToString(aOrder.m_route));
   }
   const bool current = aOrder.m_to.m_fence >= target.m_fence;
   if (current && aAnswer.m_status == OrderStatus::kFenced) {
@@ -95,11 +101,15 @@
   }
   bool maySend = aTarget.m_isConnected || !IsAnyStopUnderWay(aTarget, aNow);
   for (auto& [name, run] : aTarget.m_runs) {
-    if (maySend && run.m_stop.IsDue(aNow)) {
-      run.m_stop.NoteSent(aNow);
-      m_effects.Stop(StopOrder{ to, name });
-      maySend = aTarget.m_isConnected;
+    if (!maySend || !run.m_stop.IsDue(aNow)) {
+      continue;
+    }
+    if (run.m_stop.IsLost(aNow)) {
+      aTarget.AvoidStopRoute(run.m_stop.m_sentBy);
     }
+    run.m_stop.NoteSent(aTarget.m_stopRoute, aNow);
+    m_effects.Stop(StopOrder{ to, name, aTarget.m_stopRoute });
+    maySend = aTarget.m_isConnected;
   }
 }
 
--- a/testsuite/soak/day_troubles.py
+++ b/testsuite/soak/day_troubles.py
@@ -40,6 +40,8 @@
     "leaving": ["scale_in", "scale_in", "scale_in", "kill_leader",
                 "freeze_leader", "cut_pairs", "crash_targets"],
     "unreached": ["kill_leader_unreached"],
+    # The leader alone can't reach some targets.
+    "leader-unreached": ["leader_unreached"],
     "none": [],
 }
 # Troubles come in groups, each within a lease of a run.
@@ -141,6 +143,12 @@
         await self.cut(self.to_targets(self.world.hosts, targets),
                        Cut(day_web.LOST), self.random.uniform(4, 9))
 
+    async def leader_unreached(self):
+        """Longer than a cancelled run may go on."""
+        targets = self.some(self.world.targets, 0.4)
+        await self.cut(self.to_targets(self.leading(), targets),
+                       self.silently(), 9)
+
     async def cut_from_targets(self):
         hosts = self.random.choice([self.leading(),
                                     self.some(self.world.hosts, 0.3)])
