--- a/src/jobhost/job_request_handler.cpp
+++ b/src/jobhost/job_request_handler.cpp
@@ -181,7 +181,8 @@
   transaction.m_conditions.push_back(
     RowCondition{ JobKey(aJob), row->m_version });
   transaction.m_conditions.push_back(RowCondition{ CancelKey(aJob), 0 });
-  transaction.m_writes.push_back(RowWrite{ CancelKey(aJob), EncodeCancellation(storeClock) });
+  transaction.m_writes.push_back(
+    RowWrite{ CancelKey(aJob), EncodeCancellation(storeClock) });
   const RowAnswer answer =
     m_store.Transact(transaction, m_settings.m_callTimeout);
   if (answer.m_status != RowStatus::kConflict) {
