Store which runs a job may still have when its end needs more than one row

Callers saw runs of a cancelled job go on under the next leader. The end of a job was stored with all its tasks; where these, with the checkpoints that had come since, took more than one row, the job turned into segments, and segments of a job that is over were not written: the next leader found the job over and expected no run of it. It stopped a run only once its target had listed it as unknown, which a target that answers holds late never does.

Found by reading; on the users' deployment a row holds 64 KB, so that this is not shown to be their case.

--- a/src/jobs/ended_segmented_job_test.cpp
+++ b/src/jobs/ended_segmented_job_test.cpp
@@ -77,6 +77,29 @@
   EXPECT_EQ(RunsOnAll(), 0U);
 }
 
+// Guards against the same where the store takes only shorter rows since the
+// runs were stored.
+TEST(EndedSegmentedJobShorterRows, NextLeaderKnowsTheRuns)
+{
+  JobCellModel cell(1, 2, Resources(kTasks * 500, kTasks * 500, 0, 0, 0));
+  cell.SetStopTime(milliseconds(900));
+  const JobId job = cell.Submit(
+    MakeSingleStepJob(kTasks, Resources(1000, 1000, 0, 0, 0), seconds(60)));
+  cell.Run(seconds(4));
+  EXPECT_EQ(cell.RunsOn(0) + cell.RunsOn(1), kTasks);
+  cell.SetRowBytes(300);
+  cell.Run(seconds(1));
+  cell.Faults().m_refusedStops = 1;
+  cell.Cancel(job);
+  cell.Run(milliseconds(400));
+  EXPECT_EQ(cell.StateOf(job), JobState::kCancelled);
+  std::ostringstream trace;
+  cell.TraceTo(&trace);
+  cell.ChangeLeader();
+  cell.TraceTo(nullptr);
+  EXPECT_THAT(trace.str(), testing::HasSubstr("ended-job-has-runs"));
+}
+
 // The progress takes several rows from the beginning on, comes to do so with
 // the checkpoints that the runs tell (two lengths), or takes one.
 INSTANTIATE_TEST_SUITE_P(RowBytes,
--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -214,7 +214,7 @@
   Job& aJob,
   const SegmentName& aSegment)
 {
-  if (aJob.IsOver()) {
+  if (aJob.IsOver() && aJob.m_segments.count(aSegment) > 0) {
     // The job's state decides. The rows as they are say where runs may have to
     // be stopped.
     return {};
--- a/src/jobs/progress_rows.cpp
+++ b/src/jobs/progress_rows.cpp
@@ -52,6 +52,28 @@
   return stored;
 }
 
+// Adds what a leader needs to stop the runs of a job that is over. That is no
+// more than was stored when they were dispatched, so that it takes no more
+// room.
+void EncodeRunsToStop(const Job& aJob, proto::JobProgressRow& aRow)
+{
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      const std::vector<JobTask>& tasks = occurrence.m_steps[s].m_tasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].m_state != TaskState::kDispatched) {
+          continue;
+        }
+        JobTask task = tasks[i];
+        task.m_checkpoint.clear();
+        EncodeTask(TaskName{ StepName{ aJob.m_id, number, s }, i },
+                   task,
+                   *aRow.add_task());
+      }
+    }
+  }
+}
+
 // Returns true if the task was ever dispatched, or ended with its gang.
 bool HasProgress(const JobTask& aTask)
 {
@@ -241,6 +263,10 @@
   if (aJob.m_state == JobState::kDone || aJob.m_segmented || isSettled) {
     return row.SerializeAsString(); // nothing reads the tasks of a finished job
   }
+  if (aJob.IsOver()) {
+    EncodeRunsToStop(aJob, row);
+    return row.SerializeAsString();
+  }
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
     for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
       const StepName name{ aJob.m_id, number, s };
