--- a/src/jobs/stop_orders_test.cpp
+++ b/src/jobs/stop_orders_test.cpp
@@ -6,9 +6,7 @@
 
 #include <gmock/gmock.h>
 
-#include "mock_job_effects.h"
-#include "mock_run_listener.h"
-#include "single_step_job.h"
+#include "stopped_target.h"
 
 namespace lycheestep {
 
@@ -24,88 +22,7 @@
 using testing::NiceMock;
 using testing::SizeIs;
 
-constexpr FencingToken kToken = 5;
-
-// A new leader that expects runs of a former one on a target.
-class StopOrdersTest : public testing::Test
-{
-protected:
-  StopOrdersTest()
-    : m_manager(TargetManagerSettings(), m_effects, m_listener)
-  {
-    m_record.m_target = TargetId("t");
-    m_record.m_address = "address";
-    m_record.m_capacity = Resources(8000, 8000, 0, 0, 0);
-    ON_CALL(m_effects, Stop(_)).WillByDefault([this](const StopOrder& aOrder) {
-      m_stops.push_back(aOrder);
-    });
-    ON_CALL(m_effects, Hold(_, HoldPath::kOrders))
-      .WillByDefault(
-        [this](const HoldOrder& aOrder, HoldPath) { m_take = aOrder; });
-    m_manager.SetFencingToken(kToken);
-    m_manager.SetFormerLeaseExpiry(m_now + seconds(9));
-  }
-
-  void ExpectRuns(std::uint32_t aCount)
-  {
-    for (std::uint32_t i = 0; i < aCount; ++i) {
-      m_manager.ExpectRun(m_record.m_target,
-                          MakeRun(i),
-                          Resources(100, 100, 0, 0, 0),
-                          seconds(9));
-    }
-  }
-
-  void StopRuns(std::uint32_t aCount)
-  {
-    for (std::uint32_t i = 0; i < aCount; ++i) {
-      m_manager.Stop(m_record.m_target, MakeRun(i), m_now);
-    }
-  }
-
-  void Remember() { m_manager.OnTargetRemembered(AddressOf(m_record)); }
-
-  void Pass(Duration aTime)
-  {
-    m_now += aTime;
-    m_manager.Tick(m_now);
-  }
-
-  // Answers the stops that were sent, and forgets them.
-  void AnswerStops(OrderStatus aStatus)
-  {
-    const std::vector<StopOrder> stops = std::move(m_stops);
-    m_stops.clear();
-    for (const StopOrder& stop : stops) {
-      OrderAnswer answer;
-      answer.m_status = aStatus;
-      m_manager.OnStopAnswer(stop, answer, m_now);
-    }
-  }
-
-  // Answers the hold that takes the target. Its runs are still there.
-  void AnswerTake(std::uint32_t aRuns, WallTime aStarted = WallTime(0))
-  {
-    HoldAnswer answer;
-    answer.m_started = aStarted;
-    answer.m_status = OrderStatus::kDone;
-    answer.m_targetClock = TargetTime(100);
-    for (std::uint32_t i = 0; i < aRuns; ++i) {
-      RunningTask task;
-      task.m_run = MakeRun(i);
-      answer.m_running.push_back(task);
-    }
-    m_manager.OnHoldAnswer(m_take, HoldPath::kOrders, answer, m_now);
-  }
-
-  TimePoint m_now{ seconds(1000) };
-  TargetRecord m_record;
-  NiceMock<MockJobEffects> m_effects;
-  NiceMock<MockRunListener> m_listener;
-  TargetManager m_manager;
-  std::vector<StopOrder> m_stops;
-  HoldOrder m_take;
-};
+using StopOrdersTest = StoppedTarget;
 
 } // namespace
 
@@ -119,7 +36,7 @@
   Pass(milliseconds(10));
   ASSERT_THAT(m_stops, SizeIs(1));
   EXPECT_EQ(m_stops[0].m_to.m_address, "address");
-  EXPECT_EQ(m_stops[0].m_to.m_fence, kToken);
+  EXPECT_EQ(m_stops[0].m_to.m_fence, kStopToken);
 }
 
 TEST_F(StopOrdersTest, TargetThatIsNotListedIsTakenAndGetsNoWork)
--- a/src/jobs/stop_route_test.cpp
+++ b/src/jobs/stop_route_test.cpp
@@ -2,14 +2,10 @@
 #include "target_manager.h"
 
 #include <chrono>
-#include <utility>
-#include <vector>
 
 #include <gmock/gmock.h>
 
-#include "mock_job_effects.h"
-#include "mock_run_listener.h"
-#include "single_step_job.h"
+#include "stopped_target.h"
 
 namespace lycheestep {
 
@@ -17,63 +13,22 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using testing::_;
 using testing::Each;
 using testing::Field;
-using testing::NiceMock;
 using testing::SizeIs;
 
-// A leader whose runs on one target are to end.
-class StopRouteTest : public testing::Test
+// A leader whose runs on one listed target are to end.
+class StopRouteTest : public StoppedTarget
 {
 protected:
-  StopRouteTest()
-    : m_manager(TargetManagerSettings(), m_effects, m_listener)
-  {
-    ON_CALL(m_effects, Stop(_)).WillByDefault([this](const StopOrder& aOrder) {
-      m_stops.push_back(aOrder);
-    });
-    m_manager.SetFencingToken(5);
-    m_manager.SetFormerLeaseExpiry(m_now + seconds(9));
-    m_record.m_target = TargetId("t");
-    m_record.m_address = "address";
-    m_manager.OnTargetListed(m_record, m_now);
-  }
+  StopRouteTest() { m_manager.OnTargetListed(m_record, m_now); }
 
-  void StopRuns(std::uint32_t aCount)
+  void StopNewRuns(std::uint32_t aCount)
   {
-    for (std::uint32_t i = 0; i < aCount; ++i) {
-      m_manager.ExpectRun(m_record.m_target,
-                          MakeRun(i),
-                          Resources(100, 100, 0, 0, 0),
-                          seconds(9));
-      m_manager.Stop(m_record.m_target, MakeRun(i), m_now);
-    }
+    ExpectRuns(aCount);
+    StopRuns(aCount);
     Pass(milliseconds(10));
   }
-
-  void Pass(Duration aTime)
-  {
-    m_now += aTime;
-    m_manager.Tick(m_now);
-  }
-
-  void AnswerStops(OrderStatus aStatus)
-  {
-    const std::vector<StopOrder> stops = std::exchange(m_stops, {});
-    for (const StopOrder& stop : stops) {
-      OrderAnswer answer;
-      answer.m_status = aStatus;
-      m_manager.OnStopAnswer(stop, answer, m_now);
-    }
-  }
-
-  TimePoint m_now{ seconds(1000) };
-  TargetRecord m_record;
-  NiceMock<MockJobEffects> m_effects;
-  NiceMock<MockRunListener> m_listener;
-  TargetManager m_manager;
-  std::vector<StopOrder> m_stops;
 };
 
 auto LeaveBy(OrderRoute aRoute)
@@ -85,7 +40,7 @@
 
 TEST_F(StopRouteTest, FirstStopsLeaveByTheUsualHost)
 {
-  StopRuns(3);
+  StopNewRuns(3);
   EXPECT_THAT(m_stops, SizeIs(3));
   EXPECT_THAT(m_stops, LeaveBy(OrderRoute::kUsual));
 }
@@ -93,7 +48,7 @@
 // Guards against a run that goes on because one host can't reach its target.
 TEST_F(StopRouteTest, StopWithoutAnswerLeavesByAnotherHost)
 {
-  StopRuns(1);
+  StopNewRuns(1);
   AnswerStops(OrderStatus::kUnknown);
   Pass(milliseconds(400));
   EXPECT_THAT(m_stops, SizeIs(1));
@@ -102,7 +57,7 @@
 
 TEST_F(StopRouteTest, StopWithoutConnectionLeavesByAnotherHost)
 {
-  StopRuns(1);
+  StopNewRuns(1);
   AnswerStops(OrderStatus::kNotSent);
   Pass(milliseconds(400));
   EXPECT_THAT(m_stops, SizeIs(1));
@@ -111,7 +66,7 @@
 
 TEST_F(StopRouteTest, RoutesTakeTurnsWhileNoneWorks)
 {
-  StopRuns(1);
+  StopNewRuns(1);
   AnswerStops(OrderStatus::kUnknown);
   Pass(milliseconds(400));
   AnswerStops(OrderStatus::kUnknown);
@@ -122,7 +77,7 @@
 
 TEST_F(StopRouteTest, StopWithoutAnyReportLeavesByAnotherHost)
 {
-  StopRuns(1);
+  StopNewRuns(1);
   m_stops.clear();
   Pass(milliseconds(1200));
   EXPECT_THAT(m_stops, SizeIs(1));
@@ -131,7 +86,7 @@
 
 TEST_F(StopRouteTest, StopsKeepTheRouteThatWorks)
 {
-  StopRuns(1);
+  StopNewRuns(1);
   AnswerStops(OrderStatus::kUnknown);
   Pass(milliseconds(400));
   AnswerStops(OrderStatus::kDone);
@@ -147,7 +102,7 @@
 // can't connect to the target.
 TEST_F(StopRouteTest, AllRunsOfATargetTakeTheRouteThatWorks)
 {
-  StopRuns(8);
+  StopNewRuns(8);
   AnswerStops(OrderStatus::kNotSent);
   Pass(milliseconds(400));
   AnswerStops(OrderStatus::kDone);
@@ -158,7 +113,7 @@
 
 TEST_F(StopRouteTest, RefusedStopKeepsItsRoute)
 {
-  StopRuns(1);
+  StopNewRuns(1);
   AnswerStops(OrderStatus::kUnhealthy);
   Pass(milliseconds(400));
   EXPECT_THAT(m_stops, SizeIs(1));
