Send a failed stop by another host beside the usual one, not in its place

Now the usual host sends and repeats its stops just as it did before stops had routes, and a run whose stop found no connection, got no answer or no report, or whose target the usual host can't connect to, gets further stops by other hosts every 0.8 s, each by the next one, those near the target first. A report by another host only counts when it says that the stop was done. A host that carries nothing may be silent for 1.3 s, as it answers every second heartbeat.

The log names the host that sends (stop-by-another-host); a load logs no single cancellations, and reservations do not count as runs.

--- a/src/include/lycheestep/target_orders.h
+++ b/src/include/lycheestep/target_orders.h
@@ -53,7 +53,7 @@
 enum class OrderRoute
 {
   kUsual,       // the one that sends all other orders to the target
-  kAnotherHost, // any other one that can; the usual one if there is none
+  kAnotherHost, // one that sends no other orders to the target
 };
 
 // Stops one run; the target never starts that run afterwards.
@@ -62,6 +62,9 @@
   OrderAddress m_to;
   RunName m_run;
   OrderRoute m_route = OrderRoute::kUsual;
+  // How many stops of the run were sent by other hosts before this one, so that
+  // each goes by another host.
+  std::uint32_t m_earlierTries = 0;
 };
 
 // Withdraws starts that still wait on their way to a target. The target never
--- a/src/jobhost/leader_orders.cpp
+++ b/src/jobhost/leader_orders.cpp
@@ -9,6 +9,7 @@
 #include "jobs.pb.h"
 #include "leader.h"
 #include "peer_messenger.h"
+#include "run_text.h"
 #include "sender_limit.h"
 
 namespace lycheestep {
@@ -61,12 +62,15 @@
 void Leader::Stop(const StopOrder& aOrder)
 {
   const TargetId& target = aOrder.m_to.m_target;
-  const bool byAnotherHost =
-    aOrder.m_route == OrderRoute::kAnotherHost &&
-    m_orderDispatcher.StopByAnotherHost(aOrder, DataCentreOf(target), m_now);
-  if (!byAnotherHost) {
+  if (aOrder.m_route == OrderRoute::kUsual) {
     RouteTo(target).Stop(aOrder);
+    return;
   }
+  const std::string host =
+    m_orderDispatcher.StopByAnotherHost(aOrder, DataCentreOf(target), m_now);
+  LogNotable("stop-by-another-host",
+             RunFields(aOrder.m_run, target) +
+               " host=" + (host.empty() ? "none" : host));
 }
 
 void Leader::Pace(const PaceOrder& aOrder)
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -155,7 +155,9 @@
     if (row.m_removed) {
       m_scheduler.OnCancelRemoved(job);
     } else {
-      ReportCancellation(row);
+      if (!m_cancelRows) { // read since the load
+        ReportCancellation(row);
+      }
       m_scheduler.OnCancel(job, m_now);
     }
   }
--- a/src/jobhost/order_dispatcher.cpp
+++ b/src/jobhost/order_dispatcher.cpp
@@ -21,6 +21,10 @@
 // reply to each heartbeat of the leader.
 constexpr Duration kCarrierTimeout = std::chrono::milliseconds(900);
 
+// A host that carries nothing replies to every second heartbeat, so that one
+// lost reply is no reason to let it send no stop.
+constexpr Duration kOtherHostTimeout = std::chrono::milliseconds(1300);
+
 // Time between checks for silent carriers.
 constexpr Duration kSilenceCheckPeriod = std::chrono::milliseconds(50);
 
@@ -86,7 +90,7 @@
 
 std::size_t OrderDispatcher::CountUsableCarriers(TimePoint aNow) const
 {
-  return FindCandidates(aNow).size();
+  return FindCandidates(kCarrierTimeout, aNow).size();
 }
 
 bool OrderDispatcher::Assign(const TargetId& aTarget,
@@ -129,18 +133,20 @@
   }
 }
 
-bool OrderDispatcher::StopByAnotherHost(const StopOrder& aOrder,
-                                        const DataCentreName& aDataCentre,
-                                        TimePoint aNow)
+std::string OrderDispatcher::StopByAnotherHost(
+  const StopOrder& aOrder,
+  const DataCentreName& aDataCentre,
+  TimePoint aNow)
 {
   m_now = aNow;
   const std::vector<std::string> hosts =
     OtherHosts(aOrder.m_to.m_target, aDataCentre, aNow);
   if (hosts.empty()) {
-    return false;
+    return "";
   }
-  StopBy(hosts[m_otherHostTurn++ % hosts.size()], aOrder);
-  return true;
+  const std::string& host = hosts[aOrder.m_earlierTries % hosts.size()];
+  StopBy(host, aOrder);
+  return host;
 }
 
 void OrderDispatcher::Pace(const PaceOrder& aOrder)
@@ -260,9 +266,16 @@
 }
 
 bool OrderDispatcher::IsUsable(const Carrier& aCarrier, TimePoint aNow)
+{
+  return IsHeard(aCarrier, kCarrierTimeout, aNow);
+}
+
+bool OrderDispatcher::IsHeard(const Carrier& aCarrier,
+                              Duration aMaxSilence,
+                              TimePoint aNow)
 {
   return aCarrier.m_clockKnown &&
-         aNow - aCarrier.m_lastMessageAt <= kCarrierTimeout;
+         aNow - aCarrier.m_lastMessageAt <= aMaxSilence;
 }
 
 double OrderDispatcher::LoadWithOneMore(const Carrier& aCarrier,
@@ -273,11 +286,12 @@
          aCarrier.m_host.m_processorShare * (near ? 1 : kRemoteLoadFactor);
 }
 
-std::vector<std::string> OrderDispatcher::FindCandidates(TimePoint aNow) const
+std::vector<std::string> OrderDispatcher::FindCandidates(Duration aMaxSilence,
+                                                         TimePoint aNow) const
 {
   std::vector<std::pair<double, std::string>> ranked;
   for (const auto& [name, carrier] : m_carriers) {
-    if (IsUsable(carrier, aNow)) {
+    if (IsHeard(carrier, aMaxSilence, aNow)) {
       ranked.emplace_back(-carrier.m_host.m_processorShare, name);
     }
   }
@@ -296,7 +310,7 @@
 {
   std::string best;
   double bestLoad = 0;
-  for (const std::string& name : FindCandidates(aNow)) {
+  for (const std::string& name : FindCandidates(kCarrierTimeout, aNow)) {
     const double load = LoadWithOneMore(m_carriers.at(name), aDataCentre);
     if (best.empty() || load < bestLoad) {
       best = name;
@@ -332,7 +346,7 @@
   const DataCentreName& aDataCentre,
   TimePoint aNow) const
 {
-  std::vector<std::string> hosts = FindCandidates(aNow);
+  std::vector<std::string> hosts = FindCandidates(kOtherHostTimeout, aNow);
   const std::string carrier = CarrierOf(aTarget);
   hosts.erase(std::remove(hosts.begin(), hosts.end(), carrier), hosts.end());
   std::stable_partition(
--- a/src/jobhost/order_dispatcher.h
+++ b/src/jobhost/order_dispatcher.h
@@ -77,12 +77,13 @@
   void Pace(const PaceOrder& aOrder) override;
   void Hold(const HoldOrder& aOrder, HoldPath aPath) override;
 
-  // Adds a stop to the batch of a host that is not the target's carrier, each
-  // time of another one, those in the target's data centre first. Returns false
-  // if there is none.
-  bool StopByAnotherHost(const StopOrder& aOrder,
-                         const DataCentreName& aDataCentre,
-                         TimePoint aNow);
+  // Adds a stop to the batch of a host that is not the target's carrier: with
+  // each try of the run the next one, those in the target's data centre first.
+  // Returns the host, or an empty name if there is none; the order is then
+  // dropped and never reported.
+  std::string StopByAnotherHost(const StopOrder& aOrder,
+                                const DataCentreName& aDataCentre,
+                                TimePoint aNow);
 
   // Withdraws starts from each carrier at which they may wait, also if the
   // target has been assigned to another one since.
@@ -148,12 +149,18 @@
   // Returns aTime by the carrier's clock, or earlier.
   static Duration ByClockOf(const Carrier& aCarrier, TimePoint aTime);
   static bool IsUsable(const Carrier& aCarrier, TimePoint aNow);
+  // Returns true if the host can carry orders and was silent for no longer than
+  // aMaxSilence.
+  static bool IsHeard(const Carrier& aCarrier,
+                      Duration aMaxSilence,
+                      TimePoint aNow);
   // Returns the carrier's load if it had one more target, which is in
   // aDataCentre. A smaller load is better.
   static double LoadWithOneMore(const Carrier& aCarrier,
                                 const DataCentreName& aDataCentre);
-  // Returns the usable hosts with the largest processor shares.
-  std::vector<std::string> FindCandidates(TimePoint aNow) const;
+  // Returns the hosts with the largest processor shares that IsHeard.
+  std::vector<std::string> FindCandidates(Duration aMaxSilence,
+                                          TimePoint aNow) const;
   // Returns the candidate with the smallest load, or an empty name if there is
   // none.
   std::string ChooseCarrier(const DataCentreName& aDataCentre,
@@ -193,8 +200,6 @@
   std::uint64_t m_lastId;
   std::map<std::string, Carrier> m_carriers;
   std::map<TargetId, Assignment> m_assigned;
-  // Counts the stops that were sent by other hosts than the targets' carriers.
-  std::size_t m_otherHostTurn = 0;
   // Keyed by the order's id.
   std::map<std::uint64_t, Pending> m_pending;
   // The ids of the starts in m_pending. Targets without one have no entry.
--- a/src/jobs/stopped_target.h
+++ b/src/jobs/stopped_target.h
@@ -30,8 +30,10 @@
     m_record.m_address = "address";
     m_record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     ON_CALL(m_effects, Stop(testing::_))
-      .WillByDefault(
-        [this](const StopOrder& aOrder) { m_stops.push_back(aOrder); });
+      .WillByDefault([this](const StopOrder& aOrder) {
+        const bool isUsual = aOrder.m_route == OrderRoute::kUsual;
+        (isUsual ? m_stops : m_otherHostStops).push_back(aOrder);
+      });
     ON_CALL(m_effects, Hold(testing::_, HoldPath::kOrders))
       .WillByDefault(
         [this](const HoldOrder& aOrder, HoldPath) { m_take = aOrder; });
@@ -64,10 +66,17 @@
     m_manager.Tick(m_now);
   }
 
-  // Answers the stops that were sent, and forgets them.
-  void AnswerStops(OrderStatus aStatus)
+  // Answer the stops that the usual host, or other hosts, were to send, and
+  // forget them.
+  void AnswerStops(OrderStatus aStatus) { Answer(m_stops, aStatus); }
+  void AnswerOtherHostStops(OrderStatus aStatus)
+  {
+    Answer(m_otherHostStops, aStatus);
+  }
+
+  void Answer(std::vector<StopOrder>& aStops, OrderStatus aStatus)
   {
-    const std::vector<StopOrder> stops = std::exchange(m_stops, {});
+    const std::vector<StopOrder> stops = std::exchange(aStops, {});
     for (const StopOrder& stop : stops) {
       OrderAnswer answer;
       answer.m_status = aStatus;
@@ -95,7 +104,9 @@
   testing::NiceMock<MockJobEffects> m_effects;
   testing::NiceMock<MockRunListener> m_listener;
   TargetManager m_manager;
+  // Those that the usual host is to send, and those of other hosts.
   std::vector<StopOrder> m_stops;
+  std::vector<StopOrder> m_otherHostStops;
   HoldOrder m_take;
 };
 
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -118,10 +118,10 @@
   for (const auto& [id, target] : m_targets) {
     ++totals.m_targets;
     totals.m_heldTargets += target.m_phase == TargetPhase::kHeld ? 1 : 0;
-    totals.m_runs += target.m_runs.size();
-    totals.m_withoutAddress +=
-      target.Address().empty() ? target.m_runs.size() : 0;
+    const bool hasAddress = !target.Address().empty();
     for (const auto& [name, run] : target.m_runs) {
+      totals.m_runs += run.m_sent ? 1 : 0;
+      totals.m_withoutAddress += run.m_sent && !hasAddress ? 1 : 0;
       totals.m_toStop += run.m_stop.m_isRequested ? 1 : 0;
     }
   }
--- a/src/jobs/target_state.cpp
+++ b/src/jobs/target_state.cpp
@@ -46,12 +46,6 @@
   m_usesAnsweredAddress = hasOther && !m_usesAnsweredAddress;
 }
 
-void TargetState::AvoidStopRoute(OrderRoute aFailed)
-{
-  m_stopRoute = aFailed == OrderRoute::kUsual ? OrderRoute::kAnotherHost
-                                              : OrderRoute::kUsual;
-}
-
 bool TargetState::HasUnlistedStart() const
 {
   return std::any_of(m_runs.begin(), m_runs.end(), [](const auto& aRun) {
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -114,11 +114,8 @@
   // after a failed hold and after the target restarted.
   bool m_answersHolds = false;
 
-  // False if the last stop found no connection to the target.
+  // False if the last stop by the usual host found no connection to the target.
   bool m_isConnected = true;
-  // Which host sends the stops. It changes with each stop that gets no answer,
-  // as a target may be out of reach of one host only.
-  OrderRoute m_stopRoute = OrderRoute::kUsual;
 
   // No starts are sent before this time, because the target refused m_refusals
   // of them in a row.
@@ -136,9 +133,6 @@
   // Chooses the other one of two addresses, if there are two.
   void TryOtherAddress();
 
-  // Lets the next stops take another route than aFailed.
-  void AvoidStopRoute(OrderRoute aFailed);
-
   // Returns the free capacity. It is negative if runs whose demand is unknown
   // may be on the target.
   Resources Free() const { return m_record.m_capacity - m_used; }
--- a/src/jobs/target_stops.cpp
+++ b/src/jobs/target_stops.cpp
@@ -45,16 +45,12 @@
     return;
   }
   TargetState& target = found->second;
-  target.m_isConnected = aAnswer.m_status != OrderStatus::kNotSent;
+  if (aOrder.m_route == OrderRoute::kUsual) {
+    target.m_isConnected = aAnswer.m_status != OrderStatus::kNotSent;
+  }
   const auto run = target.m_runs.find(aOrder.m_run);
   if (run != target.m_runs.end()) {
-    run->second.m_stop.m_answer = aAnswer.m_status;
-    run->second.m_stop.m_answeredAt = aNow;
-  }
-  const bool isUnanswered = aAnswer.m_status == OrderStatus::kUnknown ||
-                            aAnswer.m_status == OrderStatus::kNotSent;
-  if (isUnanswered) {
-    target.AvoidStopRoute(aOrder.m_route);
+    run->second.m_stop.NoteAnswer(aOrder.m_route, aAnswer.m_status, aNow);
   }
   if (aAnswer.m_status == OrderStatus::kWithdrawn) {
     return; // a later stop of the run takes its place, or it never started
@@ -101,15 +97,16 @@
   }
   bool maySend = aTarget.m_isConnected || !IsAnyStopUnderWay(aTarget, aNow);
   for (auto& [name, run] : aTarget.m_runs) {
-    if (!maySend || !run.m_stop.IsDue(aNow)) {
-      continue;
+    if (maySend && run.m_stop.IsDue(aNow)) {
+      run.m_stop.NoteSent(aNow);
+      m_effects.Stop(StopOrder{ to, name });
+      maySend = aTarget.m_isConnected;
     }
-    if (run.m_stop.IsLost(aNow)) {
-      aTarget.AvoidStopRoute(run.m_stop.m_sentBy);
+    if (run.m_stop.IsDueByAnotherHost(aTarget.m_isConnected, aNow)) {
+      const std::uint32_t earlier = run.m_stop.m_otherHostCount;
+      run.m_stop.NoteSentByAnotherHost(aNow);
+      m_effects.Stop(StopOrder{ to, name, OrderRoute::kAnotherHost, earlier });
     }
-    run.m_stop.NoteSent(aTarget.m_stopRoute, aNow);
-    m_effects.Stop(StopOrder{ to, name, aTarget.m_stopRoute });
-    maySend = aTarget.m_isConnected;
   }
 }
 
