--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -26,6 +26,7 @@
 from faults import (LEAD_CHANGES_AFTER_S, ROWS_AWAY_S, WORK_BEGINS_AFTER_S,
                     Faults)
 from former_runs import FormerRuns
+from halts import Halts
 from hosts import GRACE_S, PORTS_PER_HOST, Host, free_ports
 from ledger import CONTACT_S, Ledger
 from pairs import senders_in
@@ -79,6 +80,7 @@
         self.former_runs = FormerRuns(
             self.faults, list(range(last, last + arguments.workers)),
             arguments.seed)
+        self.halts = Halts(self.ledger)
 
     def configure(self, service="desk"):
         with self.store.lock:
@@ -133,6 +135,7 @@
                   "rows": [self.faults.rows_away],
                   "damaged": [self.faults.rows_damaged],
                   "service": [self.lose_service],
+                  "halted": [self.halts.stand_still],
                   "none": [self.faults.nothing]}
         for name, play in self.former_runs.plays().items():
             faults[name] = [play]
@@ -148,6 +151,8 @@
                 self.faults.leaders_stopped < LEAST_LEADERS_STOPPED:
             self.ledger.breach("only %d leaders were stopped"
                                % self.faults.leaders_stopped)
+        if kind == "halted" and not self.halts.halts:
+            self.ledger.breach("the play never stood still")
         if kind in ("series", "misplaced") and \
                 self.ledger.cancelled_ends < LEAST_CANCELLED_ENDS:
             self.ledger.breach("only %d ends of cancelled runs were judged"
@@ -204,6 +209,7 @@
     parser.add_argument("--calm-faults", default="mixed",
                         choices=["mixed", "drain", "lead", "series", "rows",
                                  "damaged", "misplaced", "service", "none",
+                                 "halted",
                                  "successor", "successor-cut",
                                  "second-entry", "second-entry-cut",
                                  "clockless",
