Count a halt of the soak's stand-ins as a disturbance

The ledger judged runs by the clock after the halt: a run whose stop lay unread in a worker's socket was said to go on. Now a worker that finds that it did nothing for over 0.5 s notes a disturbance of the store until that moment, which excuses what any other one does, CONTACT_S, also in the calm series. Runs are judged as of the beginning of a worker's round, so that no halt falls between the look and the verdict. The number of halts is printed.

--- a/testsuite/soak/ledger.py
+++ b/testsuite/soak/ledger.py
@@ -4,7 +4,9 @@
 worker's own way in the last LATE_S, whose orders may be carried out late, and
 by late reads and a lost history in the last CONTACT_S. A start while a worker
 drains and a run that goes on are also excused by the disturbance of any host or
-of the store in the last CONTACT_S, since an order does not name its host.
+of the store in the last CONTACT_S, since an order does not name its host. The
+same excuses a halt of the stand-ins, which no host can tell from a silent store
+and silent workers; how often they halted is printed.
 """
 import threading
 import time
@@ -23,6 +25,8 @@
 LEAD_S = 2.0
 # An order to a worker whose way was disturbed may be carried out so late.
 LATE_S = 12.0
+# So long a halt of the stand-ins counts as a disturbance of all of them.
+HALT_S = 0.5
 
 
 class Calm:
@@ -75,6 +79,8 @@
         self.max_attempts = max_attempts
         self.calm = Calm()
         self.reads = Calm()  # whole reads and the history of the store
+        self.halts = Calm()  # of the stand-ins
+        self.halted = 0
         self.pairs = Pairs()
         self.jobs = {}
         self.running = {}  # task -> set of (worker, life, run)
@@ -110,6 +116,17 @@
         if age > bound:
             self.breach("%s: %s, %.2f s" % (name, kind, age), kind)
 
+    def note_halt(self, seconds):
+        """A stand-in that finds that it has stood still; all of them may."""
+        if seconds <= HALT_S:
+            return
+        with self.lock:
+            if not self.halted or self.halts.lasts(HALT_S):
+                self.halted += 1
+                print("the play stood still for %.2f s" % seconds, flush=True)
+            self.halts.disturb()
+            self.calm.disturb()
+
     def in_touch(self, worker):
         return self.calm.lasts(CONTACT_S) and \
             self.reads.lasts(CONTACT_S) and not late_way(worker)
@@ -166,7 +183,7 @@
         now = time.monotonic()
         # Stricter than the platform: no disturbed host excuses such a start.
         if job.cancel_acked and not late_way(worker) and \
-                self.reads.lasts(CONTACT_S):
+                self.reads.lasts(CONTACT_S) and self.halts.lasts(CONTACT_S):
             self.timed_starts += 1
             self.timed("start after a cancelling", name, job.cancel_acked,
                        CANCEL_S)
@@ -180,12 +197,13 @@
             self.timed("start of a job that is over", name, job.shown_at,
                        bound)
 
-    def check_gone(self, worker, task, run):
-        """Whether the run should be gone by now; said once for each."""
+    def check_gone(self, worker, task, run, now=None):
+        """Whether the run should be gone by then; said once for each."""
+        now = now or time.monotonic()
         job = self.jobs.get(task.split(".")[0])
         if job is None or not job.cancel_acked or late_way(worker):
             return False
-        if time.monotonic() < self.stops_since(job) + CANCEL_S + STOP_S:
+        if now < self.stops_since(job) + CANCEL_S + STOP_S:
             return False
         self.timed("run that goes on after a cancelling",
                    "%s run %d on %s" % (task, run, worker.name),
@@ -196,7 +214,8 @@
         """From when on the job's cancelling counts without an excuse."""
         hosts_calm = self.lead.since + LEAD_S if self.in_calm_series \
             else self.calm.since + CONTACT_S
-        return max(job.cancel_acked, hosts_calm, self.reads.since + CONTACT_S)
+        return max(job.cancel_acked, hosts_calm, self.reads.since + CONTACT_S,
+                   self.halts.since + CONTACT_S)
 
     def note_cancelled_end(self, worker, job):
         """How late it was; whether too late is judged while the run works."""
@@ -284,6 +303,8 @@
         lines = ["%s: %d, latest %.2f s" % (kind, self.counts.get(kind, 0),
                                             self.latest.get(kind, 0.0))
                  for kind in sorted(set(self.counts) | set(self.latest))]
+        if self.halted:
+            lines.append("the play stood still %d times" % self.halted)
         return "\n".join(lines + ["%d starts after a cancelling judged by "
                                   "time, %d starts from a checkpoint, %d "
                                   "ends of cancelled runs" %
--- a/testsuite/soak/targets.py
+++ b/testsuite/soak/targets.py
@@ -72,6 +72,7 @@
         self.hangs = False
         self.gone = False
         self.disturbed_at = time.monotonic() - LATE_S  # its way, last
+        self.ticked_at = time.monotonic()
         self.began()
         self.server = WebServer(port, self.serve)
         threading.Thread(target=self.work, daemon=True).start()
@@ -157,7 +158,11 @@
         while True:
             time.sleep(0.01)
             with self.lock:
+                # What is judged below is judged as of this moment, so that a
+                # halt comes before it or is found by the next round.
                 now, clock = time.monotonic(), self.clock()
+                self.ledger.note_halt(now - self.ticked_at)
+                self.ticked_at = now
                 if self.lease <= clock and self.runs:
                     self.lapsed_unread |= {end[0] for end in self.finished}
                     for key in list(self.runs):
@@ -166,7 +171,7 @@
                     if run.checkpointing and run.saves_at <= now:
                         self.save(key)
                     if not run.too_long:
-                        run.too_long = self.ledger.check_gone(self, *key)
+                        run.too_long = self.ledger.check_gone(self, *key, now)
                     if run.gang and run.how not in ("stopped", "failed"):
                         run.ends_at, run.how = self.ledger.gang_end(
                             *key, run.began, run.work_s)
@@ -234,6 +239,7 @@
             return 409, {"clock_ms": self.clock(), "reason": "late"}
         self.extend(body["deadline_ms"])
         checkpoint = body.get("checkpoint", "")
+        self.ledger.note_halt(time.monotonic() - self.ticked_at)
         entry = self.ledger.on_start(self, body["task"], body["run"],
                                      body["spec"], checkpoint) or {}
         self.ledger.pairs.on_start(self.name, body["task"], body["run"],
