Name the hosts whose ways to a target are cut when a run goes on

It now names the hosts whose ways to the run's target are cut at that moment and those whose ways are open. No verdict changes.

--- a/testsuite/soak/day_judge.py
+++ b/testsuite/soak/day_judge.py
@@ -172,10 +172,12 @@
         if now > max(since, self.calm_since + CONTACT_S) + bound:
             run.said = True
             self.breach("run goes on after a cancelling", "%.2f s after it, "
-                        "%r" % (now - job.cancel_acked, run))
+                        "%r, %s" % (now - job.cancel_acked, run,
+                                    self.world.ways_to(run.target_name)))
         elif now > since + bound and not hasattr(run, "noticed"):
             run.noticed = True
-            self.beside("run goes on after a cancelling", repr(run))
+            self.beside("run goes on after a cancelling", "%r, %s" % (
+                run, self.world.ways_to(run.target_name)))
 
     def on_saved(self, run):
         owner = run.task.rsplit(".", 1)[0] if run.gang else run.task
--- a/testsuite/soak/day_judge_test.py
+++ b/testsuite/soak/day_judge_test.py
@@ -21,6 +21,7 @@
         self.addCleanup(patched.stop)
         self.host = types.SimpleNamespace(disturbed_until=self.now)
         world = types.SimpleNamespace(host=lambda _: self.host,
+                                      ways_to=lambda _: "",
                                       way_calm_since=lambda *_: self.way)
         self.way = self.now
         self.judge = Judge(world, max_attempts=3)
--- a/testsuite/soak/days.py
+++ b/testsuite/soak/days.py
@@ -97,6 +97,14 @@
         for target in targets:
             self.disturbed_ways[target.name] = time.monotonic() + seconds
 
+    def ways_to(self, target):
+        """Which living hosts' ways to a target are cut now, and which not."""
+        names = sorted(host.name for host in self.living())
+        cut = [name for name in names if self.ways.cuts.get((name, target))]
+        return "cut from %s, open from %s" % (
+            " ".join(cut) or "-",
+            " ".join(name for name in names if name not in cut) or "-")
+
     def way_calm_since(self, host, target):
         return max(self.disturbed_ways.get((host, target), 0),
                    self.disturbed_ways.get(target, 0))
