Measure runs of cancelled jobs that go on in calm

The judge now measures how long each run goes on after the later of its bound and the last disturbance, and prints the longest one and those that a disturbance doesn't excuse any more, as lines "strict: ...".

--- a/testsuite/soak/day_judge.py
+++ b/testsuite/soak/day_judge.py
@@ -25,6 +25,9 @@
         self.saves_at = 0.0
         self.gang = None
         self.said = False  # that it goes on for too long
+        self.over_s = 0.0  # so long too late it was at work, in calm
+        self.over_calm = None  # that began then
+        self.strict = None  # when it was at work so long first, if ever
 
     def at_work(self):
         return self.end is None
@@ -72,6 +75,8 @@
         self.counts, self.near = {}, {}
         self.pairs = []  # of runs at once
         self.starts = self.nameless = 0  # the latter: from an unknown host
+        self.longest_over = None  # Run
+        self.strict = []  # runs that go on without a disturbance near
         self.calm_since = time.monotonic()  # no disturbance of anything
         self.store_calm_since = time.monotonic()
 
@@ -163,12 +168,15 @@
 
     def check_gone(self, run):
         job = self.jobs.get(run.task.split(".")[0])
-        if job is None or job.cancel_acked is None or run.said:
+        if job is None or job.cancel_acked is None:
             return
         now, bound = time.monotonic(), CANCEL_S + STOP_S
         since = job.cancel_acked
         if run.late:
             since = max(since, run.start + CONTACT_S)
+        self.measure_gone(run, now, since + bound)
+        if run.said:
+            return
         if now > max(since, self.calm_since + CONTACT_S) + bound:
             run.said = True
             self.breach("run goes on after a cancelling", "%.2f s after it, "
@@ -177,6 +185,34 @@
             run.noticed = True
             self.beside("run goes on after a cancelling", repr(run))
 
+    def measure_gone(self, run, now, due):
+        """A narrower reading of the rule: any disturbance excuses for
+        CONTACT_S, not for so long and the whole bound."""
+        over_s = now - max(due, self.calm_since)
+        if over_s > run.over_s:
+            run.over_s, run.over_calm = over_s, self.calm_since
+            if self.longest_over is None or \
+                    over_s > self.longest_over.over_s:
+                self.longest_over = run
+        if run.strict is None and \
+                now > max(due, self.calm_since + CONTACT_S):
+            run.strict = now
+            self.strict.append(run)
+            print("%+.3f strict: at work, %s" % (
+                now - BEGAN, self.details(run)), flush=True)
+
+    def details(self, run):
+        job = self.jobs[run.task.split(".")[0]]
+        return "%.2f s over, acknowledged %.2f, calm since %.2f, %r" % (
+            run.over_s, job.cancel_acked - BEGAN, run.over_calm - BEGAN,
+            run)
+
+    def report_strict(self):
+        """Of runs of cancelled jobs, by measure_gone()."""
+        if self.longest_over is not None:
+            print("strict: longest " + self.details(self.longest_over))
+        print("strict: %d runs went on" % len(self.strict))
+
     def on_saved(self, run):
         owner = run.task.rsplit(".", 1)[0] if run.gang else run.task
         self.saved.setdefault(owner, set()).add(run.checkpoint)
@@ -236,6 +272,7 @@
             job.shown = job.shown or state
 
     def close(self):
+        self.report_strict()
         for pair in self.pairs:
             print("at the end: %r while %r" % pair)
         started = {task.split(".")[0] for task in self.runs}
--- a/testsuite/soak/day_judge_test.py
+++ b/testsuite/soak/day_judge_test.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from day_judge import Job, Judge, Run
+from day_judge import BEGAN, Job, Judge, Run
 
 JOB = "0123456789abcdef"
 TASK = JOB + ".0.0.0"
@@ -149,6 +149,64 @@
         self.assertEqual(self.judge.counts,
                          {"run goes on after a cancelling": 1})
 
+    def test_run_that_goes_on_in_calm_is_measured(self):
+        run = self.start()
+        self.job.cancel_acked = self.now
+        self.now += 2
+        self.judge.disturbed()
+        self.now += 2.9
+        self.quietly(self.judge.check_gone, run)
+        self.assertAlmostEqual(run.over_s, 1.0)
+        self.assertEqual(self.judge.strict, [])
+        self.now += 0.2
+        self.quietly(self.judge.check_gone, run)
+        self.quietly(self.judge.check_gone, run)
+        self.assertAlmostEqual(run.over_s, 1.2)
+        self.assertEqual(self.judge.strict, [run])
+        self.assertEqual(self.judge.counts, {})
+        self.assertIn("1 runs went on", self.strict_lines()[1])
+
+    def test_run_within_its_bound_is_not_measured(self):
+        run = self.start()
+        self.job.cancel_acked = self.now
+        self.now += 3.8
+        self.quietly(self.judge.check_gone, run)
+        self.assertEqual(run.over_s, 0)
+        self.assertEqual(self.strict_lines(), ["strict: 0 runs went on"])
+
+    def test_run_beside_a_disturbance_to_come_is_not_measured(self):
+        run = self.start()
+        self.job.cancel_acked = self.now
+        self.now += 10
+        self.judge.disturbed(1)
+        self.now += 3.9
+        self.quietly(self.judge.check_gone, run)
+        self.assertEqual(self.judge.strict, [])
+        self.assertAlmostEqual(run.over_s, 2.9)
+
+    def test_longest_of_several_and_after_a_breach(self):
+        first, second = self.start(), self.start(JOB + ".0.0.1")
+        self.job.cancel_acked = self.now
+        self.now += 5
+        self.quietly(self.judge.check_gone, first)
+        self.quietly(self.judge.check_gone, second)
+        self.now += 5
+        self.quietly(self.judge.check_gone, second)
+        self.assertIs(self.judge.longest_over, second)
+        self.assertAlmostEqual(second.over_s, 6.1)
+        calm_since = self.judge.calm_since
+        self.judge.disturbed()
+        self.assertIn("longest 6.10 s over, acknowledged %.2f, calm since "
+                      "%.2f, " % (self.job.cancel_acked - BEGAN,
+                                  calm_since - BEGAN), self.strict_lines()[0])
+        self.assertEqual(self.judge.strict, [first, second])
+
+    def strict_lines(self):
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            self.judge.report_strict()
+        return output.getvalue().splitlines()
+
     def test_job_that_is_shown_as_done_too_early(self):
         self.quietly(self.judge.on_shown, JOB, "done")
         self.assertEqual(self.judge.counts, {"shown as done too early": 1})
