Play a lead that stays vacant while the store is away

Callers have options for wide jobs, jobs handed in twice, cancellations and failures; without them a seed draws what it drew.

--- a/testsuite/soak/day_callers.py
+++ b/testsuite/soak/day_callers.py
@@ -8,12 +8,16 @@
 
 PREFIX = "/plans/"
 TRIES = 10
+# Tasks in one step.
+WIDEST = 60
 
 
 class DayCallers:
-    def __init__(self, world, load, longest_s):
+    def __init__(self, world, arguments):
         self.world, self.judge, self.random = world, world.judge, world.random
-        self.load, self.longest_s = load, longest_s
+        self.load, self.longest_s = arguments.load, arguments.longest
+        self.wide, self.twice = arguments.wide, arguments.twice
+        self.cancelled = arguments.cancelled
         self.over = False
 
     def port(self):
@@ -24,8 +28,21 @@
             self.world.tasks.begin(self.hand_in())
             await asyncio.sleep(self.random.expovariate(self.load))
 
-    def make_job(self):
+    def wide_step(self):
+        work_s = self.longest_s * self.random.uniform(0.3, 1)
+        return {"count": self.random.randint(20, WIDEST), "cpu": 2000,
+                "mem_mb": 64, "estimate_ms": int(work_s * 1000),
+                "checkpointing": self.random.random() < 0.5}
+
+    def make_job(self, wide):
         job_id = "%016x" % self.random.getrandbits(64)
+        steps = [self.wide_step()] if wide else self.make_steps()
+        job = Job("spec of " + job_id, [
+            dict(step, work_s=step["estimate_ms"] / 1000) for step in steps])
+        self.judge.jobs[job_id] = job
+        return job_id, job, {"spec": job.spec, "steps": steps}
+
+    def make_steps(self):
         steps = []
         for number in range(self.random.choice([1, 1, 1, 2, 3])):
             work_s = self.longest_s * self.random.choice([
@@ -41,13 +58,12 @@
             if number:
                 step["after"] = [number - 1]
             steps.append(step)
-        job = Job("spec of " + job_id, [
-            dict(step, work_s=step["estimate_ms"] / 1000) for step in steps])
-        self.judge.jobs[job_id] = job
-        return job_id, job, {"spec": job.spec, "steps": steps}
+        return steps
 
-    async def hand_in(self):
-        job_id, job, body = self.make_job()
+    async def hand_in(self, wide=False):
+        # Without wide jobs, a seed draws the same as ever.
+        wide = wide or self.wide > 0 and self.random.random() < self.wide
+        job_id, job, body = self.make_job(wide)
         for _ in range(TRIES):
             status, _ = await call(self.port(), "POST", PREFIX + job_id, body)
             if 200 <= status < 300:
@@ -56,9 +72,9 @@
             if status not in (404, 429, 503):
                 job.doubtful = True
             await asyncio.sleep(self.random.uniform(0.1, 0.6))
-        if self.random.random() < 0.2 and job.accepted:
+        if self.random.random() < self.twice and job.accepted:
             self.world.tasks.begin(self.again(job_id, body))
-        if self.random.random() < 0.25 and job.accepted:
+        if self.random.random() < self.cancelled and job.accepted:
             await asyncio.sleep(self.random.uniform(0, 8))
             await self.cancel(job_id, job)
 
@@ -66,12 +82,12 @@
         await asyncio.sleep(self.random.uniform(0, 4))
         await call(self.port(), "POST", PREFIX + job_id, body)
 
-    async def cancel(self, job_id, job):
+    async def cancel(self, job_id, job, tries=TRIES):
         job.cancel_sent = True
-        for _ in range(TRIES):
+        for _ in range(tries):
             status, _ = await call(self.port(), "DELETE", PREFIX + job_id)
             if status == 410 or 200 <= status < 300:
-                job.cancel_acked = time.monotonic()
+                job.cancel_acked = job.cancel_acked or time.monotonic()
                 return
             await asyncio.sleep(0.3)
 
--- a/testsuite/soak/day_targets.py
+++ b/testsuite/soak/day_targets.py
@@ -9,7 +9,6 @@
 STOP_S = (0.05, 0.85)
 CHECKPOINT_S = 0.5
 GANG_S = 3.0
-FAILS = 0.03
 # A row is removed so long after its target fell silent.
 SILENT_ROW_S = 4.5
 
@@ -24,6 +23,9 @@
         self.up = True
         self.hangs = False  # works on, and answers nobody
         self.errors = False  # refuses what it is asked
+        self.row_away = False  # while it lives
+        # Time to answer a stop, which takes effect at once, and a hold.
+        self.stop_answer_s = self.hold_answer_s = 0.0
         self.server = Server(port, self.serve, world.tasks)
         self.owners = {}  # connection -> host
         self.live()
@@ -43,6 +45,8 @@
         return int((time.monotonic() - self.began) * 1000 * self.rate)
 
     def report(self):
+        if self.row_away:
+            return
         self.world.store.put("servers", self.name, {
             "service": "desk", "address": "127.0.0.1:%d" % self.port,
             "zone": self.zone, "version": "1", "slots": 64,
@@ -121,8 +125,12 @@
         if path.endswith("/run-start"):
             return self.run_start(body, host, late)
         if path.endswith("/run-stop"):
-            return self.run_stop(body)
-        return await self.hold(body)
+            answer = self.run_stop(body)
+            await asyncio.sleep(self.stop_answer_s)
+            return answer
+        answer = await self.hold(body)
+        await asyncio.sleep(self.hold_answer_s)
+        return answer
 
     def extend(self, deadline):
         self.lease = max(self.lease, min(deadline,
@@ -149,7 +157,8 @@
         run.checkpointing = entry.get("checkpointing", False)
         run.saves_at = run.start + CHECKPOINT_S
         run.cpu = entry.get("cpu", 0)
-        run.ends_as = "failed" if self.random.random() < FAILS else "done"
+        run.ends_as = "failed" if self.random.random() < \
+            self.world.arguments.fails else "done"
         work_s = entry.get("work_s", 1.0) * self.random.uniform(0.8, 1.2)
         run.ends_at = run.start + work_s
         if entry.get("gang"):
--- a/testsuite/soak/day_troubles.py
+++ b/testsuite/soak/day_troubles.py
@@ -5,9 +5,11 @@
 import time
 
 import day_web
+from day_vacant import CALM_S, VacantLead
 from day_web import Cut
 
 # Kinds of trouble of a profile; one that is named twice comes twice as often.
+# Those in round brackets come one by one, with calm after each.
 PROFILES = {
     "mixed-a": ["answers_lost", "applied_late", "targets_err", "targets_hang",
                 "leader_cut_one_way", "kill_leader", "kill_leader",
@@ -40,6 +42,7 @@
     "leaving": ["scale_in", "scale_in", "scale_in", "kill_leader",
                 "freeze_leader", "cut_pairs", "crash_targets"],
     "unreached": ["kill_leader_unreached"],
+    "vacant-lead": ("vacant_lead",),
     "none": [],
 }
 # Troubles come in groups, each within a lease of a run.
@@ -59,6 +62,9 @@
 
     async def play(self, kinds, seconds):
         """Draws all of it before, so that a seed means one plan."""
+        if isinstance(kinds, tuple):
+            await self.play_in_turn(kinds, seconds)
+            return
         plan, at = [], self.random.uniform(1, 4)
         while kinds and at < seconds:
             for _ in range(self.random.randint(*GROUP_SIZE)):
@@ -75,6 +81,15 @@
         await asyncio.sleep(max(0.0, seconds - passed))
         await asyncio.gather(*self.tasks)
 
+    async def play_in_turn(self, kinds, seconds):
+        end = time.monotonic() + seconds
+        await asyncio.sleep(self.random.uniform(3, 5))
+        while time.monotonic() < end:
+            self.begin(self.random.choice(kinds))
+            await self.tasks[-1]
+            await asyncio.sleep(CALM_S)
+        await asyncio.gather(*self.tasks)
+
     def begin(self, kind):
         self.world.note("trouble: " + kind)
         self.tasks.append(self.world.tasks.begin(self.noted(kind)))
@@ -254,6 +269,9 @@
                      Cut(day_web.LOST), 6),
             self.kill_leader())
 
+    async def vacant_lead(self):
+        await VacantLead(self).play()
+
     async def kill_hosts(self):
         await self.kill_and_start(self.some(self.world.living(), 0.3),
                                   self.random.uniform(1, 4))
--- a/testsuite/soak/days.py
+++ b/testsuite/soak/days.py
@@ -2,8 +2,8 @@
 """Plays a deployment's day with hosts as processes, and judges every rule.
 
 Usage: days.py PROGRAM [--seed N] [--seconds S] [--profile NAME] [--hosts N]
-[--zones N] [--targets N] [--load X] [--longest S] [--bare-refusals]
-[--logs FOLDER]
+[--zones N] [--targets N] [--load X] [--longest S] [--wide X] [--twice X]
+[--cancelled X] [--fails X] [--bare-refusals] [--logs FOLDER]
 
 Store, targets and callers are stand-ins in one event loop. Each way from a host
 to the store, to a target or to another host can be cut by itself. The verdict
@@ -62,7 +62,7 @@
         self.next_port = free_ports((arguments.hosts + spare) * PORTS +
                                     most_targets)
         self.judge = Judge(self, MAX_ATTEMPTS)
-        self.callers = DayCallers(self, arguments.load, arguments.longest)
+        self.callers = DayCallers(self, arguments)
 
     def note(self, text):
         print("%+.3f %s" % (time.monotonic() - day_judge.BEGAN, text),
@@ -250,6 +250,14 @@
                         help="jobs handed in each second")
     parser.add_argument("--longest", type=float, default=15,
                         help="seconds that the longest tasks work")
+    parser.add_argument("--wide", type=float, default=0,
+                        help="share of jobs with one wide step")
+    parser.add_argument("--twice", type=float, default=0.2,
+                        help="share of jobs that are handed in again")
+    parser.add_argument("--cancelled", type=float, default=0.25,
+                        help="share of jobs that are cancelled at any time")
+    parser.add_argument("--fails", type=float, default=0.03,
+                        help="share of runs that fail")
     parser.add_argument("--bare-refusals", action="store_true",
                         help="the store leaves its clock out of refusals")
     parser.add_argument("--logs", help="keep the hosts' logs in this folder, "
