Play games of cancelled runs against changes of the lead, the store and targets

Cause: no test in virtual time has cancellations that must be carried out in time while the lead is vacant, the next leader loads, and rows, orders and entries of the list are late. Change: a test draws such games. The model lets leaders load late, leaves the lead vacant, delays rows, orders and the list, and checks that no run of a cancelled job goes on later than 3.9 s after its cancellation and 3 s after the last disturbance. The present checks and tests are as they were.

--- a/src/standin/job_cell_checks.cpp
+++ b/src/standin/job_cell_checks.cpp
@@ -15,6 +15,9 @@
 constexpr Duration kCancelTime = std::chrono::seconds(3);
 constexpr Duration kStopTime = std::chrono::milliseconds(900);
 
+// A disturbance that ended this long ago does not excuse a run.
+constexpr Duration kNearTime = std::chrono::seconds(3);
+
 // A job that was shown as done starts nothing after this.
 constexpr Duration kDoneTime = std::chrono::seconds(1);
 
@@ -53,12 +56,17 @@
   if (harmsOrders) {
     m_ordersHarmedAt = m_now;
   }
+  if (m_checksCalm) {
+    NoteDisturbances();
+  }
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
     for (const auto& [name, run] : m_targets[i]->Running()) {
       const auto cancelled = m_cancelledAt.find(name.m_task.m_step.m_job);
-      const bool outlasts = cancelled != m_cancelledAt.end() &&
-                            m_now > std::max(cancelled->second, HarmedAt(i)) +
-                                      kCancelTime + kStopTime;
+      const bool outlasts =
+        cancelled != m_cancelledAt.end() &&
+        m_now > std::max(cancelled->second,
+                         m_checksCalm ? DisturbedAt(i) : HarmedAt(i)) +
+                  kCancelTime + kStopTime;
       if (outlasts && m_outlasting.insert(name).second) {
         Break("RUNS AFTER ITS CANCEL " + TaskText(name.m_task));
       }
@@ -66,6 +74,36 @@
   }
 }
 
+void JobCellModel::CheckCalm()
+{
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    for (const auto& [name, run] : m_targets[i]->Running()) {
+      const auto cancelled = m_cancelledAt.find(name.m_task.m_step.m_job);
+      if (cancelled == m_cancelledAt.end()) {
+        continue;
+      }
+      const TimePoint latest =
+        std::max(cancelled->second + kCancelTime + kStopTime,
+                 DisturbedAt(i) + kNearTime);
+      if (m_now > latest && m_outlastingInCalm.insert(name).second) {
+        Break("GOES ON IN CALM " + TaskText(name.m_task) + " run " +
+              std::to_string(name.m_run) + " on " +
+              m_targets[i]->Record().m_target.Text() + " cancelled at " +
+              std::to_string(ToMilliseconds(cancelled->second - TimePoint())) +
+              " disturbed until " +
+              std::to_string(ToMilliseconds(DisturbedAt(i) - TimePoint())));
+      }
+    }
+  }
+}
+
+// The loss of the lead is a disturbance only until the next leader has taken
+// over; what that one needs to load is no excuse.
+TimePoint JobCellModel::DisturbedAt(std::size_t aTarget) const
+{
+  return std::max({ HarmedAt(aTarget), m_leadHarmedAt, m_feedHarmedAt });
+}
+
 void JobCellModel::CheckShownAsDone(const JobId& aJob)
 {
   CheckEnds();
--- a/src/standin/job_cell_disturbances.cpp
+++ b/src/standin/job_cell_disturbances.cpp
@@ -1,4 +1,5 @@
 // The part of JobCellModel that disturbs leaders, targets and the list of them.
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -31,6 +32,7 @@
 
 void JobCellModel::FreezeLeader(Duration aTime)
 {
+  m_leadHarmedAt = std::max(m_leadHarmedAt, m_now + aTime);
   m_terms.back()->Freeze(m_now + aTime);
 }
 
@@ -62,7 +64,7 @@
 {
   Term& term = *m_terms.back();
   const TargetRecord record = ListedRecord(aTarget);
-  term.Tell(aDelay, [this, &term, aTarget, record] {
+  term.TellRow(aDelay, [this, &term, aTarget, record] {
     if (!m_hidden[aTarget]) {
       term.Scheduler().OnTargetRecord(record, m_now);
     }
@@ -72,7 +74,7 @@
 void JobCellModel::TellUnlisted(std::size_t aTarget, Duration aDelay)
 {
   Term& term = *m_terms.back();
-  term.Tell(aDelay, [this, &term, aTarget] {
+  term.TellRow(aDelay, [this, &term, aTarget] {
     if (!IsListed(aTarget)) {
       term.Scheduler().OnTargetGone(m_targets[aTarget]->Record().m_target,
                                     m_now);
@@ -149,11 +151,11 @@
   Term& term = *m_terms.back();
   if (aListed) {
     m_falseEntries[record.m_target] = record;
-    term.Tell(Way(), [this, &term, record] {
+    term.TellRow(Way(), [this, &term, record] {
       term.Scheduler().OnTargetRecord(record, m_now);
     });
   } else if (m_falseEntries.erase(record.m_target) > 0) {
-    term.Tell(Way(), [this, &term, id = record.m_target] {
+    term.TellRow(Way(), [this, &term, id = record.m_target] {
       term.Scheduler().OnTargetGone(id, m_now);
     });
   }
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -15,9 +15,6 @@
 constexpr Duration kShortestWay = std::chrono::milliseconds(1);
 constexpr Duration kLongestWay = std::chrono::milliseconds(4);
 
-// Leases of a leader that died are over after this.
-constexpr Duration kFormerLeases = std::chrono::milliseconds(9400);
-
 // How long a long-running task works if nothing ends it.
 constexpr Duration kLongRunTime = std::chrono::hours(1);
 
@@ -142,7 +139,7 @@
   m_ledger.OnSubmitted(aJob, aSpec);
   m_submittedAt[aJob] = m_now;
   Term& term = *m_terms.back();
-  term.Tell(Way(), [this, &term, aJob, stored] {
+  term.TellRow(FeedTime(), [this, &term, aJob, stored] {
     term.Scheduler().OnJob(aJob, stored, 0, m_now);
   });
 }
@@ -152,51 +149,8 @@
   m_cancels.insert(aJob);
   m_cancelledAt.try_emplace(aJob, m_now);
   Term& term = *m_terms.back();
-  term.Tell(Way(),
-            [this, &term, aJob] { term.Scheduler().OnCancel(aJob, m_now); });
-}
-
-void JobCellModel::StartTerm()
-{
-  m_terms.push_back(std::make_unique<Term>(*this));
-  Term& term = *m_terms.back();
-  term.SetTime();
-  JobScheduler& scheduler = term.Scheduler();
-  scheduler.Targets().SetFormerLeaseExpiry(
-    std::max(m_now, m_formerOrdersUntil) + kFormerLeases);
-  scheduler.OnCommitted(m_leaderVersion, Now(), m_now);
-  for (const auto& [id, job] : m_jobs) {
-    scheduler.OnJob(id, job, 0, m_now);
-  }
-  RestoreStoredRows(term);
-  for (const JobId& id : m_cancels) {
-    scheduler.OnCancel(id, m_now);
-  }
-  for (std::size_t i = 0; i < m_targets.size(); ++i) {
-    if (IsListed(i)) {
-      scheduler.OnTargetRecord(ListedRecord(i), m_now);
-    }
-  }
-  for (const auto& [id, record] : m_falseEntries) {
-    scheduler.OnTargetRecord(record, m_now);
-  }
-}
-
-void JobCellModel::RestoreStoredRows(Term& aTerm)
-{
-  for (const Row& row : m_table.Rows(kTargetAddressTable)) {
-    const auto address = DecodeTargetAddress(row);
-    if (address) {
-      aTerm.Scheduler().OnStoredAddress(*address);
-    } else {
-      aTerm.Scheduler().OnUnreadableAddress(TargetId(row.m_key.m_key));
-    }
-  }
-  const StoredProgressTable table =
-    ReadProgressRows(m_table.Rows(kProgressTable));
-  for (const auto& [id, progress] : table.m_jobs) {
-    aTerm.Scheduler().OnProgress(id, progress, m_now);
-  }
+  term.TellRow(FeedTime(),
+               [this, &term, aJob] { term.Scheduler().OnCancel(aJob, m_now); });
 }
 
 void JobCellModel::Run(Duration aTime)
@@ -216,6 +170,9 @@
     RunGangs();
     CheckEnds();
     CheckCancelledRuns();
+    if (m_checksCalm) {
+      CheckCalm();
+    }
     if (m_checksWaitingWork) {
       CheckWaitingWork();
     }
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -50,6 +50,13 @@
   // The number of stops of each run that are lost on the way to their target,
   // so that the leader gets no report of them at all.
   std::uint32_t m_vanishingStops = 0;
+  // The longest time that the next leaders take to load what is stored, that
+  // rows of jobs and cancellations take to a leader, that each entry of the
+  // list takes to the next leaders, and that orders take to their targets.
+  Duration m_slowLoad = Duration::zero();
+  Duration m_slowFeed = Duration::zero();
+  Duration m_slowFirstList = Duration::zero();
+  Duration m_slowWay = Duration::zero();
 };
 
 // How the advisor of the cell answers.
@@ -105,6 +112,9 @@
   // The leader dies, and another one takes over after aTime. The time without a
   // leader is no excuse for a run that goes on.
   void LoseLeader(Duration aTime);
+  // The leader dies, and another one takes over after aTime, or when the store
+  // is back if that is later.
+  void LeaveLeadVacant(Duration aTime);
   // The leader does nothing for aTime, and goes on where it was.
   void FreezeLeader(Duration aTime);
   // Another leader takes over, and the former one, which does nothing for
@@ -145,6 +155,12 @@
   void EnableWaitingWorkCheck() { m_checksWaitingWork = true; }
   const WaitingWorkCheck& WaitingWork() const { return m_waitingWork; }
 
+  // Checks from now on that no run of a cancelled job goes on in calm. A
+  // disturbance of the store, the lead, the orders or the run's target is near
+  // while it lasts and for 3 s. From now on, vacancies of the lead and targets
+  // without answers count as disturbances for all checks of cancelled runs.
+  void EnableCalmCheck() { m_checksCalm = true; }
+
   // Lets virtual time pass.
   void Run(Duration aTime);
 
@@ -204,6 +220,12 @@
                       TimePoint aNow);
   // Checks that no run of a cancelled job goes on. Looks at calm targets only.
   void CheckCancelledRuns();
+  // Checks that no run of a cancelled job goes on in calm.
+  void CheckCalm();
+  // Returns when a disturbance that excuses a run on the target last ended.
+  TimePoint DisturbedAt(std::size_t aTarget) const;
+  // Notes the disturbances that go on.
+  void NoteDisturbances();
   // Checks that all tasks of a job that is shown as done have ended well. A
   // gang is done as soon as one of its members is.
   void CheckShownAsDone(const JobId& aJob);
@@ -229,8 +251,21 @@
   // Adds a target that works.
   void AddTarget(const TargetRecord& aRecord);
   void StartTerm();
+  // Lets the next leader take over if the lead is still vacant by this call of
+  // LeaveLeadVacant, and the store is back.
+  void EndVacancy(std::uint64_t aVacancy);
+  // Returns a time from zero to aLongest.
+  Duration Draw(Duration aLongest);
+  // How long a row that is stored now takes to the leader.
+  Duration FeedTime();
   // Lets all leaders that live do what is due.
   void StepLeaders();
+  // Loads after aDelay, or when the store is back if that is later.
+  void LoadLater(Term& aTerm,
+                 const std::map<JobId, StoredJob>& aJobs,
+                 Duration aDelay);
+  // Tells a new leader all that is stored and listed.
+  void Load(Term& aTerm, const std::map<JobId, StoredJob>& aJobs);
   // Tells a new leader what the former ones stored.
   void RestoreStoredRows(Term& aTerm);
   // Returns true if the platform's list has the target.
@@ -271,6 +306,16 @@
   // cut or down.
   TimePoint m_ordersHarmedAt;
   std::map<std::size_t, TimePoint> m_targetHarmedAt;
+  // When the lead was last taken over, vacant or held by one that stood still,
+  // and when a row last reached a leader late.
+  TimePoint m_leadHarmedAt;
+  TimePoint m_feedHarmedAt;
+  // True while nobody leads; the number of the vacancies so far.
+  bool m_isVacant = false;
+  std::uint64_t m_vacancies = 0;
+  bool m_checksCalm = false;
+  // Runs that went on in calm after their job was cancelled.
+  std::set<RunName> m_outlastingInCalm;
 
   // The store.
   std::uint64_t m_version = 1;
--- a/src/standin/job_cell_orders.cpp
+++ b/src/standin/job_cell_orders.cpp
@@ -56,7 +56,7 @@
     return;
   }
   const bool lost = m_cell.Chance(m_cell.m_faults.m_lostOrders);
-  m_cell.At(m_cell.Way(), [=] {
+  m_cell.At(m_cell.Way() + m_cell.Draw(m_cell.m_faults.m_slowWay), [=] {
     if (!Reaches<Answer>(*target, incarnation)) {
       Tell(m_cell.Way(), [aAnswered] { aAnswered(Answer()); });
       return;
@@ -161,8 +161,9 @@
                                    const Done& aDone)
 {
   const auto unanswered = m_unanswered.find(aOrder.m_to.m_target);
-  const bool skipped = unanswered != m_unanswered.end() &&
-                       unanswered->second >= aOrder.m_to.m_fence;
+  const bool isUncertain = unanswered != m_unanswered.end() &&
+                           unanswered->second >= aOrder.m_to.m_fence;
+  const bool skipped = isUncertain || !MayStart();
   if (aWithdrawn || skipped) {
     OrderAnswer answer;
     answer.m_status =
--- a/src/standin/job_cell_term.cpp
+++ b/src/standin/job_cell_term.cpp
@@ -5,13 +5,22 @@
 
 void JobCellModel::Term::Step()
 {
-  if (IsFrozen()) {
+  if (IsFrozen() || !m_isLoaded) {
     return;
   }
   SetTime();
+  if (!m_cell.m_faults.m_storeDown) {
+    m_cancelsAsOf = m_cell.m_now;
+  }
+  m_scheduler.SetMayStart(MayStart());
   m_scheduler.Tick(m_cell.m_now);
 }
 
+bool JobCellModel::Term::MayStart() const
+{
+  return !m_cell.m_checksCalm || m_cell.m_now < m_cancelsAsOf + kMaxCancelAge;
+}
+
 void JobCellModel::Term::SetTime()
 {
   m_scheduler.SetTime(m_cell.m_now,
@@ -31,6 +40,25 @@
   });
 }
 
+void JobCellModel::Term::TellRow(Duration aDelay, std::function<void()> aTask)
+{
+  Tell(aDelay, [this, task = std::move(aTask)] {
+    if (m_isLoaded) {
+      task();
+    } else {
+      m_earlyRows.push_back(task);
+    }
+  });
+}
+
+void JobCellModel::Term::NoteLoaded()
+{
+  m_isLoaded = true;
+  for (const std::function<void()>& row : std::exchange(m_earlyRows, {})) {
+    row();
+  }
+}
+
 void JobCellModel::Term::Commit(std::vector<RowWrite> aWrites,
                                 std::vector<RowKey> aRemovals)
 {
--- a/src/standin/job_cell_term.h
+++ b/src/standin/job_cell_term.h
@@ -40,6 +40,17 @@
   // Tells the scheduler something after a way, if it still lives then.
   void Tell(Duration aDelay, std::function<void()> aTask);
 
+  // Tells the scheduler of a row after a way, or when it has loaded if that is
+  // later.
+  void TellRow(Duration aDelay, std::function<void()> aTask);
+
+  // Returns false while this leader may not know of cancellations that were
+  // acknowledged some time ago. Only cells that check for calm heed it.
+  bool MayStart() const;
+
+  // Lets the scheduler work, and tells it of the rows that came meanwhile.
+  void NoteLoaded();
+
   void Commit(std::vector<RowWrite> aWrites,
               std::vector<RowKey> aRemovals) override;
 
@@ -97,6 +108,8 @@
   // The most stops that are on their way to one target, as StopSenders has it.
   static constexpr std::size_t kMaxStopsUnderWay = 16;
 
+  // No start leaves a leader that has not heard of cancellations for longer.
+  static constexpr Duration kMaxCancelAge = std::chrono::milliseconds(2700);
   // A leader waits this long for an answer.
   static constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
   // When orders that are carried out late arrive.
@@ -183,6 +196,11 @@
   JobScheduler m_scheduler;
   std::uint64_t m_rowVersion;
   bool m_alive = true;
+  bool m_isLoaded = false;
+  // When this leader last knew all cancellations.
+  TimePoint m_cancelsAsOf;
+  // The rows that came before the scheduler had loaded.
+  std::vector<std::function<void()>> m_earlyRows;
   TimePoint m_frozenUntil;
   std::size_t m_asking = 0;
   IgnoredMetrics m_metrics;
