Keep the pages that were read while the store refuses others

A new leader served nobody for as long as the store refused a share of its reads: one refused page made it read its whole partition again, so that a table of several pages was hardly ever read, and it renewed the lead all the while.

--- a/src/jobhost/table_watch.cpp
+++ b/src/jobhost/table_watch.cpp
@@ -113,7 +113,7 @@
   // The partitions are read in parallel, as the store may be slow to answer
   // each read.
   const auto read = [this](std::size_t aIndex) {
-    m_read[aIndex] = ReadPartition(m_partitions[aIndex]);
+    ReadPartition(m_partitions[aIndex], m_read[aIndex]);
   };
   WorkerPool pool("watch-read", std::max<std::size_t>(1, aIndices.size() - 1));
   for (std::size_t i = 1; i < aIndices.size(); ++i) {
@@ -123,29 +123,29 @@
   pool.Finish();
 }
 
-TableWatch::PartitionPages TableWatch::ReadPartition(
-  const std::string& aPartition) const
+void TableWatch::ReadPartition(const std::string& aPartition,
+                               PartitionPages& aRead) const
 {
-  PartitionPages read;
   RowRange range;
   range.m_table = m_table;
   range.m_partition = aPartition;
+  range.m_first = aRead.m_next;
   PageSize size;
   RowAnswer answer;
   do {
     range.m_limit = size.Rows();
     const TimePoint sent = BootClockNow();
     answer = m_store.Read(range, kCallTimeout);
-    read.m_status = answer.m_status;
+    aRead.m_status = answer.m_status;
     if (m_stopping) {
-      return read;
+      return;
     }
     if (answer.m_status == RowStatus::kUnknown && size.OnFailure()) {
       answer.m_more = true;
       continue;
     }
     if (answer.m_status != RowStatus::kOk) {
-      return read;
+      return; // the next call goes on at this page
     }
     size.OnAnswer(BootClockNow() - sent);
     RowPage page;
@@ -159,9 +159,9 @@
       page.m_end = range.m_first;
     }
     page.m_rows = std::move(answer.m_rows);
-    read.m_pages.push_back(std::move(page));
+    aRead.m_pages.push_back(std::move(page));
+    aRead.m_next = range.m_first;
   } while (answer.m_more);
-  return read;
 }
 
 void TableWatch::Follow(RowVersions& aVersions)
--- a/src/jobhost/table_watch.h
+++ b/src/jobhost/table_watch.h
@@ -60,6 +60,8 @@
   {
     RowStatus m_status = RowStatus::kUnknown;
     std::vector<RowPage> m_pages;
+    // Where the next page begins.
+    std::string m_next;
   };
 
   void Run();
@@ -69,7 +71,10 @@
   bool ReadAll(bool aIsFirst, RowVersions& aVersions);
   // Reads the partitions at these indices, of which there is at least one.
   void ReadPartitions(const std::vector<std::size_t>& aIndices);
-  PartitionPages ReadPartition(const std::string& aPartition) const;
+  // Reads the pages of a partition that aRead lacks, up to the first one that
+  // the store does not answer.
+  void ReadPartition(const std::string& aPartition,
+                     PartitionPages& aRead) const;
   void Follow(RowVersions& aVersions);
   // Updates LastAnswer, and logs when the store becomes unreachable or
   // reachable again.
