--- a/src/jobs/ended_segmented_job_test.cpp
+++ b/src/jobs/ended_segmented_job_test.cpp
@@ -18,6 +18,8 @@
 using std::chrono::seconds;
 
 constexpr std::uint32_t kTasks = 24;
+// Each of two targets has room for half of the tasks.
+constexpr std::int64_t kTargetCapacity = 12000;
 
 // A cell whose leader has stored the end of a cancelled job, the runs of which
 // are still at work.
@@ -25,7 +27,7 @@
 {
 protected:
   EndedSegmentedJob()
-    : m_cell(1, 2, Resources(kTasks * 500, kTasks * 500, 0, 0, 0))
+    : m_cell(1, 2, Resources(kTargetCapacity, kTargetCapacity, 0, 0, 0))
   {
     m_cell.SetRowBytes(GetParam());
     m_cell.SetStopTime(milliseconds(900));
@@ -81,7 +83,7 @@
 // runs were stored.
 TEST(EndedSegmentedJobShorterRows, NextLeaderKnowsTheRuns)
 {
-  JobCellModel cell(1, 2, Resources(kTasks * 500, kTasks * 500, 0, 0, 0));
+  JobCellModel cell(1, 2, Resources(kTargetCapacity, kTargetCapacity, 0, 0, 0));
   cell.SetStopTime(milliseconds(900));
   const JobId job = cell.Submit(
     MakeSingleStepJob(kTasks, Resources(1000, 1000, 0, 0, 0), seconds(60)));
