--- a/review/stand_ins_3/http_wire.py
+++ b/review/stand_ins_3/http_wire.py
@@ -29,7 +29,10 @@
                 asyncio.CancelledError):
             pass
         finally:
-            writer.close()
+            try:
+                writer.close()
+            except RuntimeError:
+                pass  # the event loop has ended
 
     async def serve_one(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
