--- a/review/stand_ins_3/ledger.py
+++ b/review/stand_ins_3/ledger.py
@@ -1,4 +1,5 @@
-"""What the workers saw, and the rule TWICE as RULES.md has it."""
+"""What the workers saw, and the rule TWICE as RULES.md has it. A worker is named
+with the number of its life."""
 import time
 from collections import defaultdict
 
@@ -38,6 +39,10 @@
             self.done.setdefault(task, []).append(
                 (time.monotonic(), worker, run, number))
 
+    def on_crash(self, worker, task, run):
+        self.say("lost %s run %d with %s" % (task, run, worker))
+        self.running[task].discard((worker, run))
+
     def on_noted(self, worker, number, task, run, how):
         self.open_ends[worker].discard(number)
         if (worker, number) not in self.before_lapse:
--- a/review/stand_ins_3/workers.py
+++ b/review/stand_ins_3/workers.py
@@ -39,9 +39,12 @@
         self.seq = 0
         self.listed = True
         self.server = HttpServer(self.serve)
+        self.lives = 0
         self.begin_life()
 
     def begin_life(self):
+        self.lives += 1
+        self.life = "%s/%d" % (self.name, self.lives)  # in the ledger
         self.born = int(time.time() * 1000)
         self.start = time.monotonic()
         self.fence = 0
@@ -68,6 +71,13 @@
                 "capacity": self.capacity, "labels": [self.kind, self.rack],
                 "born": self.born}
 
+    def crash(self):
+        """Nothing is left of what was before, at the same address."""
+        for task, run in self.runs:
+            self.ledger.on_crash(self.life, task, run)
+        self.ended.set()
+        self.begin_life()
+
     async def heartbeat(self):
         while True:
             self.seq += 1
@@ -81,7 +91,7 @@
             now, clock = time.monotonic(), self.clock()
             if self.lease <= clock and not self.lapsed:
                 self.lapsed = True
-                self.ledger.on_lapse(self.name)
+                self.ledger.on_lapse(self.life)
                 for key in list(self.runs):
                     self.end(key, "lapsed")
             for key, run in list(self.runs.items()):
@@ -94,7 +104,7 @@
         self.ends += 1
         self.highest[task] = max(run, self.highest.get(task, 0))
         self.finished.append([self.ends, task, run, how, checkpoint])
-        self.ledger.on_end(self.name, task, run, how, self.ends)
+        self.ledger.on_end(self.life, task, run, how, self.ends)
         self.ended.set()
         self.ended = asyncio.Event()
 
@@ -129,7 +139,7 @@
             return 409, dict(clock, reason="old")
         seconds, how = self.plan(task, run)
         self.runs[(task, run)] = Run(seconds, how, body.get("checkpoint", ""))
-        self.ledger.on_start(self.name, task, run, body)
+        self.ledger.on_start(self.life, task, run, body)
         return 200, clock
 
     def run_stop(self, body):
@@ -148,7 +158,7 @@
         cursor = body.get("ack_cursor", 0)
         for end in self.finished:
             if end[0] <= cursor:
-                self.ledger.on_noted(self.name, *end[:4])
+                self.ledger.on_noted(self.life, *end[:4])
         self.finished = [end for end in self.finished if end[0] > cursor]
         born = self.born
         until = time.monotonic() + body.get("wait_ms", 0) / 1000
