Review case 14: a task that serves never returns beside work that fills

After the loss of its worker it finds no worker without tasks that fill, which are started on and on.

--- a/review/stand_ins_3/cell.py
+++ b/review/stand_ins_3/cell.py
@@ -109,10 +109,11 @@
                       "priority": 1, "max_attempts": 3, "slack_factor": 2.0,
                       "target_latency_ms": 1000}
         self.queue.update(queue or {})
+        self.queues = [self.queue]
 
     async def open(self):
         self.store.put("op", "config", {
-            "version": 3, "routes": [self.queue],
+            "version": 3, "routes": self.queues,
             "services": [{"name": "desk", "admission_check": False}],
             "limits": {"max_body_bytes": 262144}})
         for host, port in zip(self.hosts, self.store_ports):
--- a/review/stand_ins_3/workers.py
+++ b/review/stand_ins_3/workers.py
@@ -38,6 +38,7 @@
         self.state = "ready"
         self.seq = 0
         self.listed = True
+        self.gone = False
         self.server = HttpServer(self.serve)
         self.lives = 0
         self.begin_life()
@@ -78,6 +79,16 @@
         self.ended.set()
         self.begin_life()
 
+    def lose(self):
+        """A crash for good: nobody listens, and the entry goes once three
+        heartbeats are missing."""
+        self.crash()
+        self.server.close()
+        self.listed = False
+        self.gone = True
+        asyncio.get_running_loop().call_later(
+            3 * HEARTBEAT_S, self.store.put, "servers", self.name, None)
+
     async def heartbeat(self):
         while True:
             self.seq += 1
@@ -109,6 +120,8 @@
         self.ended = asyncio.Event()
 
     async def serve(self, _method, path, _query, headers, body):
+        if self.gone:
+            return None
         if headers.get("expect-instance", self.name) != self.name:
             return 421, {}
         if body.get("fencing_token", 0) < self.fence:
