--- a/review/stand_ins_3/cell.py
+++ b/review/stand_ins_3/cell.py
@@ -71,7 +71,8 @@
     def start(self):
         self.wanted = True
         self.process = subprocess.Popen(
-            [PROGRAM, "host"], stdout=self.log, stderr=self.log,
+            [PROGRAM, "host"], cwd=REPOSITORY, stdout=self.log,
+            stderr=self.log,
             env={"PATH": os.environ.get("PATH", ""),
                  "LYCHEESTEP_NODE_FILE": self.settings})
 
--- a/review/stand_ins_3/workers.py
+++ b/review/stand_ins_3/workers.py
@@ -10,6 +10,9 @@
 STOP_S = 0.3
 MAX_ENDS = 500
 HEARTBEAT_S = 1.5
+# The length of a run that does not end by itself, and its startup.
+LASTS = float("inf")
+STARTUP_S = 0.3
 
 
 class Run:
@@ -22,8 +25,15 @@
 
     def percent(self):
         worked = time.monotonic() - self.began
+        if self.seconds == LASTS:
+            return 100 if worked > STARTUP_S else 0
         return max(0, min(99, int(100 * worked / max(self.seconds, 0.001))))
 
+    def load(self):
+        """The tail in milliseconds of a task that lasts, the processors in use,
+        in thousandths, of any other."""
+        return 100 if self.seconds == LASTS else 500
+
 
 class Worker:
     """plan(task, run) says how long a run works and how it ends."""
@@ -186,6 +196,7 @@
         if self.born != born:
             return None  # the process that was asked is gone
         return 200, {"clock_ms": self.clock(), "born": self.born,
-                     "running": [[*key, run.checkpoint, run.percent(), 0]
+                     "running": [[*key, run.checkpoint, run.percent(),
+                                  run.load()]
                                  for key, run in self.runs.items()],
                      "finished": self.finished[:MAX_ENDS]}
