Review cases end their hosts when they are stopped themselves

A case that got SIGTERM left its three hosts running. Shown with review/15/run.sh: 3 left before, 0 after.

--- a/review/stand_ins_3/cell.py
+++ b/review/stand_ins_3/cell.py
@@ -26,6 +26,13 @@
     pass
 
 
+def end_on_sigterm():
+    """Lets a case that is stopped end the processes that it started."""
+    def stop(_number, _frame):
+        raise SystemExit(2)
+    signal.signal(signal.SIGTERM, stop)
+
+
 def free_ports(count):
     """Ports that are free now, below those of outgoing connections. None is
     given twice."""
@@ -69,6 +76,8 @@
             json.dump(settings, file)
 
     def start(self):
+        if self.process and self.process.poll() is None:
+            return  # a second process would be left behind
         self.wanted = True
         self.process = subprocess.Popen(
             [PROGRAM, "host"], cwd=REPOSITORY, stdout=self.log,
@@ -92,6 +101,7 @@
                  capacity=None):
         if not os.path.exists(PROGRAM):
             raise CannotRun("the deploy file's build has not run")
+        end_on_sigterm()
         self.ledger = ledger
         self.folder = tempfile.mkdtemp(prefix="review-cell-")
         self.store = Store()
