An address is checked where it is decoded, not where a connection opens

What callers saw: after another writer had put an entry with the address "shelf-17:" into the list of workers, 18 of 24 accepted submissions were never run, on an idle fleet.

Cause: any text counted as an address and went inwards as a text. Only the HTTP library looked at it, as it opened a connection: it parses the port with std::stoi, which throws, in a thread that catches nothing, and the whole with a regular expression that exhausts the stack for long texts. As the entry stays in the store, each next leader reads it too.

Why this works: NetworkAddress is the only way from a text to a connection. Records, orders, stored rows and settings hold one, so that a text that is no address is refused as it is decoded: in entries, rows of earlier releases, carried orders, peers' addresses, settings and the command line's URL. The library gets host and port and parses neither. Entries name IP addresses, so that no thread waits for a name lookup.

--- a/src/gateway.service/gateway_service_test.cpp
+++ b/src/gateway.service/gateway_service_test.cpp
@@ -59,7 +59,8 @@
     m_kernel.Register(std::make_unique<GatewayService>(m_settings));
     EXPECT_FALSE(m_kernel.Start());
     const int port = m_kernel.Find<GatewayService>("gateway")->Port();
-    m_address = "127.0.0.1:" + std::to_string(port);
+    m_address =
+      NetworkAddress::ParseOrNone("127.0.0.1:" + std::to_string(port));
   }
 
   HttpReply Submit(const std::string& aBody)
@@ -70,7 +71,7 @@
   ProcessSettings m_settings;
   Kernel m_kernel;
   HttpConnections m_connections;
-  std::string m_address;
+  NetworkAddress m_address;
 };
 
 TEST_F(GatewayServiceTest, AnswersACallerWithItsOwnBody)
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -53,9 +53,15 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(const std::string& aAddress)
-  : m_client(std::make_unique<httplib::Client>("http://" + aAddress))
+HttpConnection::HttpConnection(const NetworkAddress& aAddress)
 {
+  if (aAddress.IsNone()) {
+    return;
+  }
+  // httplib parses a URL with std::stoi and a regular expression, which throw
+  // or exhaust the stack; host and port are not parsed.
+  m_client =
+    std::make_unique<httplib::Client>(aAddress.Host(), aAddress.Port());
   m_client->set_keep_alive(true);
   m_client->set_tcp_nodelay(true);
   m_client->set_socket_options([this](socket_t) { ++m_opened; });
@@ -65,6 +71,11 @@
 
 HttpReply HttpConnection::Call(const HttpRequest& aRequest)
 {
+  if (!m_client) {
+    HttpReply reply;
+    reply.m_progress = HttpProgress::kNotSent;
+    return reply;
+  }
   m_client->set_connection_timeout(aRequest.m_timeout);
   m_client->set_read_timeout(aRequest.m_timeout);
   m_client->set_write_timeout(aRequest.m_timeout);
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -22,7 +22,8 @@
 class HttpConnection
 {
 public:
-  explicit HttpConnection(const std::string& aAddress);
+  // Calls are not sent if aAddress is none.
+  explicit HttpConnection(const NetworkAddress& aAddress);
   ~HttpConnection();
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
@@ -46,6 +47,7 @@
   // Writes the body only if aRequest.m_maySend allows it.
   HttpReply SendIfAllowed(const HttpRequest& aRequest);
 
+  // Null if there is no address.
   std::unique_ptr<httplib::Client> m_client;
   // The number of connections opened so far, and which of them m_peerName is
   // for.
--- a/src/http/http_connections.cpp
+++ b/src/http/http_connections.cpp
@@ -22,7 +22,7 @@
 
 HttpConnections::~HttpConnections() = default;
 
-HttpReply HttpConnections::Post(const std::string& aAddress,
+HttpReply HttpConnections::Post(const NetworkAddress& aAddress,
                                 const std::string& aPath,
                                 const std::string& aBody,
                                 TimePoint aNotAfter)
@@ -36,7 +36,7 @@
   return CallAndGiveBack(aAddress, request);
 }
 
-HttpReply HttpConnections::Get(const std::string& aAddress,
+HttpReply HttpConnections::Get(const NetworkAddress& aAddress,
                                const std::string& aPath)
 {
   HttpRequest request;
@@ -56,7 +56,7 @@
   return reply;
 }
 
-HttpReply HttpConnections::CallAndGiveBack(const std::string& aAddress,
+HttpReply HttpConnections::CallAndGiveBack(const NetworkAddress& aAddress,
                                            const HttpRequest& aRequest)
 {
   std::unique_ptr<HttpConnection> connection = Take(aAddress);
@@ -68,7 +68,7 @@
 }
 
 std::unique_ptr<HttpConnection> HttpConnections::Take(
-  const std::string& aAddress)
+  const NetworkAddress& aAddress)
 {
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -84,7 +84,7 @@
   return std::make_unique<HttpConnection>(aAddress);
 }
 
-void HttpConnections::GiveBack(const std::string& aAddress,
+void HttpConnections::GiveBack(const NetworkAddress& aAddress,
                                std::unique_ptr<HttpConnection> aConnection)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
@@ -94,7 +94,7 @@
   }
 }
 
-void HttpConnections::Drop(const std::string& aAddress)
+void HttpConnections::Drop(const NetworkAddress& aAddress)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_idle.erase(aAddress);
--- a/src/http/http_connections.h
+++ b/src/http/http_connections.h
@@ -30,11 +30,11 @@
   HttpConnections(const HttpConnections&) = delete;
   HttpConnections& operator=(const HttpConnections&) = delete;
 
-  // Posts the JSON text aBody to aPath at aAddress ("127.0.0.1:9001"). Post
+  // Posts the JSON text aBody to aPath at aAddress. Post
   // reads the clock after it has connected, right before it writes the body.
   // If aNotAfter has passed by then, Post withholds the body and returns
   // kNotSent.
-  HttpReply Post(const std::string& aAddress,
+  HttpReply Post(const NetworkAddress& aAddress,
                  const std::string& aPath,
                  const std::string& aBody,
                  TimePoint aNotAfter = TimePoint::max());
@@ -44,19 +44,19 @@
   HttpReply Call(const HttpRequest& aRequest);
 
   // Sends a GET request for aPath to aAddress.
-  HttpReply Get(const std::string& aAddress, const std::string& aPath);
+  HttpReply Get(const NetworkAddress& aAddress, const std::string& aPath);
 
   // Removes an idle connection to aAddress from the pool, or makes one that
   // connects with its first call. The caller has exclusive use of it.
-  std::unique_ptr<HttpConnection> Take(const std::string& aAddress);
+  std::unique_ptr<HttpConnection> Take(const NetworkAddress& aAddress);
 
   // Returns a connection whose last call was answered to the pool. Closes it
   // when the pool already holds the most idle connections for aAddress.
-  void GiveBack(const std::string& aAddress,
+  void GiveBack(const NetworkAddress& aAddress,
                 std::unique_ptr<HttpConnection> aConnection);
 
   // Closes the idle connections to aAddress.
-  void Drop(const std::string& aAddress);
+  void Drop(const NetworkAddress& aAddress);
 
 private:
   // A connection that no call uses.
@@ -70,13 +70,13 @@
   using IdleList = std::vector<Idle>;
 
   // Makes a call and returns its connection to the pool if it was answered.
-  HttpReply CallAndGiveBack(const std::string& aAddress,
+  HttpReply CallAndGiveBack(const NetworkAddress& aAddress,
                             const HttpRequest& aRequest);
 
   const Duration m_timeout;
   const Duration m_idleAge;
   std::mutex m_mutex;
-  std::map<std::string, IdleList> m_idle;
+  std::map<NetworkAddress, IdleList> m_idle;
 };
 
 } // namespace lycheestep
--- a/src/http/http_messages.h
+++ b/src/http/http_messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "http_router.h"
+#include "lycheestep/network_address.h"
 #include "lycheestep/time_types.h"
 
 namespace lycheestep {
@@ -39,7 +40,7 @@
 struct HttpRequest
 {
   HttpMethod m_method = HttpMethod::kGet;
-  std::string m_address;
+  NetworkAddress m_address;
   // The path, with the query string if there is one.
   std::string m_path;
   std::vector<HttpHeader> m_headers;
--- a/src/include/lycheestep/job_host_settings.h
+++ b/src/include/lycheestep/job_host_settings.h
@@ -1,8 +1,10 @@
 #ifndef LYCHEESTEP_JOB_HOST_SETTINGS_H
 #define LYCHEESTEP_JOB_HOST_SETTINGS_H
 
+#include <optional>
 #include <string>
 
+#include "lycheestep/network_address.h"
 #include "lycheestep/row_store.h"
 #include "lycheestep/time_types.h"
 
@@ -32,9 +34,9 @@
   HostAddress m_peers;
   HostAddress m_metrics;
 
-  // The platform's row store and its advisor; the latter may be empty.
-  std::string m_store;
-  std::string m_advisor;
+  // The platform's row store, and its advisor if it has one.
+  NetworkAddress m_store;
+  std::optional<NetworkAddress> m_advisor;
   // The longest value of a row of the store, in bytes.
   std::size_t m_storeRowBytes = kDefaultRowBytes;
 
--- a/src/include/lycheestep/target_orders.h
+++ b/src/include/lycheestep/target_orders.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "lycheestep/network_address.h"
 #include "lycheestep/task_run.h"
 #include "lycheestep/time_types.h"
 
@@ -24,7 +25,7 @@
 struct OrderAddress
 {
   TargetId m_target;
-  std::string m_address;
+  NetworkAddress m_address;
   FencingToken m_fence = 0;
   // When the process of the target started that the order is meant for. No
   // other process carries out a start or a hold. Zero if the sender does not
--- a/src/include/lycheestep/target_record.h
+++ b/src/include/lycheestep/target_record.h
@@ -5,6 +5,7 @@
 
 #include "lycheestep/id.h"
 #include "lycheestep/job_spec.h"
+#include "lycheestep/network_address.h"
 #include "lycheestep/resources.h"
 #include "lycheestep/time_types.h"
 
@@ -18,8 +19,7 @@
 {
   TargetId m_target;
   ServiceName m_service;
-  // "10.128.0.9:8080".
-  std::string m_address;
+  NetworkAddress m_address;
   DataCentreName m_dataCentre;
   RackName m_rack;
   // The sort of target, a label like any other.
--- a/src/jobhost/leader_reads_test.cpp
+++ b/src/jobhost/leader_reads_test.cpp
@@ -311,7 +311,7 @@
     TargetRecord record;
     record.m_target = TargetId(aRow.m_key.m_key);
     record.m_service = Queue().m_service;
-    record.m_address = "10.0.0.1:1";
+    record.m_address = NetworkAddress::ParseOrNone("10.0.0.1:1");
     record.m_capacity = Resources(1000, 1000, 0, 0, 0);
     return record;
   }
--- a/src/jobhost/order_carrier.cpp
+++ b/src/jobhost/order_carrier.cpp
@@ -88,7 +88,7 @@
 
 private:
   // What a stop says, but for the target, which is the same for all.
-  using StopKey = std::tuple<RunName, FencingToken, std::string>;
+  using StopKey = std::tuple<RunName, FencingToken, NetworkAddress>;
 
   static StopKey KeyOf(const StopOrder& aOrder)
   {
--- a/src/jobhost/order_messages.cpp
+++ b/src/jobhost/order_messages.cpp
@@ -24,15 +24,23 @@
 void EncodeAddress(const OrderAddress& aTo, proto::CarriedOrder& aMessage)
 {
   aMessage.set_target(aTo.m_target.Text());
-  aMessage.set_address(aTo.m_address);
+  aMessage.set_address(aTo.m_address.Text());
   aMessage.set_fence(aTo.m_fence);
   aMessage.set_process_started_ms(aTo.m_started.count());
 }
 
+// An order to a text that is no address goes nowhere: it is answered as not
+// sent.
+NetworkAddress ParseTargetAddress(const proto::CarriedOrder& aMessage)
+{
+  return NetworkAddress::ParseNumeric(aMessage.address())
+    .value_or(NetworkAddress());
+}
+
 OrderAddress DecodeAddress(const proto::CarriedOrder& aMessage)
 {
   return OrderAddress{ TargetId(aMessage.target()),
-                       aMessage.address(),
+                       ParseTargetAddress(aMessage),
                        aMessage.fence(),
                        WallTime(aMessage.process_started_ms()) };
 }
--- a/src/jobhost/order_messages_test.cpp
+++ b/src/jobhost/order_messages_test.cpp
@@ -14,7 +14,9 @@
 namespace {
 
 const RunName kRun{ TaskName{ StepName{ JobId("job1"), 2, 3 }, 4 }, 5 };
-const OrderAddress kTo{ TargetId("t1"), "10.0.0.1:80", 77 };
+const OrderAddress kTo{ TargetId("t1"),
+                        NetworkAddress::ParseOrNone("10.0.0.1:80"),
+                        77 };
 
 void ExpectSameAddress(const OrderAddress& aLeft, const OrderAddress& aRight)
 {
@@ -80,10 +82,17 @@
   return run;
 }
 
+NetworkAddress RandomNetworkAddress()
+{
+  const std::string host = *rc::gen::element<std::string>("10.0.0.1", "[::1]");
+  const auto port = RandomNumber<std::uint16_t>();
+  return NetworkAddress::ParseOrNone(host + ":" + std::to_string(port));
+}
+
 OrderAddress RandomAddress()
 {
   return OrderAddress{ TargetId(RandomName()),
-                       RandomName(),
+                       RandomNetworkAddress(),
                        RandomNumber<std::uint64_t>(),
                        WallTime(RandomNumber<std::int32_t>()) };
 }
@@ -283,4 +292,19 @@
   }));
 }
 
+// Guards against an order of another host, maybe of an earlier release, whose
+// address is none and ends this process.
+TEST(OrderMessages, OrderToATextThatIsNoAddressGoesNowhere)
+{
+  const std::vector<std::string> texts = {
+    "shelf-17:1733612345678", "shelf-17:80", "", std::string(70000, 'a')
+  };
+  for (const std::string& text : texts) {
+    proto::CarriedOrder message;
+    EncodeStop(StopOrder{ kTo, kRun }, message);
+    message.set_address(text);
+    EXPECT_TRUE(DecodeStop(message).m_to.m_address.IsNone());
+  }
+}
+
 } // namespace lycheestep
--- a/src/jobhost/peer_messenger.cpp
+++ b/src/jobhost/peer_messenger.cpp
@@ -8,6 +8,7 @@
 
 #include "event_log.h"
 #include "jobs.pb.h"
+#include "lycheestep/network_address.h"
 #include "peer_key.h"
 #include "peer_reply.h"
 
@@ -90,6 +91,13 @@
   aMessage.set_from(m_host);
   aMessage.set_incarnation(m_incarnation);
   aMessage.set_address(m_address);
+  if (!NetworkAddress::Parse(aAddress)) {
+    // Rows and messages of other hosts name it, among them those of other
+    // releases.
+    m_log.Write("peer-address-malformed",
+                "bytes=" + std::to_string(aAddress.size()));
+    return;
+  }
   const std::lock_guard<std::mutex> lock(m_mutex);
   if (m_queued.size() >= kMaxQueuedMessages) {
     m_log.Write("peer-message-dropped", "to=" + aAddress);
--- a/src/jobhost/peer_messenger_test.cpp
+++ b/src/jobhost/peer_messenger_test.cpp
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-#include <gtest/gtest.h>
+#include <gmock/gmock.h>
 
 #include "event_log.h"
 #include "jobs.pb.h"
@@ -126,4 +126,24 @@
             std::set<std::uint64_t>{ 3 });
 }
 
+// Guards against a row or message of another host whose address is none and
+// that holds up what is sent to the other hosts.
+TEST_F(PeerMessengerTest, TextThatIsNoAddressIsPassedOver)
+{
+  ASSERT_TRUE(m_caller.Start());
+  ASSERT_TRUE(m_other.Start());
+  const std::vector<std::string> texts = { "",
+                                           "shelf-17:1733612345678",
+                                           "10.0.0.1:0",
+                                           "a b:80",
+                                           std::string(70000, 'a') };
+  for (const std::string& text : texts) {
+    m_other.Send(text, StoreReply(kCallerIncarnation, 4));
+  }
+  EXPECT_THAT(m_metrics.Render(),
+              testing::HasSubstr("event=\"peer-address-malformed\"} 5\n"));
+  EXPECT_EQ(SendUntilOneArrives({ StoreReply(kCallerIncarnation, 5) }),
+            std::set<std::uint64_t>{ 5 });
+}
+
 } // namespace lycheestep
--- a/src/jobhost/peer_probe.cpp
+++ b/src/jobhost/peer_probe.cpp
@@ -8,23 +8,23 @@
 
 #include <cerrno>
 #include <chrono>
-#include <cstdlib>
+
+#include "lycheestep/network_address.h"
 
 namespace lycheestep {
 
 namespace {
 
+// Converts the text of an IPv4 address and port. Returns false for any other.
 bool ParseAddress(const std::string& aText, sockaddr_in& aAddress)
 {
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string::npos) {
+  const auto address = NetworkAddress::ParseNumeric(aText);
+  if (!address) {
     return false;
   }
   aAddress.sin_family = AF_INET;
-  aAddress.sin_port =
-    htons(static_cast<std::uint16_t>(std::atoi(aText.c_str() + colon + 1)));
-  return inet_pton(
-           AF_INET, aText.substr(0, colon).c_str(), &aAddress.sin_addr) == 1;
+  aAddress.sin_port = htons(address->Port());
+  return inet_pton(AF_INET, address->Host().c_str(), &aAddress.sin_addr) == 1;
 }
 
 // Returns the errno value with which the connection attempt ended, 0 if it
--- a/src/jobhost/target_list_test.cpp
+++ b/src/jobhost/target_list_test.cpp
@@ -30,7 +30,8 @@
     TargetRecord record;
     record.m_target = TargetId(aRow.m_key.m_key);
     record.m_service = ServiceName(aRow.m_value.substr(0, space));
-    record.m_address = aRow.m_value.substr(space + 1);
+    record.m_address =
+      NetworkAddress::ParseOrNone(aRow.m_value.substr(space + 1));
     return record;
   }
 };
--- a/src/jobs/early_segment_removal_test.cpp
+++ b/src/jobs/early_segment_removal_test.cpp
@@ -11,6 +11,7 @@
 #include "job_rows.h"
 #include "job_scheduler.h"
 #include "mock_job_effects.h"
+#include "model_address.h"
 #include "progress_rows.h"
 
 namespace lycheestep {
@@ -57,7 +58,7 @@
     m_scheduler.OnCommitted(1, seconds(5000), m_now);
     TargetRecord record;
     record.m_target = TargetId(std::string(60, 't'));
-    record.m_address = "address";
+    record.m_address = ModelAddress(1);
     record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     m_scheduler.OnTargetRecord(record, m_now);
     Pass();
--- a/src/jobs/older_run_test.cpp
+++ b/src/jobs/older_run_test.cpp
@@ -12,6 +12,7 @@
 
 #include "ignored_metrics.h"
 #include "mock_job_effects.h"
+#include "model_address.h"
 
 namespace lycheestep {
 
@@ -58,7 +59,8 @@
     TargetRecord record;
     record.m_target = TargetId(aTarget);
     record.m_service = ServiceName("desk");
-    record.m_address = aTarget;
+    record.m_address =
+      ModelAddress(record.m_target == TargetId("first") ? 1 : 2);
     record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     record.m_started = WallTime(1000);
     return record;
--- a/src/jobs/placed_run_process_test.cpp
+++ b/src/jobs/placed_run_process_test.cpp
@@ -11,6 +11,7 @@
 
 #include "mock_job_effects.h"
 #include "mock_run_listener.h"
+#include "model_address.h"
 
 namespace lycheestep {
 
@@ -34,7 +35,7 @@
       });
     TargetRecord record;
     record.m_target = m_target;
-    record.m_address = "address";
+    record.m_address = ModelAddress(1);
     record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     record.m_started = WallTime(1000);
     m_manager.SetFencingToken(5);
--- a/src/jobs/rejected_address_test.cpp
+++ b/src/jobs/rejected_address_test.cpp
@@ -9,6 +9,7 @@
 #include "job_rows.h"
 #include "job_scheduler.h"
 #include "mock_job_effects.h"
+#include "model_address.h"
 
 namespace lycheestep {
 
@@ -48,7 +49,7 @@
   {
     TargetRecord record;
     record.m_target = TargetId("t");
-    record.m_address = "address";
+    record.m_address = ModelAddress(1);
     record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     m_scheduler.OnTargetRecord(record, m_now);
     Pass();
--- a/src/jobs/remembered_target_test.cpp
+++ b/src/jobs/remembered_target_test.cpp
@@ -9,6 +9,7 @@
 #include "job_cell_model.h"
 #include "mock_job_effects.h"
 #include "mock_run_listener.h"
+#include "model_address.h"
 #include "single_step_job.h"
 #include "target_manager.h"
 
@@ -31,7 +32,7 @@
     : m_manager(TargetManagerSettings(), m_effects, m_listener)
   {
     m_record.m_target = TargetId("t");
-    m_record.m_address = "address";
+    m_record.m_address = ModelAddress(1);
     m_record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     ON_CALL(m_effects, Hold(_, _))
       .WillByDefault(
--- a/src/jobs/replaced_target_test.cpp
+++ b/src/jobs/replaced_target_test.cpp
@@ -9,6 +9,7 @@
 
 #include "mock_job_effects.h"
 #include "mock_run_listener.h"
+#include "model_address.h"
 #include "single_step_job.h"
 #include "target_manager.h"
 
@@ -31,13 +32,13 @@
     : m_manager(TargetManagerSettings(), m_effects, m_listener)
   {
     m_record.m_target = TargetId("t");
-    m_record.m_address = "address";
+    m_record.m_address = ModelAddress(1);
     m_record.m_machine = MachineName("machine");
     m_record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     m_record.m_started = WallTime(1000);
     m_next = m_record;
     m_next.m_target = TargetId("next");
-    m_next.m_address = "next address";
+    m_next.m_address = ModelAddress(2);
     m_next.m_started = WallTime(2000);
     ON_CALL(m_effects, Stop(_)).WillByDefault([this](const StopOrder& aOrder) {
       m_stops.push_back(aOrder);
--- a/src/jobs/route_change_test.cpp
+++ b/src/jobs/route_change_test.cpp
@@ -10,6 +10,7 @@
 
 #include "ignored_metrics.h"
 #include "mock_job_effects.h"
+#include "model_address.h"
 
 namespace lycheestep {
 
@@ -63,7 +64,7 @@
     TargetRecord record;
     record.m_target = TargetId(aService);
     record.m_service = ServiceName(aService);
-    record.m_address = aService;
+    record.m_address = ModelAddress(1);
     record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     record.m_started = WallTime(1000);
     return record;
--- a/src/jobs/stop_monitor.cpp
+++ b/src/jobs/stop_monitor.cpp
@@ -69,7 +69,7 @@
 
 StopObstacle ObstacleOf(const TargetState& aTarget, const TargetRun& aRun)
 {
-  if (aTarget.Address().empty()) {
+  if (aTarget.Address().IsNone()) {
     return StopObstacle::kNoAddress;
   }
   if (aRun.m_stop.m_sentCount == 0) {
--- a/src/jobs/stop_monitor_test.cpp
+++ b/src/jobs/stop_monitor_test.cpp
@@ -6,6 +6,7 @@
 #include <gmock/gmock.h>
 
 #include "mock_job_effects.h"
+#include "model_address.h"
 #include "single_step_job.h"
 #include "target_state.h"
 
@@ -26,7 +27,7 @@
     : m_monitor(m_effects)
   {
     m_target.m_record.m_target = TargetId("t");
-    m_target.m_record.m_address = "address";
+    m_target.m_record.m_address = ModelAddress(1);
   }
 
   void AddStop(std::uint32_t aIndex)
@@ -93,7 +94,7 @@
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNotEnded);
   run.m_stop.m_answer = OrderStatus::kNotSent;
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNotSent);
-  m_target.m_record.m_address.clear();
+  m_target.m_record.m_address = NetworkAddress();
   EXPECT_EQ(ObstacleOf(m_target, run), StopObstacle::kNoAddress);
 }
 
--- a/src/jobs/stop_orders_test.cpp
+++ b/src/jobs/stop_orders_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gmock/gmock.h>
 
+#include "model_address.h"
 #include "stopped_target.h"
 
 namespace lycheestep {
@@ -35,7 +36,7 @@
   StopRuns(1);
   Pass(milliseconds(10));
   ASSERT_THAT(m_stops, SizeIs(1));
-  EXPECT_EQ(m_stops[0].m_to.m_address, "address");
+  EXPECT_EQ(m_stops[0].m_to.m_address, ModelAddress(1));
   EXPECT_EQ(m_stops[0].m_to.m_fence, kStopToken);
 }
 
@@ -168,11 +169,11 @@
 {
   m_manager.OnTargetListed(m_record, m_now);
   Pass(milliseconds(10));
-  m_record.m_address = "other";
+  m_record.m_address = ModelAddress(2);
   m_manager.OnTargetListed(m_record, m_now);
   AnswerTake(0);
   Pass(seconds(1));
-  EXPECT_EQ(m_take.m_to.m_address, "other");
+  EXPECT_EQ(m_take.m_to.m_address, ModelAddress(2));
   AnswerTake(0);
   EXPECT_EQ(m_manager.Find(m_record.m_target)->m_phase, TargetPhase::kHeld);
 }
@@ -183,19 +184,19 @@
   m_manager.OnTargetListed(m_record, m_now);
   Pass(milliseconds(10));
   AnswerTake(0);
-  m_record.m_address = "other";
+  m_record.m_address = ModelAddress(2);
   m_manager.OnTargetListed(m_record, m_now);
   HoldOrder watch;
   EXPECT_CALL(m_effects, Hold(_, HoldPath::kWatch))
     .WillRepeatedly(
       [&watch](const HoldOrder& aOrder, HoldPath) { watch = aOrder; });
   Pass(milliseconds(10));
-  EXPECT_EQ(watch.m_to.m_address, "address");
+  EXPECT_EQ(watch.m_to.m_address, ModelAddress(1));
   HoldAnswer refusal;
   refusal.m_status = OrderStatus::kNotSent;
   m_manager.OnHoldAnswer(watch, HoldPath::kWatch, refusal, m_now);
   Pass(milliseconds(200));
-  EXPECT_EQ(watch.m_to.m_address, "other");
+  EXPECT_EQ(watch.m_to.m_address, ModelAddress(2));
 }
 
 TEST_F(StopOrdersTest, TargetOfWhichAnEarlierLifeAnsweredIsTakenAgain)
--- a/src/jobs/stopped_target.h
+++ b/src/jobs/stopped_target.h
@@ -10,6 +10,7 @@
 
 #include "mock_job_effects.h"
 #include "mock_run_listener.h"
+#include "model_address.h"
 #include "single_step_job.h"
 #include "target_manager.h"
 
@@ -27,7 +28,7 @@
     : m_manager(TargetManagerSettings(), m_effects, m_listener)
   {
     m_record.m_target = TargetId("t");
-    m_record.m_address = "address";
+    m_record.m_address = ModelAddress(1);
     m_record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     ON_CALL(m_effects, Stop(testing::_))
       .WillByDefault([this](const StopOrder& aOrder) {
--- a/src/jobs/target_address.cpp
+++ b/src/jobs/target_address.cpp
@@ -28,7 +28,7 @@
 std::string EncodeTargetAddress(const TargetAddress& aAddress)
 {
   proto::TargetAddressRow row;
-  row.set_address(aAddress.m_address);
+  row.set_address(aAddress.m_address.Text());
   row.set_data_centre(aAddress.m_dataCentre.Text());
   return row.SerializeAsString();
 }
@@ -36,11 +36,15 @@
 std::optional<TargetAddress> DecodeTargetAddress(const Row& aRow)
 {
   proto::TargetAddressRow row;
-  if (!row.ParseFromString(aRow.m_value) || row.address().empty()) {
+  if (!row.ParseFromString(aRow.m_value)) {
+    return std::nullopt;
+  }
+  const auto address = NetworkAddress::ParseNumeric(row.address());
+  if (!address) {
     return std::nullopt;
   }
   return TargetAddress{ TargetId(aRow.m_key.m_key),
-                        row.address(),
+                        *address,
                         DataCentreName(row.data_centre()) };
 }
 
--- a/src/jobs/target_address.h
+++ b/src/jobs/target_address.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "lycheestep/network_address.h"
 #include "lycheestep/row_store.h"
 #include "lycheestep/target_record.h"
 
@@ -16,8 +17,7 @@
 struct TargetAddress
 {
   TargetId m_target;
-  // "10.128.0.9:8080".
-  std::string m_address;
+  NetworkAddress m_address;
   DataCentreName m_dataCentre;
 
   friend bool operator==(const TargetAddress& aLeft,
--- a/src/jobs/target_directory.cpp
+++ b/src/jobs/target_directory.cpp
@@ -4,13 +4,6 @@
 
 namespace lycheestep {
 
-namespace {
-
-// Longer texts are no network addresses, and are not stored.
-constexpr std::size_t kMaxAddressBytes = 256;
-
-} // namespace
-
 void TargetDirectory::OnRead(const TargetAddress& aAddress)
 {
   m_entries[aAddress.m_target].m_address = aAddress;
@@ -31,9 +24,7 @@
 
 void TargetDirectory::Add(const TargetAddress& aAddress)
 {
-  const bool isStorable = !aAddress.m_address.empty() &&
-                          aAddress.m_address.size() <= kMaxAddressBytes;
-  if (!isStorable) {
+  if (aAddress.m_address.IsNone()) {
     return;
   }
   Entry& entry = m_entries[aAddress.m_target];
--- a/src/jobs/target_directory.h
+++ b/src/jobs/target_directory.h
@@ -37,7 +37,7 @@
   bool Has(const TargetId& aTarget) const;
 
   // Stores the address with one of the next commits, unless it is stored. Does
-  // nothing if the address is empty or longer than a network address can be.
+  // nothing if there is no address.
   void Add(const TargetAddress& aAddress);
 
   // Removes the rows of targets for which aIsNeeded has been false at each call
--- a/src/jobs/target_directory_test.cpp
+++ b/src/jobs/target_directory_test.cpp
@@ -6,6 +6,7 @@
 #include <gmock/gmock.h>
 
 #include "job_rows.h"
+#include "jobs.pb.h"
 
 namespace lycheestep {
 
@@ -19,9 +20,11 @@
 constexpr Duration kDelay = seconds(10);
 
 TargetAddress MakeAddress(const std::string& aTarget,
-                          const std::string& aAddress = "a:1")
+                          const std::string& aAddress = "10.0.0.1:1")
 {
-  return TargetAddress{ TargetId(aTarget), aAddress, DataCentreName("z") };
+  return TargetAddress{ TargetId(aTarget),
+                        NetworkAddress::ParseOrNone(aAddress),
+                        DataCentreName("z") };
 }
 
 class TargetDirectoryTest : public testing::Test
@@ -64,7 +67,7 @@
   Commit();
   m_directory.Add(MakeAddress("t"));
   EXPECT_FALSE(m_directory.HasChanges());
-  m_directory.Add(MakeAddress("t", "a:2"));
+  m_directory.Add(MakeAddress("t", "10.0.0.1:2"));
   EXPECT_THAT(Commit().m_writes, SizeIs(1));
 }
 
@@ -145,6 +148,21 @@
   EXPECT_THAT(changes.m_writes, SizeIs(1));
 }
 
+// Guards against a stored text that ends the process of each leader that reads
+// it: an earlier release stored any text as an address.
+TEST_F(TargetDirectoryTest, RowWithATextThatIsNoAddressIsNotRead)
+{
+  for (const char* text :
+       { "shelf-17:1733612345678", "shelf-17:80", "", "a" }) {
+    proto::TargetAddressRow stored;
+    stored.set_address(text);
+    Row row;
+    row.m_key = TargetAddressKey(TargetId("t"));
+    row.m_value = stored.SerializeAsString();
+    EXPECT_FALSE(DecodeTargetAddress(row)) << text;
+  }
+}
+
 TEST_F(TargetDirectoryTest, TextThatIsNoAddressIsNotStored)
 {
   m_directory.Add(MakeAddress("t", ""));
--- a/src/jobs/target_hold_answers.cpp
+++ b/src/jobs/target_hold_answers.cpp
@@ -182,7 +182,7 @@
                 "target=" + aTarget.m_record.m_target.Text() +
                   " started=" + std::to_string(aStarted.count()));
   aTarget.m_record.m_started = aStarted;
-  aTarget.m_answeredAddress.clear();
+  aTarget.m_answeredAddress = NetworkAddress();
   aTarget.m_usesAnsweredAddress = false;
   aTarget.m_phase = TargetPhase::kUntaken;
   aTarget.m_clockKnown = false;
--- a/src/jobs/target_manager.cpp
+++ b/src/jobs/target_manager.cpp
@@ -161,7 +161,7 @@
       continue;
     }
     const bool reachable =
-      !target.Address().empty() && target.m_retryAt <= aNow;
+      !target.Address().IsNone() && target.m_retryAt <= aNow;
     if (reachable && target.m_phase == TargetPhase::kUntaken &&
         !target.m_takeHoldInFlight) {
       Take(target, aNow);
--- a/src/jobs/target_runs.cpp
+++ b/src/jobs/target_runs.cpp
@@ -118,7 +118,7 @@
   for (const auto& [id, target] : m_targets) {
     ++totals.m_targets;
     totals.m_heldTargets += target.m_phase == TargetPhase::kHeld ? 1 : 0;
-    const bool hasAddress = !target.Address().empty();
+    const bool hasAddress = !target.Address().IsNone();
     for (const auto& [name, run] : target.m_runs) {
       totals.m_runs += run.m_sent ? 1 : 0;
       totals.m_withoutAddress += run.m_sent && !hasAddress ? 1 : 0;
--- a/src/jobs/target_state.cpp
+++ b/src/jobs/target_state.cpp
@@ -42,7 +42,7 @@
 void TargetState::TryOtherAddress()
 {
   const bool hasOther =
-    !m_answeredAddress.empty() && m_answeredAddress != m_record.m_address;
+    !m_answeredAddress.IsNone() && m_answeredAddress != m_record.m_address;
   m_usesAnsweredAddress = hasOther && !m_usesAnsweredAddress;
 }
 
--- a/src/jobs/target_state.h
+++ b/src/jobs/target_state.h
@@ -62,8 +62,8 @@
 {
   TargetRecord m_record;
   // The address at which the target last answered, by this leader or an earlier
-  // one; empty if unknown. Orders go there while the one in m_record fails.
-  std::string m_answeredAddress;
+  // one; none if unknown. Orders go there while the one in m_record fails.
+  NetworkAddress m_answeredAddress;
   bool m_usesAnsweredAddress = false;
   // True if the target is in the platform's list.
   bool m_listed = false;
@@ -124,8 +124,8 @@
   // What tasks that failed there say of the target.
   FailureEvidence m_failures;
 
-  // Returns the address to which orders go; empty if none is known.
-  const std::string& Address() const
+  // Returns the address to which orders go; none if it is not known.
+  const NetworkAddress& Address() const
   {
     return m_usesAnsweredAddress ? m_answeredAddress : m_record.m_address;
   }
--- a/src/jobs/target_stops.cpp
+++ b/src/jobs/target_stops.cpp
@@ -92,7 +92,7 @@
     // No lower token will be used to take the target.
     to.m_fence = std::max(to.m_fence, m_nextFencingToken);
   }
-  if (to.m_address.empty() || to.m_fence == 0) {
+  if (to.m_address.IsNone() || to.m_fence == 0) {
     return;
   }
   bool maySend = aTarget.m_isConnected || !IsAnyStopUnderWay(aTarget, aNow);
--- a/src/jobs/unsent_hold_test.cpp
+++ b/src/jobs/unsent_hold_test.cpp
@@ -10,6 +10,7 @@
 
 #include "mock_job_effects.h"
 #include "mock_run_listener.h"
+#include "model_address.h"
 
 namespace lycheestep {
 
@@ -42,7 +43,7 @@
   {
     TargetRecord record;
     record.m_target = TargetId("t");
-    record.m_address = "address";
+    record.m_address = ModelAddress(1);
     record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     record.m_started = WallTime(aStarted);
     m_manager.OnTargetListed(record, m_now);
--- a/src/jobs/withdrawn_start_test.cpp
+++ b/src/jobs/withdrawn_start_test.cpp
@@ -8,6 +8,7 @@
 
 #include "mock_job_effects.h"
 #include "mock_run_listener.h"
+#include "model_address.h"
 #include "single_step_job.h"
 
 namespace lycheestep {
@@ -28,7 +29,7 @@
     : m_manager(TargetManagerSettings(), m_effects, m_listener)
   {
     m_record.m_target = TargetId("t");
-    m_record.m_address = "address";
+    m_record.m_address = ModelAddress(1);
     m_record.m_capacity = Resources(8000, 8000, 0, 0, 0);
     m_record.m_started = WallTime(1000);
     ON_CALL(m_effects, Start(_))
--- a/src/lycheestep/client_commands_test.cpp
+++ b/src/lycheestep/client_commands_test.cpp
@@ -194,5 +194,22 @@
   EXPECT_EQ(connection.Call(ApiCall()).m_delivery, Delivery::kNotSent);
 }
 
+// Guards against a URL that ends the command with an exception.
+TEST(HttpApiConnection, TextThatIsNoServerIsRefused)
+{
+  for (const std::string& url : { std::string("http://127.0.0.1:99999999999"),
+                                  std::string("http://127.0.0.1:65536"),
+                                  std::string("https://127.0.0.1:1"),
+                                  std::string("http://a b"),
+                                  std::string(),
+                                  std::string(70000, 'a') }) {
+    HttpApiConnection connection(url, "", std::chrono::milliseconds(100));
+    const ApiReply reply = connection.Call(ApiCall());
+    EXPECT_EQ(reply.m_delivery, Delivery::kNotSent) << url.substr(0, 40);
+    EXPECT_THAT(reply.m_detail, HasSubstr("http://HOST:PORT"))
+      << url.substr(0, 40);
+  }
+}
+
 } // namespace
 } // namespace lycheestep
--- a/src/lycheestep/http_api_connection.cpp
+++ b/src/lycheestep/http_api_connection.cpp
@@ -1,14 +1,20 @@
 #include "http_api_connection.h"
 
 #include <cctype>
+#include <optional>
 #include <utility>
 
 #include <httplib.h>
 
+#include "lycheestep/network_address.h"
+
 namespace lycheestep {
 
 namespace {
 
+// Appended to a URL without a port.
+constexpr const char* kDefaultPort = ":80";
+
 constexpr Duration kConnectTimeout = std::chrono::seconds(5);
 
 const char* NameOf(ApiMethod aMethod)
@@ -46,6 +52,17 @@
   return reply;
 }
 
+// Parses "http://HOST:PORT" or "http://HOST"; the scheme may be left out.
+// Returns nothing for any other text.
+std::optional<NetworkAddress> ParseServerUrl(const std::string& aUrl)
+{
+  const std::string scheme = "http://";
+  const bool hasScheme = aUrl.compare(0, scheme.size(), scheme) == 0;
+  const std::string address = hasScheme ? aUrl.substr(scheme.size()) : aUrl;
+  const auto parsed = NetworkAddress::Parse(address);
+  return parsed ? parsed : NetworkAddress::Parse(address + kDefaultPort);
+}
+
 } // namespace
 
 HttpApiConnection::HttpApiConnection(std::string aServer,
@@ -59,12 +76,13 @@
 
 ApiReply HttpApiConnection::Call(const ApiCall& aCall)
 {
-  httplib::Client client(m_server);
-  if (!client.is_valid()) {
+  const auto address = ParseServerUrl(m_server);
+  if (!address) {
     ApiReply reply;
     reply.m_detail = "the URL is not of the form http://HOST:PORT";
     return reply;
   }
+  httplib::Client client(address->Host(), address->Port());
   client.set_connection_timeout(kConnectTimeout);
   client.set_read_timeout(m_timeout);
   client.set_write_timeout(m_timeout);
--- a/src/platform.service/platform_service.cpp
+++ b/src/platform.service/platform_service.cpp
@@ -29,16 +29,16 @@
 // The platform rejected a call without executing it.
 constexpr int kHttpUnavailable = 503;
 
-// Returns the host and port of a URL: "127.0.0.1:9000" for
-// "http://127.0.0.1:9000/".
-std::string AddressOf(const std::string& aUrl)
+// Returns the host and port of a URL such as "http://127.0.0.1:9000/"; none if
+// the text has none.
+NetworkAddress AddressOf(const std::string& aUrl)
 {
   const std::string scheme = "http://";
   std::string address = aUrl;
   if (address.compare(0, scheme.size(), scheme) == 0) {
     address.erase(0, scheme.size());
   }
-  return address.substr(0, address.find('/'));
+  return NetworkAddress::ParseOrNone(address.substr(0, address.find('/')));
 }
 
 // Converts the HTTP reply to a call on the table. If the reply is lost, has an
--- a/src/platform.service/platform_service.h
+++ b/src/platform.service/platform_service.h
@@ -40,7 +40,7 @@
   HttpReply PostRead(const std::string& aBody);
   void CountCall(const char* aCall, const HttpReply& aReply, TimePoint aSince);
 
-  const std::string m_address;
+  const NetworkAddress m_address;
   const DataCentreName m_dataCentre;
   // The tag of the last host list; empty before the first list and after a list
   // that could not be decoded. It needs no lock: only one fetch is in progress
--- a/src/standin/job_cell_checks.cpp
+++ b/src/standin/job_cell_checks.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "job_cell_model.h"
+#include "model_address.h"
 #include "run_text.h"
 
 namespace lycheestep {
@@ -234,7 +235,7 @@
   TargetRecord record = m_targets[aTarget]->Record();
   record.m_draining = m_drainingSince.count(record.m_target) > 0;
   if (m_misplaced[aTarget]) {
-    record.m_address = "nobody";
+    record.m_address = ModelAddress(kUnusedAddress);
   }
   return record;
 }
--- a/src/standin/job_cell_disturbances.cpp
+++ b/src/standin/job_cell_disturbances.cpp
@@ -5,6 +5,7 @@
 
 #include "job_cell_model.h"
 #include "job_cell_term.h"
+#include "model_address.h"
 
 namespace lycheestep {
 
@@ -148,7 +149,7 @@
 {
   TargetRecord record = m_targets[aTarget]->Record();
   record.m_target = TargetId("false-" + record.m_target.Text());
-  record.m_address = "nobody";
+  record.m_address = ModelAddress(kUnusedAddress);
   record.m_started = kWallStart + std::chrono::duration_cast<WallTime>(Now());
   Term& term = *m_terms.back();
   if (aListed) {
@@ -168,7 +169,7 @@
   const std::size_t index = m_targets.size();
   TargetRecord record = m_targets[aTarget]->Record();
   record.m_target = TargetId("target-" + std::to_string(index));
-  record.m_address = "address-" + std::to_string(index);
+  record.m_address = ModelAddress(index);
   record.m_started = kWallStart + std::chrono::duration_cast<WallTime>(Now());
   AddTarget(record);
   TellListed(index, Way());
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "job_cell_term.h"
+#include "model_address.h"
 #include "run_text.h"
 
 namespace lycheestep {
@@ -52,7 +53,7 @@
     TargetRecord record;
     record.m_target = TargetId("target-" + std::to_string(i));
     record.m_service = m_queue.m_service;
-    record.m_address = "address-" + std::to_string(i);
+    record.m_address = ModelAddress(i);
     record.m_rack = RackName("rack-" + std::to_string(i / kTargetsPerRack));
     record.m_kind = "a";
     record.m_capacity = aCapacity;
--- a/src/standin/takeover_world.cpp
+++ b/src/standin/takeover_world.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "model_address.h"
 #include "run_text.h"
 
 namespace lycheestep {
@@ -36,7 +37,7 @@
     TargetRecord record;
     record.m_target = TargetId("target-" + std::to_string(i));
     record.m_service = ServiceName("desk");
-    record.m_address = "address-" + std::to_string(i);
+    record.m_address = ModelAddress(i);
     record.m_rack = RackName("rack");
     record.m_capacity = Resources(32000, 131072, 0, 0, 0);
     record.m_started = kWallStart;
--- a/src/targets.service/ended_poller.cpp
+++ b/src/targets.service/ended_poller.cpp
@@ -80,8 +80,8 @@
   call.m_entry = m_entry;
   call.m_after = SequenceOf(aAddress);
   call.m_wait = kPollWait;
-  const HttpReply reply =
-    m_connections.Post(aAddress, "/v1/ended", EncodeEndedPoll(call));
+  const HttpReply reply = m_connections.Post(
+    NetworkAddress::ParseOrNone(aAddress), "/v1/ended", EncodeEndedPoll(call));
   if (reply.m_progress != HttpProgress::kAnswered ||
       reply.m_status != kHttpOk) {
     return false;
--- a/src/targets.service/targets_service.cpp
+++ b/src/targets.service/targets_service.cpp
@@ -135,8 +135,11 @@
     m_poller.Watch(aCall.m_target, aCall.m_address, attempt);
   }
   const TimePoint since = Clock::now();
-  const HttpReply reply = m_connections.Post(
-    aCall.m_address, "/v1/tasks", EncodeStartCall(call), aCall.m_notAfter);
+  const HttpReply reply =
+    m_connections.Post(NetworkAddress::ParseOrNone(aCall.m_address),
+                       "/v1/tasks",
+                       EncodeStartCall(call),
+                       aCall.m_notAfter);
   CountCall("start", reply, since);
   StartAnswered answer = ToStartAnswered(reply);
   answer.m_target = aCall.m_target;
@@ -153,10 +156,11 @@
 void TargetsService::DoRenew(const RenewLeases& aCall)
 {
   const TimePoint since = Clock::now();
-  const HttpReply reply = m_connections.Post(aCall.m_address,
-                                             "/v1/leases",
-                                             EncodeRenewal(aCall.m_renewal),
-                                             aCall.m_notAfter);
+  const HttpReply reply =
+    m_connections.Post(NetworkAddress::ParseOrNone(aCall.m_address),
+                       "/v1/leases",
+                       EncodeRenewal(aCall.m_renewal),
+                       aCall.m_notAfter);
   CountCall("leases", reply, since);
   TargetReport report;
   if (IsOk(reply)) {
@@ -175,7 +179,7 @@
 {
   const TimePoint since = Clock::now();
   const HttpReply reply =
-    m_connections.Post(aCall.m_address,
+    m_connections.Post(NetworkAddress::ParseOrNone(aCall.m_address),
                        PathOf(aCall.m_attempt, "/control"),
                        EncodeControl(aCall.m_control));
   CountCall("control", reply, since);
@@ -185,7 +189,7 @@
 {
   const TimePoint since = Clock::now();
   const HttpReply reply =
-    m_connections.Post(aCall.m_address,
+    m_connections.Post(NetworkAddress::ParseOrNone(aCall.m_address),
                        PathOf(aCall.m_attempt, "/query"),
                        EncodeAttemptQuery({ aCall.m_target }));
   CountCall("query", reply, since);
