A job being split keeps the tasks that only its old row has

Cause: a job knew two layouts, its tasks in one row or in segments, and a new leader took it for stored in segments as soon as it found one. While the row is split there is a third: tasks that only the old row has. The next write of that row, as after a failed task, left them out, and the leader after that took them for never started. The row of a job that is over and has segments named no runs to stop, either, and a segment counted as stored when it was encoded, so that a rejected commit could leave it out for good.

Evidence: split_job_test, one job and two changes of the leader, the first at each of 300 moments 20 ms apart.

Why this works: the rows say which of three layouts a job has, and the old row is not written without its tasks before each of them is in a segment that is stored or in the same transaction. A new leader goes on with the split. The row of a job that is over names the runs that no stored segment names, so it need not wait for the split. New log lines job-split-resumed and job-split-stored tell how far a split is.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -106,6 +106,27 @@
   bool m_done = false;
 };
 
+// Which rows of the store have the tasks of a job. The rows alone say which of
+// these it is, so that each next leader knows it too.
+enum class TaskLayout
+{
+  kOneRow, // the job's progress row, all of them
+  // Some segments, and the job's progress row, which has all tasks of the
+  // segments that are not stored yet. It is not written without these tasks.
+  kBeingSplit,
+  kSegments, // segments, all of them
+};
+
+// A segment of a job in the row store.
+struct SegmentRows
+{
+  // The most rows that it was ever written to.
+  std::uint32_t m_rows = 0;
+  bool m_isStored = false;
+  // True while the commit under way writes it.
+  bool m_isInCommit = false;
+};
+
 // An accepted job and its progress.
 struct Job
 {
@@ -134,10 +155,9 @@
   Duration m_criticalPath = Duration::zero();
   // The number of rows in the job table besides the row with the job's id.
   std::uint32_t m_jobRowParts = 0;
-  // True if the tasks are stored in segments and not in the job's progress row.
-  bool m_segmented = false;
-  // The segments in the row store with the number of rows that each takes.
-  std::map<SegmentName, std::uint32_t> m_segments;
+  TaskLayout m_layout = TaskLayout::kOneRow;
+  // The segments that are in the row store or may be.
+  std::map<SegmentName, SegmentRows> m_segments;
 
   bool IsOver() const
   {
--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -6,6 +6,7 @@
 
 #include "job_effects.h"
 #include "job_scheduler.h"
+#include "job_segments.h"
 
 namespace lycheestep {
 
@@ -59,7 +60,7 @@
 {
   const JobId& id = aName.m_step.m_job;
   const Job& job = m_jobs.at(id);
-  if (!job.m_segmented) {
+  if (job.m_layout == TaskLayout::kOneRow) {
     MarkChanged(job);
     return;
   }
@@ -145,8 +146,8 @@
     const JobRowName row = m_changes.Next();
     std::vector<RowWrite> rows = EncodeRow(row);
     const std::size_t rowBytes = SizeOf(rows);
-    const std::size_t maxInline = std::min(kMaxInlineBytes, m_maxValueBytes);
-    if (row.m_kind == JobRowName::Kind::kProgress && rowBytes > maxInline) {
+    if (row.m_kind == JobRowName::Kind::kProgress && !rows.empty() &&
+        !MayWriteProgress(m_jobs.at(row.m_job), rowBytes)) {
       m_changes.Take();
       StoreInSegments(m_jobs.at(row.m_job));
       continue;
@@ -163,6 +164,7 @@
       continue;
     }
     m_commit.m_changes.push_back(taken);
+    NoteTaken(row);
     bytes += rowBytes;
     Append(writes, std::move(rows));
   }
@@ -179,7 +181,7 @@
     const JobId& id = aRun.m_task.m_step.m_job;
     const auto job = m_jobs.find(id);
     JobRowName row{ id, JobRowName::Kind::kProgress, SegmentName() };
-    if (job != m_jobs.end() && job->second.m_segmented) {
+    if (job != m_jobs.end() && job->second.m_layout != TaskLayout::kOneRow) {
       row.m_kind = JobRowName::Kind::kSegment;
       row.m_segment = SegmentName::Of(aRun.m_task);
     }
@@ -214,7 +216,10 @@
   Job& aJob,
   const SegmentName& aSegment)
 {
-  if (aJob.IsOver() && aJob.m_segments.count(aSegment) > 0) {
+  const auto known = aJob.m_segments.find(aSegment);
+  const bool isStored =
+    known != aJob.m_segments.end() && known->second.m_isStored;
+  if (aJob.IsOver() && (isStored || !MustBeStored(aJob, aSegment))) {
     // The job's state decides. The rows as they are say where runs may have to
     // be stopped.
     return {};
@@ -226,7 +231,7 @@
       RowWrite{ SegmentKey(aJob.m_id, aSegment, number), std::move(value) });
   }
   if (!writes.empty()) {
-    std::uint32_t& rows = aJob.m_segments[aSegment];
+    std::uint32_t& rows = aJob.m_segments[aSegment].m_rows;
     rows = std::max(rows, static_cast<std::uint32_t>(writes.size()));
   }
   return writes;
@@ -249,8 +254,9 @@
       std::max(aJob.m_jobRowParts, static_cast<std::uint32_t>(parts));
     return rows;
   }
-  const ProgressLayout layout =
-    aJob.m_segmented ? ProgressLayout::kSegments : ProgressLayout::kOneRow;
+  const ProgressLayout layout = aJob.m_layout == TaskLayout::kOneRow
+                                  ? ProgressLayout::kOneRow
+                                  : ProgressLayout::kSegments;
   std::string value = EncodeJob(stored, layout);
   if (value.size() > m_maxValueBytes) {
     m_effects.Log("job-row-too-long", "job=" + aJob.m_id.Text());
@@ -259,10 +265,23 @@
   return { RowWrite{ JobKey(aJob.m_id), std::move(value) } };
 }
 
+bool JobScheduler::MayWriteProgress(const Job& aJob, std::size_t aBytes) const
+{
+  if (aBytes > std::min(kMaxInlineBytes, m_maxValueBytes)) {
+    return false;
+  }
+  // The row of a job that is over names the runs that no segment has.
+  return aJob.m_layout != TaskLayout::kBeingSplit || aJob.IsOver() ||
+         UnstoredSegments(aJob).empty();
+}
+
 void JobScheduler::StoreInSegments(Job& aJob)
 {
-  m_effects.Log("job-segmented", "job=" + aJob.m_id.Text());
-  aJob.m_segmented = true;
+  const std::vector<SegmentName> segments = UnstoredSegments(aJob);
+  m_effects.Log("job-segmented",
+                "job=" + aJob.m_id.Text() +
+                  " segments=" + std::to_string(segments.size()));
+  aJob.m_layout = TaskLayout::kBeingSplit;
   if (!aJob.IsOver()) {
     m_segmentedJobs.insert(aJob.m_id);
   }
@@ -271,15 +290,57 @@
     m_changes.Add(
       JobRowName{ aJob.m_id, JobRowName::Kind::kJob, SegmentName() });
   }
-  for (const auto& [number, occurrence] : aJob.m_occurrences) {
-    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
-      MarkStepChanged(StepName{ aJob.m_id, number, s });
-    }
+  for (const SegmentName& segment : segments) {
+    m_changes.Add(JobRowName{ aJob.m_id, JobRowName::Kind::kSegment, segment });
   }
   // Until the segments are stored, the tasks in the progress row count.
   MarkChanged(aJob);
 }
 
+void JobScheduler::NoteTaken(const JobRowName& aRow)
+{
+  Job& job = m_jobs.at(aRow.m_job);
+  if (aRow.m_kind == JobRowName::Kind::kSegment) {
+    job.m_segments.at(aRow.m_segment).m_isInCommit = true;
+  } else if (aRow.m_kind == JobRowName::Kind::kProgress &&
+             job.m_layout == TaskLayout::kBeingSplit &&
+             UnstoredSegments(job).empty()) {
+    m_commit.m_splitJobs.insert(aRow.m_job);
+  }
+}
+
+void JobScheduler::NoteStored(const JobRowName& aRow)
+{
+  const auto found = m_jobs.find(aRow.m_job);
+  if (found == m_jobs.end()) {
+    return;
+  }
+  Job& job = found->second;
+  const auto segment = job.m_segments.find(aRow.m_segment);
+  if (aRow.m_kind == JobRowName::Kind::kSegment &&
+      segment != job.m_segments.end()) {
+    segment->second.m_isInCommit = false;
+    segment->second.m_isStored = true;
+  }
+  if (aRow.m_kind == JobRowName::Kind::kProgress &&
+      m_commit.m_splitJobs.count(aRow.m_job) > 0) {
+    m_effects.Log("job-split-stored", "job=" + aRow.m_job.Text());
+    job.m_layout = TaskLayout::kSegments;
+  }
+}
+
+void JobScheduler::NoteRejected(const JobRowName& aRow)
+{
+  const auto job = m_jobs.find(aRow.m_job);
+  if (job == m_jobs.end() || aRow.m_kind != JobRowName::Kind::kSegment) {
+    return;
+  }
+  const auto segment = job->second.m_segments.find(aRow.m_segment);
+  if (segment != job->second.m_segments.end()) {
+    segment->second.m_isInCommit = false;
+  }
+}
+
 void JobScheduler::RemoveOldSegments(Job& aJob)
 {
   // A leader that finds the job running reads its tasks from the segments.
@@ -293,7 +354,7 @@
       ++it;
       continue;
     }
-    RemoveSegment(aJob, it->first, it->second);
+    RemoveSegment(aJob, it->first, it->second.m_rows);
     it = aJob.m_segments.erase(it);
   }
 }
@@ -332,8 +393,8 @@
   }
   const Job& job = found->second;
   // The state goes last, so that a new leader finds the job over until then.
-  for (const auto& [segment, rows] : job.m_segments) {
-    RemoveSegment(job, segment, rows);
+  for (const auto& [segment, stored] : job.m_segments) {
+    RemoveSegment(job, segment, stored.m_rows);
   }
   RowGroup group{ JobKey(aJob), ProgressKey(aJob), CancelKey(aJob) };
   for (std::uint32_t part = 1; part <= job.m_jobRowParts; ++part) {
@@ -398,6 +459,9 @@
     m_keeper.NoteCommitDone();
     m_endsSnapshot.reset();
   }
+  for (const ChangedRows::Taken& taken : m_commit.m_changes) {
+    NoteStored(taken.m_row);
+  }
   for (const ChangedRows::Taken& taken : m_commit.m_changes) {
     const auto job = m_jobs.find(taken.m_row.m_job);
     if (taken.m_row.m_kind == JobRowName::Kind::kProgress &&
@@ -417,6 +481,9 @@
 void JobScheduler::OnCommitRejected(TimePoint /*aNow*/)
 {
   m_committing = false;
+  for (const ChangedRows::Taken& taken : m_commit.m_changes) {
+    NoteRejected(taken.m_row);
+  }
   ReduceCommits();
   m_directory.OnCommitRejected();
   m_changes.PutBack(m_commit.m_changes);
--- a/src/jobs/job_recovery.cpp
+++ b/src/jobs/job_recovery.cpp
@@ -5,9 +5,23 @@
 
 #include "job_effects.h"
 #include "job_scheduler.h"
+#include "job_segments.h"
 
 namespace lycheestep {
 
+namespace {
+
+TaskLayout LayoutOf(const StoredProgress& aProgress)
+{
+  if (aProgress.m_segments.empty()) {
+    return TaskLayout::kOneRow;
+  }
+  return aProgress.m_rowHasTasks ? TaskLayout::kBeingSplit
+                                 : TaskLayout::kSegments;
+}
+
+} // namespace
+
 void JobScheduler::OnProgress(const JobId& aJob,
                               const StoredProgress& aProgress,
                               TimePoint aNow)
@@ -29,9 +43,11 @@
   const bool settled =
     job.IsOver() && sinceEnd > m_settings.m_targets.m_longestLease;
   job.m_occurrencesDone = aProgress.m_occurrencesDone;
-  job.m_segments = aProgress.m_segments;
-  job.m_segmented = !job.m_segments.empty();
-  if (job.m_segmented && !job.IsOver()) {
+  for (const auto& [segment, rows] : aProgress.m_segments) {
+    job.m_segments[segment] = SegmentRows{ rows, true, false };
+  }
+  job.m_layout = LayoutOf(aProgress);
+  if (job.m_layout != TaskLayout::kOneRow && !job.IsOver()) {
     m_segmentedJobs.insert(aJob);
   }
   for (const StoredTask& stored : aProgress.m_tasks) {
@@ -88,9 +104,24 @@
     // The former leader may have ended before it stored the end of the job.
     CheckJobDone(job);
   }
+  if (job.m_layout == TaskLayout::kBeingSplit) {
+    ResumeSplit(job);
+  }
   RefreshReady(job);
 }
 
+// A former leader ended while it stored the job's tasks in segments.
+void JobScheduler::ResumeSplit(const Job& aJob)
+{
+  m_effects.LogNotable("job-split-resumed",
+                       "job=" + aJob.m_id.Text() + " stored=" +
+                         std::to_string(aJob.m_segments.size()) + " unstored=" +
+                         std::to_string(UnstoredSegments(aJob).size()));
+  if (!aJob.IsOver()) {
+    MarkChanged(aJob);
+  }
+}
+
 void JobScheduler::LogRunsToStop(const Job& aJob)
 {
   const std::uint32_t runs = aJob.CountDispatched();
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -245,6 +245,8 @@
   // otherwise the time at which the job was accepted.
   TimePoint DueAt(const Job& aJob, std::uint32_t aOccurrence) const;
 
+  // Goes on to store the job's tasks in segments.
+  void ResumeSplit(const Job& aJob);
   // Logs a job that an earlier leader ended and that may still have runs.
   void LogRunsToStop(const Job& aJob);
   // Restores what the members of a gang share.
@@ -371,6 +373,8 @@
   {
     std::vector<ChangedRows::Taken> m_changes;
     std::vector<RowGroup> m_removals;
+    // Jobs whose progress row leaves all tasks to segments.
+    std::set<JobId> m_splitJobs;
     // The number of rows of targets' addresses.
     std::size_t m_addressRows = 0;
     // True if all run ends of m_endsSnapshot are stored with this commit.
@@ -390,8 +394,18 @@
   // Returns the rows of the job in the job table. If its tasks are stored in
   // segments, they tell earlier releases to ignore the job.
   std::vector<RowWrite> EncodeJobTableRows(Job& aJob);
-  // Stores the job's tasks in segments from now on.
+  // Returns true if the value of the job's progress row, which has this size,
+  // can be written: it fits, and no stored row loses a task by it that no
+  // segment has.
+  bool MayWriteProgress(const Job& aJob, std::size_t aBytes) const;
+  // Stores the job's tasks in segments from now on, before its progress row.
   void StoreInSegments(Job& aJob);
+  // Notes that the commit under way has the row.
+  void NoteTaken(const JobRowName& aRow);
+  // Notes that the commit under way has stored the row, or that the store did
+  // not take it.
+  void NoteStored(const JobRowName& aRow);
+  void NoteRejected(const JobRowName& aRow);
   // Removes the segments of occurrences that are over.
   void RemoveOldSegments(Job& aJob);
   void RemoveSegment(const Job& aJob,
--- a/src/jobs/progress_rows.cpp
+++ b/src/jobs/progress_rows.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "job_rows.h"
+#include "job_segments.h"
 #include "jobs.pb.h"
 
 namespace lycheestep {
@@ -52,34 +53,27 @@
   return stored;
 }
 
-// Adds what a leader needs to stop the runs of a job that is over. That is no
-// more than was stored when they were dispatched, so that it takes no more
-// room.
+// Adds what a leader needs to stop the runs of a job that is over, as far as no
+// segment has it. That is no more than was stored when they were dispatched, so
+// that it takes no more room.
 void EncodeRunsToStop(const Job& aJob, proto::JobProgressRow& aRow)
 {
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
     for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
       const std::vector<JobTask>& tasks = occurrence.m_steps[s].m_tasks;
       for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].m_state != TaskState::kDispatched) {
+        const TaskName name{ StepName{ aJob.m_id, number, s }, i };
+        if (!MustBeStored(aJob, tasks[i]) || IsInStoredSegment(aJob, name)) {
           continue;
         }
         JobTask task = tasks[i];
         task.m_checkpoint.clear();
-        EncodeTask(TaskName{ StepName{ aJob.m_id, number, s }, i },
-                   task,
-                   *aRow.add_task());
+        EncodeTask(name, task, *aRow.add_task());
       }
     }
   }
 }
 
-// Returns true if the task was ever dispatched, or ended with its gang.
-bool HasProgress(const JobTask& aTask)
-{
-  return aTask.m_run > 0 || aTask.m_state != TaskState::kWaiting;
-}
-
 // Returns the checkpoint, or an empty text if it is too long to be stored.
 std::string StorableCheckpoint(const std::string& aCheckpoint,
                                std::size_t aMaxValueBytes)
@@ -214,6 +208,7 @@
     progress.m_state = stored->m_state;
     progress.m_occurrencesDone = stored->m_occurrencesDone;
     progress.m_endedAt = stored->m_endedAt;
+    progress.m_rowHasTasks = !stored->m_tasks.empty();
     for (StoredTask& task : stored->m_tasks) {
       m_tasks[task.m_name] = std::move(task.m_task);
     }
@@ -259,14 +254,13 @@
       static_cast<std::uint64_t>(ToMilliseconds(aJob.m_endedAt)));
   }
   row.set_occurrences_done(aJob.m_occurrencesDone);
-  const bool isSettled = aJob.IsOver() && aJob.CountDispatched() == 0;
-  if (aJob.m_state == JobState::kDone || aJob.m_segmented || isSettled) {
-    return row.SerializeAsString(); // nothing reads the tasks of a finished job
-  }
   if (aJob.IsOver()) {
     EncodeRunsToStop(aJob, row);
     return row.SerializeAsString();
   }
+  if (aJob.m_layout != TaskLayout::kOneRow) {
+    return row.SerializeAsString();
+  }
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
     for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
       const StepName name{ aJob.m_id, number, s };
--- a/src/jobs/progress_rows.h
+++ b/src/jobs/progress_rows.h
@@ -51,8 +51,9 @@
   std::vector<StoredTask> m_tasks;
   // The gangs of which a segment has a row.
   std::map<StepName, StoredGang> m_gangs;
-  // The segments with the number of rows that each takes. Empty if the tasks
-  // are in the job's progress row.
+  // True if the job's progress row has any tasks.
+  bool m_rowHasTasks = false;
+  // The segments with the number of rows that each takes.
   std::map<SegmentName, std::uint32_t> m_segments;
 };
 
@@ -66,8 +67,9 @@
 
 // EncodeProgress returns the value of the job's progress row. It leaves out
 // tasks that have never been dispatched, all tasks of a job that is done, and
-// those that are stored in segments. DecodeProgress returns nothing if the
-// bytes do not parse.
+// those of a job that is not over and has segments. Of any other job that is
+// over, it names the runs that may be on targets and that no stored segment
+// names. DecodeProgress returns nothing if the bytes do not parse.
 std::string EncodeProgress(const Job& aJob);
 std::optional<StoredProgress> DecodeProgress(const JobId& aJob,
                                              const std::string& aBytes);
--- a/src/standin/row_table_model.cpp
+++ b/src/standin/row_table_model.cpp
@@ -27,6 +27,9 @@
     aWrites.size() + aRemovals.size() + kLeaderEntries;
   std::size_t bytes = entries * kEntryBytes;
   bool valid = entries <= kRowTransactionLimit;
+  if (m_transactionRows > 0) {
+    valid = valid && aWrites.size() + aRemovals.size() <= m_transactionRows;
+  }
   for (const RowWrite& write : aWrites) {
     bytes += EncodedBytes(write.m_value);
     valid = valid && EncodedBytes(write.m_value) <= m_rowBytes &&
--- a/src/standin/row_table_model.h
+++ b/src/standin/row_table_model.h
@@ -19,6 +19,10 @@
   // Sets the longest value that the store takes, in bytes.
   void SetRowBytes(std::size_t aBytes) { m_rowBytes = aBytes; }
 
+  // Sets the most rows that the store takes in one transaction. Zero: as many
+  // as any store takes.
+  void SetTransactionRows(std::size_t aRows) { m_transactionRows = aRows; }
+
   // Applies a transaction together with the leader's own row. Returns false,
   // and changes nothing, if it is beyond a limit of the store.
   bool Apply(const std::vector<RowWrite>& aWrites,
@@ -35,6 +39,7 @@
 
 private:
   std::size_t m_rowBytes = kDefaultRowBytes;
+  std::size_t m_transactionRows = 0;
   std::map<RowKey, Row> m_rows;
   std::size_t m_bytesWritten = 0;
   std::size_t m_rowsWritten = 0;
--- a/src/standin/takeover_world.h
+++ b/src/standin/takeover_world.h
@@ -61,9 +61,19 @@
   // Lets every task fail so often. Otherwise the name of each task decides.
   void SetFailures(std::size_t aCount) { m_failures = aCount; }
 
+  // Sets how long a commit takes.
+  void SetCommitTime(Duration aTime) { m_commitTime = aTime; }
+
+  // Lets the store refuse transactions of more rows than that. The leader has
+  // to make them smaller.
+  void RefuseLongCommits(std::size_t aRows);
+
   void Submit(const JobId& aJob, const JobSpec& aSpec);
   void Cancel(const JobId& aJob);
 
+  // Returns true if a commit is under way.
+  bool IsCommitting() const { return m_commit.has_value(); }
+
   // The leader ends and another one reads the rows. A commit under way takes
   // effect if aCommitTakesEffect is true.
   void ChangeLeader(bool aCommitTakesEffect);
@@ -79,6 +89,9 @@
   // Promises that were broken: what never may happen, whoever leads.
   const std::vector<std::string>& Broken() const { return m_broken; }
 
+  // Returns how often runs of the task failed.
+  std::size_t FailuresOf(const TaskName& aTask) const;
+
   // The targets on which the task started, in this order.
   std::vector<TargetId> TargetsOf(const TaskName& aTask) const;
 
@@ -91,6 +104,7 @@
   {
     std::vector<RowWrite> m_writes;
     std::vector<RowKey> m_removals;
+    TimePoint m_doneAt;
   };
 
   void Commit(std::vector<RowWrite> aWrites,
@@ -136,6 +150,8 @@
   const std::size_t m_rowBytes;
   RowFilter m_filter;
   std::optional<std::size_t> m_failures;
+  Duration m_commitTime = Duration::zero();
+  bool m_refusesLongCommits = false;
   TimePoint m_now;
   std::vector<std::unique_ptr<JobTargetModel>> m_targets;
   std::map<JobId, StoredJob> m_jobs;
