What replaces a changed row takes over its place

Cause: an end counts as stored when all rows that had changed by the time it was seen are written, told by their numbers in the order of changes. The split of a large job's row took that row out and added its segments under new numbers, so that nothing seemed to wait while most of them were in no row. A segment that is not written, as its job or occurrence is over, lost its number in the same way to the progress row, which may have changed later.

Why this works: ChangedRows::Replace gives the rows that are written in place of another one its place in the order, and rows that are put back return to exactly theirs. Whatever the split needs, in however many commits, the changes of the old row wait until the last of them.

--- a/src/jobs/changed_rows.cpp
+++ b/src/jobs/changed_rows.cpp
@@ -4,21 +4,29 @@
 
 void ChangedRows::Add(const JobRowName& aRow)
 {
-  if (m_waiting.count(aRow) > 0) {
+  if (Has(aRow)) {
     return;
   }
-  Insert(Taken{ aRow, m_nextSequence });
+  Insert(aRow, Place{ m_nextSequence, m_nextSequence });
   ++m_nextSequence;
 }
 
-void ChangedRows::Insert(const Taken& aRow)
+void ChangedRows::Insert(const JobRowName& aRow, const Place& aPlace)
 {
-  m_waiting.insert(aRow.m_row);
-  m_sequences.insert(aRow.m_sequence);
-  const auto [rows, isNew] = m_jobs.try_emplace(aRow.m_row.m_job);
-  rows->second.emplace(aRow.m_sequence, aRow.m_row);
+  const auto [rows, isNew] = m_jobs.try_emplace(aRow.m_job);
+  const auto waiting = m_waiting.find(aRow);
+  if (waiting != m_waiting.end()) {
+    if (!(aPlace < waiting->second)) {
+      return;
+    }
+    m_places.erase(waiting->second);
+    rows->second.erase(waiting->second);
+  }
+  m_waiting[aRow] = aPlace;
+  m_places.insert(aPlace);
+  rows->second.emplace(aPlace, aRow);
   if (isNew) {
-    m_turns.push_back(aRow.m_row.m_job);
+    m_turns.push_back(aRow.m_job);
   }
 }
 
@@ -36,7 +44,7 @@
   Taken taken{ first->second, first->first };
   rows->second.erase(first);
   m_waiting.erase(taken.m_row);
-  m_sequences.erase(taken.m_sequence);
+  m_places.erase(taken.m_place);
   if (rows->second.empty()) {
     m_jobs.erase(rows);
   } else {
@@ -50,23 +58,22 @@
   for (const Taken& row : aRows) {
     // A row that changed again meanwhile waits at a later place already. It
     // moves to the earlier one, as the changes of its first place are in it.
-    const auto rows = m_jobs.find(row.m_row.m_job);
-    if (m_waiting.count(row.m_row) > 0 && rows != m_jobs.end()) {
-      for (auto it = rows->second.begin(); it != rows->second.end(); ++it) {
-        if (!(it->second < row.m_row) && !(row.m_row < it->second)) {
-          m_sequences.erase(it->first);
-          rows->second.erase(it);
-          break;
-        }
-      }
-    }
-    Insert(row);
+    Insert(row.m_row, row.m_place);
+  }
+}
+
+void ChangedRows::Replace(const Taken& aTaken,
+                          const std::vector<JobRowName>& aRows)
+{
+  for (const JobRowName& row : aRows) {
+    Insert(row, Place{ aTaken.m_place.m_change, m_nextSequence });
+    ++m_nextSequence;
   }
 }
 
 bool ChangedRows::AnyBefore(std::uint64_t aSequence) const
 {
-  return !m_sequences.empty() && *m_sequences.begin() < aSequence;
+  return !m_places.empty() && m_places.begin()->m_change < aSequence;
 }
 
 } // namespace lycheestep
--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -148,8 +148,7 @@
     const std::size_t rowBytes = SizeOf(rows);
     if (row.m_kind == JobRowName::Kind::kProgress && !rows.empty() &&
         !MayWriteProgress(m_jobs.at(row.m_job), rowBytes)) {
-      m_changes.Take();
-      StoreInSegments(m_jobs.at(row.m_job));
+      StoreInSegments(m_changes.Take());
       continue;
     }
     const bool fits = writes.size() + rows.size() <= aMaxRows &&
@@ -161,6 +160,7 @@
     }
     const ChangedRows::Taken taken = m_changes.Take();
     if (rows.empty()) {
+      LeaveToProgressRow(taken);
       continue;
     }
     m_commit.m_changes.push_back(taken);
@@ -275,26 +275,40 @@
          UnstoredSegments(aJob).empty();
 }
 
-void JobScheduler::StoreInSegments(Job& aJob)
+void JobScheduler::LeaveToProgressRow(const ChangedRows::Taken& aTaken)
 {
-  const std::vector<SegmentName> segments = UnstoredSegments(aJob);
+  const JobRowName progress{ aTaken.m_row.m_job,
+                             JobRowName::Kind::kProgress,
+                             SegmentName() };
+  if (aTaken.m_row.m_kind == JobRowName::Kind::kSegment &&
+      m_changes.Has(progress)) {
+    m_changes.Replace(aTaken, { progress });
+  }
+}
+
+void JobScheduler::StoreInSegments(const ChangedRows::Taken& aProgress)
+{
+  Job& job = m_jobs.at(aProgress.m_row.m_job);
+  const std::vector<SegmentName> segments = UnstoredSegments(job);
   m_effects.Log("job-segmented",
-                "job=" + aJob.m_id.Text() +
+                "job=" + job.m_id.Text() +
                   " segments=" + std::to_string(segments.size()));
-  aJob.m_layout = TaskLayout::kBeingSplit;
-  if (!aJob.IsOver()) {
-    m_segmentedJobs.insert(aJob.m_id);
+  job.m_layout = TaskLayout::kBeingSplit;
+  if (!job.IsOver()) {
+    m_segmentedJobs.insert(job.m_id);
   }
-  if (aJob.m_jobRowParts == 0) {
+  std::vector<JobRowName> rows;
+  if (job.m_jobRowParts == 0) {
     // Earlier releases ignore a job of several rows anyway.
-    m_changes.Add(
-      JobRowName{ aJob.m_id, JobRowName::Kind::kJob, SegmentName() });
+    rows.push_back(
+      JobRowName{ job.m_id, JobRowName::Kind::kJob, SegmentName() });
   }
   for (const SegmentName& segment : segments) {
-    m_changes.Add(JobRowName{ aJob.m_id, JobRowName::Kind::kSegment, segment });
+    rows.push_back(JobRowName{ job.m_id, JobRowName::Kind::kSegment, segment });
   }
   // Until the segments are stored, the tasks in the progress row count.
-  MarkChanged(aJob);
+  rows.push_back(aProgress.m_row);
+  m_changes.Replace(aProgress, rows);
 }
 
 void JobScheduler::NoteTaken(const JobRowName& aRow)
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -398,8 +398,12 @@
   // can be written: it fits, and no stored row loses a task by it that no
   // segment has.
   bool MayWriteProgress(const Job& aJob, std::size_t aBytes) const;
-  // Stores the job's tasks in segments from now on, before its progress row.
-  void StoreInSegments(Job& aJob);
+  // Stores the tasks of a job in segments from now on, in place of the progress
+  // row that was taken and before that row.
+  void StoreInSegments(const ChangedRows::Taken& aProgress);
+  // Puts the progress row of a job in the place of a row that is not written,
+  // as the state of the job or of an occurrence says all of it.
+  void LeaveToProgressRow(const ChangedRows::Taken& aTaken);
   // Notes that the commit under way has the row.
   void NoteTaken(const JobRowName& aRow);
   // Notes that the commit under way has stored the row, or that the store did
--- a/src/standin/takeover_world.cpp
+++ b/src/standin/takeover_world.cpp
@@ -169,6 +169,17 @@
   });
 }
 
+std::set<RunName> TakeoverWorld::Running() const
+{
+  std::set<RunName> running;
+  for (const auto& target : m_targets) {
+    for (const auto& [name, run] : target->Running()) {
+      running.insert(name);
+    }
+  }
+  return running;
+}
+
 std::size_t TakeoverWorld::FailuresOf(const TaskName& aTask) const
 {
   const auto failed = m_failedRuns.find(Counted(aTask));
--- a/src/standin/takeover_world.h
+++ b/src/standin/takeover_world.h
@@ -92,6 +92,9 @@
   // Returns how often runs of the task failed.
   std::size_t FailuresOf(const TaskName& aTask) const;
 
+  // Returns the runs that targets work on.
+  std::set<RunName> Running() const;
+
   // The targets on which the task started, in this order.
   std::vector<TargetId> TargetsOf(const TaskName& aTask) const;
 
