--- a/src/jobs/split_job_test.cpp
+++ b/src/jobs/split_job_test.cpp
@@ -30,6 +30,9 @@
 // Runs of one task that may fail before its job fails, as in the world.
 constexpr std::size_t kMaxAttempts = 2;
 
+// How long most tasks last.
+constexpr Duration kShortTime = milliseconds(300);
+
 // The processors that a task takes, in thousandths. The targets have 128.
 constexpr std::int64_t kSmallTask = 1000;
 constexpr std::int64_t kLargeTask = 16000;
@@ -45,18 +48,22 @@
   JobStep step;
   step.m_count = aCount;
   step.m_demand = Resources(aMilliCores, 64, 0, 0, 0);
-  step.m_estimate = milliseconds(300);
+  step.m_estimate = kShortTime;
   return step;
 }
 
 // Steps that do not wait for each other.
 JobSpec ManySteps(std::uint32_t aSteps,
                   std::uint32_t aCount,
-                  std::int64_t aMilliCores)
+                  std::int64_t aMilliCores,
+                  Duration aEstimate = kShortTime)
 {
   JobSpec spec;
   spec.m_payload = "plan";
   spec.m_steps.assign(aSteps, MakeStep(aCount, aMilliCores));
+  for (JobStep& step : spec.m_steps) {
+    step.m_estimate = aEstimate;
+  }
   return spec;
 }
 
@@ -95,6 +102,7 @@
   std::size_t m_cancelled = 0;
   Duration m_cancelAt = Duration::zero();
   Duration m_commitTime = Duration::zero();
+  Duration m_stopTime = Duration::zero();
   // The most rows that the store takes in one transaction; zero for the usual
   // number.
   std::size_t m_transactionRows = 0;
@@ -191,6 +199,7 @@
       m_world.SetFailures(*aGame.m_failures);
     }
     m_world.SetCommitTime(aGame.m_commitTime);
+    m_world.SetStopTime(aGame.m_stopTime);
     m_world.RefuseLongCommits(aGame.m_transactionRows);
     for (std::size_t i = 0; i < aGame.m_jobs.size(); ++i) {
       m_world.Submit(JobAt(i), aGame.m_jobs[i]);
@@ -280,8 +289,10 @@
     case 2:
       return Recurring();
     default:
-      return ManySteps(
-        *rc::gen::inRange(15U, 80U), *rc::gen::inRange(1U, 4U), milliCores);
+      return ManySteps(*rc::gen::inRange(15U, 80U),
+                       *rc::gen::inRange(1U, 4U),
+                       milliCores,
+                       kShortTime * *rc::gen::element(1, 4));
   }
 }
 
@@ -295,6 +306,7 @@
   game.m_cancelled = *rc::gen::inRange<std::size_t>(0, 8);
   game.m_cancelAt = milliseconds(*rc::gen::inRange(5, 600) * 10);
   game.m_commitTime = milliseconds(*rc::gen::element(0, 10, 50, 200));
+  game.m_stopTime = milliseconds(*rc::gen::element(0, 100, 800));
   game.m_transactionRows = *rc::gen::element<std::size_t>(0, 2, 7, 20);
   const auto failures = *rc::gen::element<std::size_t>(0, 1, 2, 3);
   if (failures <= 1) {
@@ -365,13 +377,16 @@
     world.SetFailures(0);
     world.SetCommitTime(milliseconds(40));
     world.RefuseLongCommits(3);
-    world.Submit(job, ManySteps(60, 2, kLargeTask));
-    for (int i = 0; i < 1000 && !IsAnyHalfSplit(world); ++i) {
+    world.SetStopTime(seconds(3));
+    // The tasks last longer than the split.
+    world.Submit(job, ManySteps(60, 2, kLargeTask, seconds(2)));
+    for (int i = 0; i < 10000 && !IsAnyHalfSplit(world); ++i) {
       world.Run(milliseconds(10));
     }
     world.Run(milliseconds(10 * steps));
     ASSERT_TRUE(IsAnyHalfSplit(world)) << steps;
     world.ChangeLeader(false);
+    ASSERT_FALSE(world.Running().empty()) << steps;
     world.Cancel(job);
     for (int i = 0; i < 1000 && !world.AllOver(); ++i) {
       world.Run(milliseconds(10));
--- a/src/standin/takeover_world.cpp
+++ b/src/standin/takeover_world.cpp
@@ -53,6 +53,13 @@
 
 TakeoverWorld::~TakeoverWorld() = default;
 
+void TakeoverWorld::SetStopTime(Duration aTime)
+{
+  for (const auto& target : m_targets) {
+    target->SetStopTime(aTime);
+  }
+}
+
 void TakeoverWorld::RefuseLongCommits(std::size_t aRows)
 {
   m_refusesLongCommits = aRows > 0;
--- a/src/standin/takeover_world.h
+++ b/src/standin/takeover_world.h
@@ -64,6 +64,9 @@
   // Sets how long a commit takes.
   void SetCommitTime(Duration aTime) { m_commitTime = aTime; }
 
+  // Runs take this long to end after their stops.
+  void SetStopTime(Duration aTime);
+
   // Lets the store refuse transactions of more rows than that. The leader has
   // to make them smaller.
   void RefuseLongCommits(std::size_t aRows);
