Segments of an occurrence stay until the stored row says that it is done

What callers would see: tasks of a recurring job run again that had ended well, and whose ends were noted, after a change of the leader.

Cause: when a commit with a job's progress row is done, the segments of occurrences that are done are removed. Done was told from memory, where an occurrence may have ended since that commit began. The removal goes into the next commit, the new progress row in a later one if many rows wait. A leader that ends in between leaves the occurrence's tasks in no row.

Evidence: early_occurrence_removal_test, on the code before: "1 occurrences done, 0 tasks of the second one known". It holds now, and so do split_job_test, takeover_test, job_commits_test and three others of segments.

Why this works: what is removed is told from the number of occurrences in the row that was written.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -146,6 +146,8 @@
   std::map<std::uint32_t, JobOccurrence> m_occurrences;
   // All occurrences below this number are done and removed from m_occurrences.
   std::uint32_t m_occurrencesDone = 0;
+  // The same number in the job's progress row.
+  std::uint32_t m_storedOccurrencesDone = 0;
   // When the job ended, by the store's clock; zero while it is not over.
   Duration m_endedAt = Duration::zero();
   // Occurrences from this number on are not due yet.
--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -200,6 +200,7 @@
       return EncodeJobTableRows(job);
     case JobRowName::Kind::kProgress:
       job.m_storedState = job.m_state;
+      job.m_storedOccurrencesDone = job.m_occurrencesDone;
       return { RowWrite{ ProgressKey(job.m_id), EncodeProgress(job) } };
     case JobRowName::Kind::kSegment:
       return EncodeSegmentRows(job, aRow.m_segment);
--- a/src/jobs/job_recovery.cpp
+++ b/src/jobs/job_recovery.cpp
@@ -43,6 +43,7 @@
   const bool settled =
     job.IsOver() && sinceEnd > m_settings.m_targets.m_longestLease;
   job.m_occurrencesDone = aProgress.m_occurrencesDone;
+  job.m_storedOccurrencesDone = aProgress.m_occurrencesDone;
   for (const auto& [segment, rows] : aProgress.m_segments) {
     job.m_segments[segment] = SegmentRows{ rows, true, false };
   }
--- a/src/jobs/job_split.cpp
+++ b/src/jobs/job_split.cpp
@@ -142,7 +142,7 @@
                                          aJob.CountDispatched() == 0);
   for (auto it = aJob.m_segments.begin(); it != aJob.m_segments.end();) {
     const bool needed =
-      !isSettled && aJob.m_occurrences.count(it->first.m_occurrence) > 0;
+      !isSettled && it->first.m_occurrence >= aJob.m_storedOccurrencesDone;
     if (needed) {
       ++it;
       continue;
--- a/src/jobs/segmented_job_fixture.h
+++ b/src/jobs/segmented_job_fixture.h
@@ -26,8 +26,11 @@
 class SegmentedJobFixture : public testing::Test
 {
 protected:
-  // The job has aTasks tasks, and values of rows are at most aValueBytes long.
-  SegmentedJobFixture(std::uint32_t aTasks, std::size_t aValueBytes)
+  // The job has aTasks tasks in each of aOccurrences occurrences, which are all
+  // due, and values of rows are at most aValueBytes long.
+  SegmentedJobFixture(std::uint32_t aTasks,
+                      std::size_t aValueBytes,
+                      std::uint32_t aOccurrences = 1)
     : m_scheduler(WithValueBytes(aValueBytes), m_effects)
   {
     ON_CALL(m_effects, Hold(testing::_, HoldPath::kOrders))
@@ -59,8 +62,8 @@
     answer.m_status = OrderStatus::kDone;
     answer.m_targetClock = TargetTime(100);
     m_scheduler.OnHoldAnswer(m_take, HoldPath::kOrders, answer, m_now);
-    AddJob(m_job, aTasks);
-    for (int i = 0; i < 20 && m_started.size() < aTasks; ++i) {
+    AddJob(m_job, aTasks, aOccurrences);
+    for (int i = 0; i < 20 && m_started.size() < aTasks * aOccurrences; ++i) {
       Pass();
       Settle();
     }
@@ -73,20 +76,26 @@
     return settings;
   }
 
-  void AddJob(const JobId& aJob, std::uint32_t aTasks)
+  void AddJob(const JobId& aJob,
+              std::uint32_t aTasks,
+              std::uint32_t aOccurrences = 1)
   {
     StoredJob job;
     job.m_spec.m_steps.resize(1);
     job.m_spec.m_steps[0].m_count = aTasks;
     job.m_spec.m_steps[0].m_demand = Resources(100, 100, 0, 0, 0);
     job.m_spec.m_steps[0].m_estimate = std::chrono::seconds(1);
+    if (aOccurrences > 1) {
+      job.m_spec.m_occurrences = aOccurrences;
+      job.m_spec.m_interval = WallTime(1);
+    }
     m_scheduler.OnJob(aJob, job, 0, m_now);
   }
 
   void Pass()
   {
     m_now += std::chrono::milliseconds(100);
-    m_scheduler.SetTime(m_now, WallTime(0));
+    m_scheduler.SetTime(m_now, WallTime(1000));
     m_scheduler.Tick(m_now);
   }
 
