--- a/src/jobs/job_segments.cpp
+++ b/src/jobs/job_segments.cpp
@@ -66,7 +66,8 @@
     for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
       const StepProgress& progress = occurrence.m_steps[s];
       const std::size_t tasks = progress.m_tasks.size();
-      for (std::uint32_t i = 0; i * kTasksPerSegment < tasks; ++i) {
+      for (std::uint32_t i = 0; std::size_t{ i } * kTasksPerSegment < tasks;
+           ++i) {
         const SegmentName segment{ number, s, i };
         if (AnyMustBeStored(aJob, progress, i) && !IsStored(aJob, segment)) {
           unstored.push_back(segment);
