Log unanswered feed calls, cancellations without their job, and what proves an acknowledgement

Four hypotheses on a leader that doesn't know an acknowledged cancellation could not be told apart by its log: a call for changes that got no answer left no line after the first one, nothing showed that a cancellation had come before its job, and an acknowledgement named neither its row nor its version and could be left out.

--- a/src/jobhost/job_request_handler.cpp
+++ b/src/jobhost/job_request_handler.cpp
@@ -40,6 +40,21 @@
   return "";
 }
 
+const char* ToString(CancellationProof aProof)
+{
+  switch (aProof) {
+    case CancellationProof::kNone:
+      return "none";
+    case CancellationProof::kWrite:
+      return "write";
+    case CancellationProof::kRow:
+      return "row";
+    case CancellationProof::kWithdrawal:
+      return "withdrawal";
+  }
+  return "";
+}
+
 // Returns what a write tells a caller whose request it serves.
 JobRequestStatus StatusOfWrite(RowStatus aStatus)
 {
@@ -142,39 +157,50 @@
 JobRequestStatus JobRequestHandler::Cancel(const JobId& aJob)
 {
   const TimePoint until = BootClockNow() + m_settings.m_requestLimit;
-  std::optional<JobRequestStatus> status;
+  CancellationResult result;
   do {
-    status = TryCancel(aJob);
-    const bool settled =
-      status == JobRequestStatus::kOk || status == JobRequestStatus::kNoSuchJob;
+    result = TryCancel(aJob).value_or(CancellationResult());
+    const bool settled = result.m_status == JobRequestStatus::kOk ||
+                         result.m_status == JobRequestStatus::kNoSuchJob;
     if (settled) {
       break;
     }
     std::this_thread::sleep_for(m_settings.m_retryDelay);
   } while (BootClockNow() < until);
-  const JobRequestStatus result = status.value_or(JobRequestStatus::kNotServed);
-  m_log.WriteNotable("job-cancelled",
-                     "job=" + aJob.Text() + " outcome=" + ToString(result));
-  return result;
+  ReportCancellation(aJob, result);
+  return result.m_status;
 }
 
-std::optional<JobRequestStatus> JobRequestHandler::TryCancel(const JobId& aJob)
+void JobRequestHandler::ReportCancellation(const JobId& aJob,
+                                           const CancellationResult& aResult)
+{
+  m_log.WriteUnlimited(
+    "job-cancelled",
+    "job=" + aJob.Text() + " outcome=" + ToString(aResult.m_status) +
+      " by=" + ToString(aResult.m_proof) +
+      " row_version=" + std::to_string(aResult.m_rowVersion));
+}
+
+std::optional<CancellationResult> JobRequestHandler::TryCancel(
+  const JobId& aJob)
 {
   std::optional<Row> row;
   Duration storeClock = Duration::zero();
   if (ReadRow(JobKey(aJob), row, &storeClock) != RowStatus::kOk) {
-    return JobRequestStatus::kNotServed;
+    return CancellationResult();
   }
   if (!row && storeClock == Duration::zero()) {
     // The withdrawal would seem as old as the store and be removed at once.
-    return JobRequestStatus::kNotServed;
+    return CancellationResult();
   }
   if (!row) {
     return Withdraw(aJob, storeClock);
   }
   const auto header = DecodeJobHeader(row->m_value);
   if (header && header->m_withdrawn) {
-    return JobRequestStatus::kNoSuchJob;
+    return CancellationResult{ JobRequestStatus::kNoSuchJob,
+                               CancellationProof::kWithdrawal,
+                               row->m_version };
   }
   // The condition on the job prevents a cancellation that outlives the job.
   RowTransaction transaction;
@@ -185,17 +211,27 @@
     RowWrite{ CancelKey(aJob), EncodeCancellation(storeClock) });
   const RowAnswer answer =
     m_store.Transact(transaction, m_settings.m_callTimeout);
+  if (answer.m_status == RowStatus::kOk) {
+    return CancellationResult{ JobRequestStatus::kOk,
+                               CancellationProof::kWrite,
+                               answer.m_version };
+  }
   if (answer.m_status != RowStatus::kConflict) {
-    return StatusOfWrite(answer.m_status);
+    return CancellationResult{ StatusOfWrite(answer.m_status) };
   }
-  const bool cancelled = std::any_of(
+  const auto cancelled = std::find_if(
     answer.m_rows.begin(), answer.m_rows.end(), [](const Row& aRow) {
       return aRow.m_key.m_table == kCancelTable && aRow.m_version > 0;
     });
-  return cancelled ? std::make_optional(JobRequestStatus::kOk) : std::nullopt;
+  if (cancelled == answer.m_rows.end()) {
+    return std::nullopt;
+  }
+  return CancellationResult{ JobRequestStatus::kOk,
+                             CancellationProof::kRow,
+                             cancelled->m_version };
 }
 
-std::optional<JobRequestStatus> JobRequestHandler::Withdraw(
+std::optional<CancellationResult> JobRequestHandler::Withdraw(
   const JobId& aJob,
   Duration aStoreClock)
 {
@@ -209,11 +245,13 @@
     m_store.Transact(transaction, m_settings.m_callTimeout);
   switch (answer.m_status) {
     case RowStatus::kOk:
-      return JobRequestStatus::kNoSuchJob;
+      return CancellationResult{ JobRequestStatus::kNoSuchJob,
+                                 CancellationProof::kWithdrawal,
+                                 answer.m_version };
     case RowStatus::kConflict:
       return std::nullopt;
     default:
-      return StatusOfWrite(answer.m_status);
+      return CancellationResult{ StatusOfWrite(answer.m_status) };
   }
 }
 
--- a/src/jobhost/job_request_handler.h
+++ b/src/jobhost/job_request_handler.h
@@ -46,6 +46,24 @@
   std::uint32_t m_pending = 0;
 };
 
+// What a cancellation's answer is based on.
+enum class CancellationProof
+{
+  kNone,       // the cancellation is not stored, as far as is known
+  kWrite,      // this host wrote the row of the cancellation
+  kRow,        // the row was there already
+  kWithdrawal, // the row of a submission says that there is no such job
+};
+
+// The outcome of a cancellation.
+struct CancellationResult
+{
+  JobRequestStatus m_status = JobRequestStatus::kNotServed;
+  CancellationProof m_proof = CancellationProof::kNone;
+  // The version of the row that proves it; zero if none does.
+  std::uint64_t m_rowVersion = 0;
+};
+
 // Settings of JobRequestHandler.
 struct JobRequestSettings
 {
@@ -92,10 +110,12 @@
                             std::uint64_t aDigest);
   // Makes one try to cancel the job. Returns nothing if the job's row changed
   // meanwhile.
-  std::optional<JobRequestStatus> TryCancel(const JobId& aJob);
+  std::optional<CancellationResult> TryCancel(const JobId& aJob);
   // Stores that there is no such job, unless one was stored meanwhile.
-  std::optional<JobRequestStatus> Withdraw(const JobId& aJob,
-                                           Duration aStoreClock);
+  std::optional<CancellationResult> Withdraw(const JobId& aJob,
+                                             Duration aStoreClock);
+  // Logs the answer to a cancellation.
+  void ReportCancellation(const JobId& aJob, const CancellationResult& aResult);
   // Reads the count of waiting jobs if the counts are in aRowCount rows besides
   // the leader row.
   PendingAnswer ReadPendingRow(const QueueName& aQueue,
--- a/src/jobhost/leader_reports.cpp
+++ b/src/jobhost/leader_reports.cpp
@@ -15,12 +15,12 @@
 // How often a leader logs its state.
 constexpr Duration kStateReportPeriod = std::chrono::seconds(5);
 
-std::string Field(const char* aName, std::int64_t aValue)
+std::string Field(const std::string& aName, std::int64_t aValue)
 {
   return std::string(" ") + aName + "=" + std::to_string(aValue);
 }
 
-std::string Field(const char* aName, std::size_t aValue)
+std::string Field(const std::string& aName, std::size_t aValue)
 {
   return std::string(" ") + aName + "=" + std::to_string(aValue);
 }
@@ -54,13 +54,20 @@
   }
   m_stateReportDue = m_now + kStateReportPeriod;
   const TimePoint cancelsAsOf{ Duration(m_cancelsAsOf) };
+  std::string ages;
+  for (const auto& watch : m_watches) {
+    if (!watch->IsFinished()) {
+      ages += Field(watch->Table() + "_answered_ms",
+                    ToMilliseconds(m_now - watch->LastAnswer()));
+    }
+  }
   LogUnlimited(
     "leader-state",
     std::string("loaded=") + (m_loaded ? "yes" : "no") +
       Field("since_ms", ToMilliseconds(m_now - m_leadingSince)) +
       Field("cancels_age_ms",
             m_cancelsAsOf != 0 ? ToMilliseconds(m_now - cancelsAsOf) : -1) +
-      RunTotalFields());
+      ages + RunTotalFields());
 }
 
 void Leader::ReportCancellation(const Row& aRow)
--- a/src/jobhost/table_watch.cpp
+++ b/src/jobhost/table_watch.cpp
@@ -175,6 +175,7 @@
       return;
     }
     if (answer.m_status != RowStatus::kOk) {
+      ReportUnanswered(BootClockNow() - sent, aVersions.Position());
       std::this_thread::sleep_for(kRetryDelay);
       continue;
     }
@@ -196,6 +197,17 @@
   }
 }
 
+void TableWatch::ReportUnanswered(Duration aHeld, std::uint64_t aPosition)
+{
+  if (aHeld < m_pace.m_feedWait) {
+    return;
+  }
+  m_log.WriteNotable("feed-unanswered",
+                     "table=" + m_table +
+                       " held_ms=" + std::to_string(ToMilliseconds(aHeld)) +
+                       " position=" + std::to_string(aPosition));
+}
+
 void TableWatch::RecordStoreStatus(RowStatus aStatus)
 {
   const bool reachable =
--- a/src/jobhost/table_watch.h
+++ b/src/jobhost/table_watch.h
@@ -2,6 +2,7 @@
 #define LYCHEESTEP_TABLE_WATCH_H
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <thread>
@@ -58,6 +59,8 @@
   // returns.
   void Stop() { m_stopping = true; }
 
+  const std::string& Table() const { return m_table; }
+
   // Returns when the store last answered a read or a feed.
   TimePoint LastAnswer() const { return TimePoint(Duration(m_lastAnswer)); }
 
@@ -86,6 +89,8 @@
   void ReadPartition(const std::string& aPartition,
                      PartitionPages& aRead) const;
   void Follow(RowVersions& aVersions);
+  // Logs that a feed call got no answer, unless the store refused it at once.
+  void ReportUnanswered(Duration aHeld, std::uint64_t aPosition);
   // Updates LastAnswer, and logs when the store becomes unreachable or
   // reachable again.
   void RecordStoreStatus(RowStatus aStatus);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -147,6 +147,7 @@
   }
   RefreshReady(job);
   if (m_earlyCancels.erase(id) > 0) {
+    m_effects.LogUnlimited("cancelled-before-added", "job=" + id.Text());
     OnCancel(id, aNow);
   }
 }
@@ -170,7 +171,12 @@
 {
   const auto found = m_jobs.find(aJob);
   if (found == m_jobs.end()) {
-    m_earlyCancels.emplace(aJob, aNow + m_settings.m_withdrawalRetention);
+    const bool isNew =
+      m_earlyCancels.emplace(aJob, aNow + m_settings.m_withdrawalRetention)
+        .second;
+    if (isNew) {
+      m_effects.LogUnlimited("cancellation-without-job", "job=" + aJob.Text());
+    }
     return;
   }
   if (!found->second.IsOver()) {
