Tell the leader of cancellations by the host that acknowledged them, besides the feed

Callers saw a run of a cancelled job go on, while the leader was well and noted ends in time. Cause: a cancellation had one way to the leader, a feed call of one thread.

The host that acknowledged a cancellation now tells the leader 0.1 s later and each 0.25 s, until the leader confirms that the job is over, and tells the next leader again. The notice is a hint: the leader reads the row of the cancellation, on threads and connections apart from the feed, and reads of one row overlap. A row that is older than the row of the job is of a former job with its id and cancels nothing. In calm the feed comes first, and a cancellation costs two messages between hosts and no call to the store.

The two tests of leader_reads_test that hold starts back while cancellations are unknown now cut the reads of that table as well, as the leader would know of the cancellation otherwise: what they ask of the leader is unchanged.

--- a/src/jobhost/feeding_store.h
+++ b/src/jobhost/feeding_store.h
@@ -16,8 +16,9 @@
 
 namespace lycheestep {
 
-// A store in memory with a feed, which can be cut for one table. It may drop
-// its history, and answer reads late with what it read before.
+// A store in memory with a feed, which can be cut for one table, as reads of a
+// table can. It may drop its history, and answer reads late with what it read
+// before.
 class FeedingStore : public RowStore
 {
 public:
@@ -27,6 +28,12 @@
     m_cut = aTable;
   }
 
+  void SetReadCut(const std::string& aTable)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_readCut = aTable;
+  }
+
   void DropHistory()
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -92,9 +99,14 @@
     return answer;
   }
 
-  RowAnswer Read(const RowRange& aRange, Duration /*aTimeout*/) override
+  RowAnswer Read(const RowRange& aRange, Duration aTimeout) override
   {
     std::unique_lock<std::mutex> lock(m_mutex);
+    if (aRange.m_table == m_readCut) {
+      lock.unlock();
+      std::this_thread::sleep_for(aTimeout);
+      return RowAnswer();
+    }
     RowAnswer answer = MakeAnswer();
     for (const auto& [key, row] : m_rows) {
       const bool inRange = key.m_table == aRange.m_table &&
@@ -177,6 +189,7 @@
   std::uint64_t m_forgotten = 0;
   Duration m_readDelay = Duration::zero();
   std::string m_cut;
+  std::string m_readCut;
   std::string m_writeCut;
   std::map<std::string, Duration> m_longestFeedWaits;
 };
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -40,6 +40,9 @@
 // Number of calls to the store that are made for other hosts at the same time.
 constexpr std::size_t kRelayThreads = 16;
 
+// Number of rows of cancellations that a leader reads at the same time.
+constexpr std::size_t kCancellationReadThreads = 4;
+
 // A leader that stops waits at most this long for its last write.
 constexpr Duration kReleaseTimeout = std::chrono::milliseconds(1200);
 
@@ -110,9 +113,14 @@
       [this](const std::string& aAddress, proto::JobPeerMessage aMessage) {
         m_peers.Send(aAddress, std::move(aMessage));
       })
-  , m_requestHandler(m_store, m_log, m_metrics, RequestSettingsOf(aSettings))
+  , m_requestHandler(m_store,
+                     m_log,
+                     m_metrics,
+                     RequestSettingsOf(aSettings),
+                     [this](const JobId& aJob) { OnCancellationStored(aJob); })
   , m_advice(aDependencies.m_advisor, m_metrics)
   , m_storeRelayPool("relay", kRelayThreads)
+  , m_cancellationReads("cancel-read", kCancellationReadThreads)
   , m_carrier(
       aDependencies.m_orders,
       m_log,
@@ -161,6 +169,7 @@
   }
   m_configWatch.reset();
   m_storeRelayPool.Stop();
+  m_cancellationReads.Stop();
   m_carrier.Stop();
   if (m_leader) {
     m_leader->Retire();
@@ -246,6 +255,7 @@
       task();
     }
     DeleteFinishedLeaders();
+    SendCancellationNotices();
     if (m_leadershipDisabled) {
       continue;
     }
@@ -417,6 +427,7 @@
                              m_writer,
                              m_peers,
                              m_advice,
+                             m_cancellationReads,
                              [this, aTerm](std::function<void()> aTask) {
                                m_queue.Add(
                                  [this, aTerm, task = std::move(aTask)] {
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "advice_worker.h"
+#include "cancellation_notifier.h"
 #include "commit_writer.h"
 #include "config_holder.h"
 #include "control_load.h"
@@ -101,6 +102,15 @@
                   std::uint64_t aIncarnation,
                   bool aReleased);
   void AnswerHeartbeat(const std::string& aLeaderAddress);
+  // Notes a cancellation that this host has acknowledged. Safe from any thread.
+  void OnCancellationStored(const JobId& aJob);
+  // Tells the leader, which may be this host, of the cancellations that it has
+  // not confirmed.
+  void SendCancellationNotices();
+  // Handle the notice of another host, if this host leads, and the leader's
+  // confirmation.
+  void OnCancellationNotice(const proto::JobPeerMessage& aMessage);
+  void OnCancellationConfirmation(const proto::JobPeerMessage& aMessage);
   // Calls the advisor for the host that sent the message.
   void ServeAdviceCall(const proto::JobPeerMessage& aMessage);
   // Makes a call to the store for the host that sent the message.
@@ -121,6 +131,8 @@
   AdviceWorker m_advice;
   // Threads that make other hosts' calls to the store.
   WorkerPool m_storeRelayPool;
+  // Threads that read rows of cancellations while this host leads.
+  WorkerPool m_cancellationReads;
   // Sends orders to targets on behalf of the leading host.
   OrderCarrier m_carrier;
   PeerMessenger m_peers;
@@ -147,6 +159,7 @@
   std::uint64_t m_leaderIncarnation = 0;
   std::string m_leaderAddress;
   LeaderSighting m_leaderSighting;
+  CancellationNotifier m_cancellationNotifier;
 
   std::thread m_thread;
 };
--- a/src/jobhost/job_host_peers.cpp
+++ b/src/jobhost/job_host_peers.cpp
@@ -56,6 +56,10 @@
         m_leader->OnHostAlive(host, clock, reachesStore, canCarry);
       }
     });
+  } else if (aMessage.has_cancellation_notice()) {
+    OnCancellationNotice(aMessage);
+  } else if (aMessage.has_cancellation_confirmation()) {
+    OnCancellationConfirmation(aMessage);
   } else if (aMessage.has_carried_orders()) {
     m_carrier.Carry(aMessage);
   } else if (aMessage.has_carried_answers()) {
--- a/src/jobhost/job_request_handler.cpp
+++ b/src/jobhost/job_request_handler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <thread>
+#include <utility>
 
 #include "boot_clock.h"
 #include "cancellation_row.h"
@@ -92,11 +93,13 @@
 JobRequestHandler::JobRequestHandler(RowStore& aStore,
                                      EventLog& aLog,
                                      MetricsSink& aMetrics,
-                                     const JobRequestSettings& aSettings)
+                                     const JobRequestSettings& aSettings,
+                                     OnCancelled aOnCancelled)
   : m_store(aStore)
   , m_log(aLog)
   , m_metrics(aMetrics)
   , m_settings(aSettings)
+  , m_onCancelled(std::move(aOnCancelled))
 {
 }
 
@@ -168,6 +171,9 @@
     std::this_thread::sleep_for(m_settings.m_retryDelay);
   } while (BootClockNow() < until);
   ReportCancellation(aJob, result);
+  if (result.m_status == JobRequestStatus::kOk) {
+    m_onCancelled(aJob);
+  }
   return result.m_status;
 }
 
--- a/src/jobhost/job_request_handler.h
+++ b/src/jobhost/job_request_handler.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 #include "job.h"
@@ -83,10 +84,16 @@
 class JobRequestHandler
 {
 public:
-  JobRequestHandler(RowStore& aStore,
-                    EventLog& aLog,
-                    MetricsSink& aMetrics,
-                    const JobRequestSettings& aSettings);
+  // Receives a job whose cancellation is in the store, on the caller's thread
+  // and before the caller is answered. Must not block.
+  using OnCancelled = std::function<void(const JobId& aJob)>;
+
+  JobRequestHandler(
+    RowStore& aStore,
+    EventLog& aLog,
+    MetricsSink& aMetrics,
+    const JobRequestSettings& aSettings,
+    OnCancelled aOnCancelled = [](const JobId&) {});
 
   // Stores a job. A second submission of the same job returns kOk, one of
   // another job with the same id kOtherJob, and one of an id for which Cancel
@@ -131,6 +138,7 @@
   EventLog& m_log;
   MetricsSink& m_metrics;
   const JobRequestSettings m_settings;
+  const OnCancelled m_onCancelled;
 };
 
 } // namespace lycheestep
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -53,12 +53,6 @@
 // 3.9 s after its job's cancellation, also if two calls get no answer.
 constexpr Duration kCancelFeedWait = std::chrono::milliseconds(400);
 
-// Tasks are started only if all cancellations up to this long ago are known. A
-// task must not start more than 3 s after its cancellation was acknowledged,
-// which leaves the rest for the way to the target. An idle feed is up to two
-// waits old.
-constexpr Duration kMaxCancelAge = std::chrono::milliseconds(2700);
-
 // Number of hosts that each heartbeat lists as relays for calls to the store.
 constexpr int kMaxRelaysInHeartbeat = 5;
 
@@ -205,28 +199,6 @@
                             m_closedConnections.end());
 }
 
-void Leader::CheckCancellations()
-{
-  const bool current = m_loaded && m_now < StartsValidUntil();
-  m_scheduler.SetMayStart(current);
-  const bool known = m_loaded && m_cancelsAsOf != 0;
-  if (known && current == m_startsSuspended) {
-    m_startsSuspended = !current;
-    LogUnlimited(current ? "starts-resumed" : "starts-suspended",
-                 "reason=cancellations");
-  }
-}
-
-void Leader::OnCancelsCurrent(TimePoint aAsOf)
-{
-  m_cancelsAsOf = aAsOf.time_since_epoch().count();
-}
-
-TimePoint Leader::StartsValidUntil() const
-{
-  return TimePoint(Duration(m_cancelsAsOf)) + kMaxCancelAge;
-}
-
 Duration Leader::MaxWait() const
 {
   return m_scheduler.IsBusy() ? kBusyWait : kIdleWait;
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "advice_dispatcher.h"
+#include "cancellation_checks.h"
 #include "job_effects.h"
 #include "job_row_reader.h"
 #include "job_scheduler.h"
@@ -33,8 +34,16 @@
 class PlatformDocuments;
 class RelayedStore;
 class TaskQueue;
+class WorkerPool;
 struct JobHostSettings;
 
+// How a leader came to read the row of a cancellation.
+enum class CancellationSource
+{
+  kFeed,
+  kNotice,
+};
+
 // The objects that a Leader uses. All outlive the leader.
 struct LeaderDependencies
 {
@@ -48,6 +57,8 @@
   CommitWriter& m_writer;
   PeerMessenger& m_peers;
   AdviceWorker& m_advice;
+  // Threads that read rows of cancellations, apart from the watches.
+  WorkerPool& m_cancellationReads;
   // Queues a function for the control thread, which drops the function if this
   // leader no longer leads when the function is due. Safe from any thread.
   std::function<void(std::function<void()>)> m_post;
@@ -91,6 +102,10 @@
   void OnCarriedAnswers(const std::string& aHost,
                         const proto::CarriedAnswers& aAnswers);
 
+  // Handles a host's notice that these jobs were cancelled. Returns those that
+  // are known to be over, and has the rows of the others read.
+  std::vector<JobId> OnCancellationNotice(const std::vector<JobId>& aJobs);
+
   // Does all work that is due: heartbeats, timeouts and scheduling. Sends no
   // orders after the right to lead has expired.
   void Tick();
@@ -167,11 +182,14 @@
   // Returns the time until which the cancellations that were handled are new
   // enough to start tasks. Safe from any thread.
   TimePoint StartsValidUntil() const;
+  // Reads the row of a cancellation on a thread of m_cancellationReads.
+  void ReadCancellation(const JobId& aJob);
+  void OnCancellationAnswer(const JobId& aJob, const RowAnswer& aAnswer);
   // Log what the leader has loaded, what it knows every few seconds, and a
   // cancellation that was read.
   void ReportLoad();
   void ReportStateIfDue();
-  void ReportCancellation(const Row& aRow);
+  void ReportCancellation(const Row& aRow, CancellationSource aSource);
   // Returns the log fields about runs and targets.
   std::string RunTotalFields() const;
   void SendHeartbeats();
@@ -238,6 +256,7 @@
   std::optional<std::vector<Row>> m_addressRows;
 
   JobRowReader m_jobRowReader;
+  CancellationChecks m_cancellationChecks;
   TargetList m_targets;
   PeerHosts m_hosts;
   // When the next heartbeats are sent, when the waiting jobs are next counted
--- a/src/jobhost/leader_reads_test.cpp
+++ b/src/jobhost/leader_reads_test.cpp
@@ -101,12 +101,14 @@
 TEST_F(LeaderReadsTest, NoJobStartsWhileCancellationsAreUnknown)
 {
   m_store.SetCut(kCancelTable);
+  m_store.SetReadCut(kCancelTable);
   EXPECT_EQ(m_host.RequestHandler().Cancel(kSecond), JobRequestStatus::kOk);
   std::this_thread::sleep_for(kCutTime);
   m_orders.EndAll();
   std::this_thread::sleep_for(seconds(2));
   EXPECT_FALSE(m_orders.HasStarted(kSecond));
   m_store.SetCut("");
+  m_store.SetReadCut("");
   Submit(JobId("7c0e7a21d94b36f8"));
   EXPECT_TRUE(WaitForStart(JobId("7c0e7a21d94b36f8")));
   EXPECT_FALSE(m_orders.HasStarted(kSecond));
@@ -117,6 +119,7 @@
 TEST_F(LeaderReadsTest, NoJobStartsAfterALongCommitWhileCancellationsAreUnknown)
 {
   m_store.SetCut(kCancelTable);
+  m_store.SetReadCut(kCancelTable);
   m_store.SetWriteCut(kProgressTable);
   EXPECT_EQ(m_host.RequestHandler().Cancel(kSecond), JobRequestStatus::kOk);
   m_orders.EndAll();
@@ -125,6 +128,7 @@
   std::this_thread::sleep_for(seconds(2));
   EXPECT_FALSE(m_orders.HasStarted(kSecond));
   m_store.SetCut("");
+  m_store.SetReadCut("");
   Submit(JobId("7c0e7a21d94b36f8"));
   EXPECT_TRUE(WaitForStart(JobId("7c0e7a21d94b36f8")));
   EXPECT_FALSE(m_orders.HasStarted(kSecond));
--- a/src/jobhost/leader_reports.cpp
+++ b/src/jobhost/leader_reports.cpp
@@ -25,6 +25,12 @@
   return std::string(" ") + aName + "=" + std::to_string(aValue);
 }
 
+// Returns -1 if there was no such moment yet.
+std::int64_t AgeMilliseconds(TimePoint aMoment, TimePoint aNow)
+{
+  return aMoment != TimePoint() ? ToMilliseconds(aNow - aMoment) : -1;
+}
+
 } // namespace
 
 std::string Leader::RunTotalFields() const
@@ -58,28 +64,26 @@
   for (const auto& watch : m_watches) {
     if (!watch->IsFinished()) {
       ages += Field(watch->Table() + "_answered_ms",
-                    ToMilliseconds(m_now - watch->LastAnswer()));
+                    AgeMilliseconds(watch->LastAnswer(), m_now));
     }
   }
-  LogUnlimited(
-    "leader-state",
-    std::string("loaded=") + (m_loaded ? "yes" : "no") +
-      Field("since_ms", ToMilliseconds(m_now - m_leadingSince)) +
-      Field("cancels_age_ms",
-            m_cancelsAsOf != 0 ? ToMilliseconds(m_now - cancelsAsOf) : -1) +
-      ages + RunTotalFields());
+  LogUnlimited("leader-state",
+               std::string("loaded=") + (m_loaded ? "yes" : "no") +
+                 Field("since_ms", ToMilliseconds(m_now - m_leadingSince)) +
+                 Field("cancels_age_ms", AgeMilliseconds(cancelsAsOf, m_now)) +
+                 ages + RunTotalFields());
 }
 
-void Leader::ReportCancellation(const Row& aRow)
+void Leader::ReportCancellation(const Row& aRow, CancellationSource aSource)
 {
   const auto cancelledAt = DecodeCancelledAt(aRow.m_value);
   const Duration clock = m_dependencies.m_writer.StoreClock(m_now);
-  LogUnlimited("cancellation-read",
-               "job=" + aRow.m_key.m_key +
-                 Field("row_version", aRow.m_version) + " age_ms=" +
-                 (cancelledAt
-                    ? std::to_string(ToMilliseconds(clock - *cancelledAt))
-                    : std::string("unknown")));
+  LogUnlimited(
+    "cancellation-read",
+    "job=" + aRow.m_key.m_key + Field("row_version", aRow.m_version) + " by=" +
+      (aSource == CancellationSource::kFeed ? "feed" : "notice") + " age_ms=" +
+      (cancelledAt ? std::to_string(ToMilliseconds(clock - *cancelledAt))
+                   : std::string("unknown")));
 }
 
 } // namespace lycheestep
--- a/src/jobhost/leader_rows.cpp
+++ b/src/jobhost/leader_rows.cpp
@@ -156,7 +156,7 @@
       m_scheduler.OnCancelRemoved(job);
     } else {
       if (!m_cancelRows) { // read since the load
-        ReportCancellation(row);
+        ReportCancellation(row, CancellationSource::kFeed);
       }
       m_scheduler.OnCancel(job, m_now);
     }
--- a/src/jobhost/peer_messenger_test.cpp
+++ b/src/jobhost/peer_messenger_test.cpp
@@ -1,11 +1,6 @@
 // Tests of messages between hosts over sockets on this machine.
 #include "peer_messenger.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
@@ -17,6 +12,7 @@
 #include <gmock/gmock.h>
 
 #include "event_log.h"
+#include "free_port.h"
 #include "jobs.pb.h"
 #include "metrics_registry.h"
 #include "peer_reply.h"
@@ -31,17 +27,7 @@
 // Returns an address of this machine at which nobody listens.
 std::string FreeAddress()
 {
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = ::htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address); // NOLINT
-  const bool bound = ::bind(descriptor, generic, length) == 0 &&
-                     ::getsockname(descriptor, generic, &length) == 0;
-  ::close(descriptor);
-  EXPECT_TRUE(bound);
-  return "127.0.0.1:" + std::to_string(::ntohs(address.sin_port));
+  return "127.0.0.1:" + std::to_string(FreePort());
 }
 
 proto::JobPeerMessage StoreReply(std::uint64_t aTo, std::uint64_t aCall)
--- a/src/jobhost/unheard_cancellation_test.cpp
+++ b/src/jobhost/unheard_cancellation_test.cpp
@@ -1,23 +1,23 @@
 // Guards against runs that go on because the leader's feed of cancellations
 // gets no answers, however many calls that concerns.
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <chrono>
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <gtest/gtest.h>
 
+#include "event_log.h"
 #include "feeding_store.h"
+#include "free_port.h"
 #include "job_host.h"
 #include "job_rows.h"
+#include "jobs.pb.h"
+#include "metrics_registry.h"
 #include "one_queue_documents.h"
 #include "one_task_target.h"
+#include "peer_messenger.h"
 
 namespace lycheestep {
 
@@ -28,21 +28,6 @@
 
 const JobId kJob("5c0e7a21d94b36f8");
 
-// Returns a port of the loopback interface that nobody listens on.
-std::uint16_t FreePort()
-{
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  EXPECT_EQ(bind(socket, generic, size), 0);
-  EXPECT_EQ(getsockname(socket, generic, &size), 0);
-  close(socket);
-  return ntohs(address.sin_port);
-}
-
 JobHostSettings MakeSettings(const std::string& aHost)
 {
   JobHostSettings settings;
@@ -71,9 +56,10 @@
 
   std::unique_ptr<JobHost> StartHost(const std::string& aName)
   {
+    const JobHostSettings settings = MakeSettings(aName);
+    m_addresses.push_back(settings.m_peers.Text());
     auto host = std::make_unique<JobHost>(
-      MakeSettings(aName),
-      HostDependencies{ m_store, m_orders, nullptr, m_documents });
+      settings, HostDependencies{ m_store, m_orders, nullptr, m_documents });
     EXPECT_TRUE(host->Start());
     return host;
   }
@@ -112,6 +98,8 @@
     return ended && WaitFor([this] { return m_orders.WasStopped(kJob); });
   }
 
+  // Of the hosts for other hosts.
+  std::vector<std::string> m_addresses;
   FeedingStore m_store;
   OneTaskTarget m_orders;
   OneQueueDocuments m_documents;
@@ -135,4 +123,36 @@
   EXPECT_TRUE(WaitForEndOfJob());
 }
 
+// Guards against a job that is cancelled because a host says so, without a row.
+TEST_F(UnheardCancellationTest, NoticeWithoutARowCancelsNothing)
+{
+  MetricsRegistry metrics;
+  EventLog log("edge-3", metrics);
+  int replies = 0;
+  const std::string address = "127.0.0.1:" + std::to_string(FreePort());
+  PeerMessenger peers("edge-3",
+                      1,
+                      address,
+                      "",
+                      log,
+                      [&replies](const proto::JobPeerMessage& aMessage) {
+                        replies +=
+                          aMessage.has_cancellation_confirmation() ? 1 : 0;
+                      });
+  EXPECT_TRUE(peers.Start());
+  proto::JobPeerMessage notice;
+  notice.mutable_cancellation_notice()->add_job(kJob.Text());
+  for (int i = 0; i < 10; ++i) {
+    for (const std::string& host : m_addresses) {
+      peers.Send(host, notice);
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  EXPECT_EQ(m_leader->RequestHandler().State(kJob).m_status,
+            JobRequestStatus::kOk);
+  EXPECT_NE(m_leader->RequestHandler().State(kJob).m_state,
+            JobState::kCancelled);
+  EXPECT_EQ(replies, 0);
+}
+
 } // namespace lycheestep
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -155,6 +155,8 @@
   // The estimated time from the start of an occurrence to its end, with the
   // advisor's calls for one step if its queue requires advice.
   Duration m_criticalPath = Duration::zero();
+  // The version of the row in the job table when this leader added the job.
+  std::uint64_t m_jobRowVersion = 0;
   // The number of rows in the job table besides the row with the job's id.
   std::uint32_t m_jobRowParts = 0;
   TaskLayout m_layout = TaskLayout::kOneRow;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -128,6 +128,7 @@
   job.m_id = id;
   job.m_terms = stored.m_terms;
   job.m_spec = stored.m_spec;
+  job.m_jobRowVersion = stored.m_version;
   job.m_jobRowParts = aRead.m_parts;
   job.m_acceptedWallTime = stored.m_acceptedAt;
   const WallTime age =
@@ -184,6 +185,27 @@
   }
 }
 
+bool JobScheduler::OnCancelRow(const JobId& aJob,
+                               std::uint64_t aRowVersion,
+                               TimePoint aNow)
+{
+  const auto found = m_jobs.find(aJob);
+  // A cancellation is stored only while the row of its job is there.
+  const bool isOwnRow =
+    found != m_jobs.end() && found->second.m_jobRowVersion < aRowVersion;
+  if (!isOwnRow || found->second.IsOver()) {
+    return false;
+  }
+  EndJob(found->second, JobState::kCancelled, aNow);
+  return true;
+}
+
+bool JobScheduler::IsOver(const JobId& aJob) const
+{
+  const auto found = m_jobs.find(aJob);
+  return found != m_jobs.end() && found->second.IsOver();
+}
+
 void JobScheduler::OnTargetRecord(const TargetRecord& aRecord, TimePoint aNow)
 {
   m_keeper.OnTargetListed(aRecord, aNow);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -123,6 +123,16 @@
   // cancelled when OnJob adds it.
   void OnCancel(const JobId& aJob, TimePoint aNow);
 
+  // Cancels a job by the row of its cancellation, which was read apart from the
+  // others and perhaps before them. Returns false and does nothing if the job
+  // was not added yet or is over, or if the row is of a former job with its id.
+  bool OnCancelRow(const JobId& aJob,
+                   std::uint64_t aRowVersion,
+                   TimePoint aNow);
+
+  // Returns true if the job was added and is over.
+  bool IsOver(const JobId& aJob) const;
+
   // Handles the removal of a cancellation's row, as read from the store.
   void OnCancelRemoved(const JobId& aJob) { m_earlyCancels.erase(aJob); }
 
