Play calls for changes that get no answer, and jobs that are cancelled at once

Nothing of it excuses a rule. The verdict also tells the latest end of a cancelled run after its acknowledgement.

--- a/testsuite/soak/day_callers.py
+++ b/testsuite/soak/day_callers.py
@@ -10,6 +10,10 @@
 TRIES = 10
 # Tasks in one step.
 WIDEST = 60
+# An early cancellation is sent this long after the job is made, and the job
+# itself after the other time.
+EARLY_CANCEL_S = (0.0, 1.1)
+EARLY_SENT_AFTER_S = 0.1
 
 
 class DayCallers:
@@ -17,7 +21,7 @@
         self.world, self.judge, self.random = world, world.judge, world.random
         self.load, self.longest_s = arguments.load, arguments.longest
         self.wide, self.twice = arguments.wide, arguments.twice
-        self.cancelled = arguments.cancelled
+        self.cancelled, self.early = arguments.cancelled, arguments.early
         self.over = False
 
     def port(self):
@@ -64,6 +68,9 @@
         # Without wide jobs, a seed draws the same as ever.
         wide = wide or self.wide > 0 and self.random.random() < self.wide
         job_id, job, body = self.make_job(wide)
+        if self.early > 0 and self.random.random() < self.early:
+            self.world.tasks.begin(self.cancel_early(job_id, job))
+            await asyncio.sleep(EARLY_SENT_AFTER_S)
         for _ in range(TRIES):
             status, _ = await call(self.port(), "POST", PREFIX + job_id, body)
             if 200 <= status < 300:
@@ -78,6 +85,11 @@
             await asyncio.sleep(self.random.uniform(0, 8))
             await self.cancel(job_id, job)
 
+    async def cancel_early(self, job_id, job):
+        """Shortly before the job is handed in, or after."""
+        await asyncio.sleep(self.random.uniform(*EARLY_CANCEL_S))
+        await self.cancel(job_id, job)
+
     async def again(self, job_id, body):
         await asyncio.sleep(self.random.uniform(0, 4))
         await call(self.port(), "POST", PREFIX + job_id, body)
--- a/testsuite/soak/day_judge.py
+++ b/testsuite/soak/day_judge.py
@@ -24,6 +24,7 @@
         self.cpu, self.checkpoint, self.checkpointing = 0, "", False
         self.saves_at = 0.0
         self.gang = None
+        self.unheard = 0  # stops that never arrived
         self.said = False  # that it goes on for too long
         self.over_s = 0.0  # so long too late it was at work, in calm
         self.over_calm = None  # that began then
@@ -209,6 +210,16 @@
             run.over_s, job.cancel_acked - BEGAN, run.over_calm - BEGAN,
             run)
 
+    def latest_end(self):
+        """How long after the acknowledgement a cancelled run was at work."""
+        ends = [0.0]
+        for runs in self.runs.values():
+            for run in runs:
+                job = self.jobs.get(run.task.split(".")[0])
+                if job and job.cancel_acked and run.end:
+                    ends.append(run.end - job.cancel_acked)
+        return max(ends)
+
     def report_strict(self):
         """Of runs of cancelled jobs, by measure_gone()."""
         if self.longest_over is not None:
--- a/testsuite/soak/day_store.py
+++ b/testsuite/soak/day_store.py
@@ -1,8 +1,10 @@
 """The store stand-in in an event loop, with a port for each host."""
 import asyncio
+import random
 import time
 
-from day_web import Server
+from day_feeds import FeedFaults
+from day_web import Server, hung_up
 from store import Store
 
 # The time that a transaction takes.
@@ -17,10 +19,15 @@
         self.changed = asyncio.Event()
         self.addresses = {}  # a host's own address -> that of its proxy
         self.servers = {}
+        self.feed_faults = FeedFaults(random.Random(seed))
 
     async def listen(self, host, port):
         async def serve(_writer, _method, path, query, body, _headers,
                         reader):
+            if path.endswith("/rows-feed"):
+                if self.feed_faults.takes(query["table"]):
+                    return await hung_up(reader)
+
             async def carry_out(_late):
                 return await self.carry_out(path, query, body)
             return await self.ways.carry((host, "store"), carry_out, reader)
@@ -44,7 +51,9 @@
                 await asyncio.sleep(self.random.uniform(0, self.read_delay))
             return answer
         if path.endswith("/rows-feed"):
-            return await self.feed_later(query)
+            answer = await self.feed_later(query)
+            await self.feed_faults.delay(query["table"])
+            return answer
         if path.endswith("/advise"):
             return self.advise(body)
         return 404, {}
--- a/testsuite/soak/day_targets.py
+++ b/testsuite/soak/day_targets.py
@@ -26,6 +26,8 @@
         self.row_away = False  # while it lives
         # Time to answer a stop, which takes effect at once, and a hold.
         self.stop_answer_s = self.hold_answer_s = 0.0
+        # So many of the first stops of each run never arrive.
+        self.unheard_stops = 0
         self.server = Server(port, self.serve, world.tasks)
         self.owners = {}  # connection -> host
         self.live()
@@ -109,11 +111,20 @@
             if not self.up or self.born != born and not late:
                 return None
             return await self.obey(path, body, headers, host, late)
-        if not self.up or self.hangs:
+        if not self.up or self.hangs or self.misses(path, body):
             return await hung_up(reader)
         return await self.world.ways.carry((host, self.name), carry_out,
                                            reader)
 
+    def misses(self, path, body):
+        """Whether this is one of the first stops of a run."""
+        run = path.endswith("/run-stop") and \
+            self.runs.get((body["task"], body["run"]))
+        if not run or run.unheard >= self.unheard_stops:
+            return False
+        run.unheard += 1
+        return True
+
     async def obey(self, path, body, headers, host, late):
         if headers.get("expect-instance", self.name) != self.name:
             return 421, {}
--- a/testsuite/soak/day_troubles.py
+++ b/testsuite/soak/day_troubles.py
@@ -5,6 +5,7 @@
 import time
 
 import day_web
+from day_feeds import LostFeeds
 from day_vacant import CALM_S, VacantLead
 from day_web import Cut
 
@@ -46,6 +47,8 @@
     # targets; nobody leads while the store is away.
     "leader-unreached": ("leader_unreached",),
     "vacant-lead": ("vacant_lead",),
+    # Calls for changes get no answer all the time, which excuses nothing.
+    "lost-feeds": "lost_feeds",
     "none": [],
 }
 # Troubles come in groups, each within a lease of a run.
@@ -65,6 +68,9 @@
 
     async def play(self, kinds, seconds):
         """Draws all of it before, so that a seed means one plan."""
+        if isinstance(kinds, str):
+            await getattr(self, kinds)(seconds)
+            return
         if isinstance(kinds, tuple):
             await self.play_in_turn(kinds, seconds)
             return
@@ -102,6 +108,9 @@
         await getattr(self, kind)()
         self.judge.disturbed()
 
+    async def lost_feeds(self, seconds):
+        await LostFeeds(self).play(seconds)
+
     # Ways.
 
     async def cut(self, ways, cut, seconds):
--- a/testsuite/soak/days.py
+++ b/testsuite/soak/days.py
@@ -3,7 +3,7 @@
 
 Usage: days.py PROGRAM [--seed N] [--seconds S] [--profile NAME] [--hosts N]
 [--zones N] [--targets N] [--load X] [--longest S] [--wide X] [--twice X]
-[--cancelled X] [--fails X] [--bare-refusals] [--logs FOLDER]
+[--cancelled X] [--early X] [--fails X] [--bare-refusals] [--logs FOLDER]
 
 Store, targets and callers are stand-ins in one event loop. Each way from a host
 to the store, to a target or to another host can be cut by itself. The verdict
@@ -235,6 +235,8 @@
             for rule, count in sorted(kinds.items()):
                 print("%s: %s: %d" % (what, rule, count))
         jobs = judge.jobs.values()
+        print("latest end of a cancelled run: %.2f s after the "
+              "acknowledgement" % judge.latest_end())
         print("seed %d, %s: %d jobs, %d accepted, %d done, %d cancelled, %d "
               "starts, %d of them from hosts that had ended, %d rules broken" % (
                   self.arguments.seed, self.arguments.profile, len(jobs),
@@ -264,6 +266,9 @@
                         help="share of jobs that are handed in again")
     parser.add_argument("--cancelled", type=float, default=0.25,
                         help="share of jobs that are cancelled at any time")
+    parser.add_argument("--early", type=float, default=0,
+                        help="share of jobs that are cancelled from 0.1 s "
+                        "before they are handed in to 1 s after")
     parser.add_argument("--fails", type=float, default=0.03,
                         help="share of runs that fail")
     parser.add_argument("--bare-refusals", action="store_true",
