Keep the row of a cancellation that was read before its job

The leader keeps the version of such a row; it cancels the job if it is newer than the row of the job, so that a former job's row cancels nothing.

The games draw feeds without answers for up to 15 s, up to two notices in a row that have no effect, and cancellations up to 1 s after their submission.

--- a/src/jobs/cancellation_row_version_test.cpp
+++ b/src/jobs/cancellation_row_version_test.cpp
@@ -50,6 +50,15 @@
   EXPECT_FALSE(m_scheduler.OnCancelRow(kJob, kJobVersion + 1, m_now));
 }
 
+// Guards against a job that starts because its cancellation was read before it.
+TEST_F(CancellationRowVersionTest, RowThatComesBeforeItsJobCancelsIt)
+{
+  EXPECT_FALSE(m_scheduler.OnCancelRow(kJob, kJobVersion + 1, m_now));
+  EXPECT_FALSE(m_scheduler.OnCancelRow(kJob, kJobVersion - 1, m_now));
+  AddJob();
+  EXPECT_TRUE(m_scheduler.IsOver(kJob));
+}
+
 // Guards against a new job that ends because the row of a former job with its
 // id was read late.
 TEST_F(CancellationRowVersionTest, RowOfAFormerJobCancelsNothing)
@@ -61,7 +70,7 @@
 
 // Guards against a new job that ends because the row of a former job with its
 // id came first.
-TEST_F(CancellationRowVersionTest, RowWithoutAJobIsNotKept)
+TEST_F(CancellationRowVersionTest, EarlierRowOfAFormerJobCancelsNothing)
 {
   EXPECT_FALSE(m_scheduler.OnCancelRow(kJob, kJobVersion - 1, m_now));
   AddJob();
--- a/src/jobs/cancelled_runs_test.cpp
+++ b/src/jobs/cancelled_runs_test.cpp
@@ -77,6 +77,10 @@
     m_traits.m_slowLoad = milliseconds(*rc::gen::element(0, 300, 900));
     m_traits.m_slowFirstList = milliseconds(*rc::gen::element(0, 500, 3000));
     m_traits.m_slowList = seconds(*rc::gen::element(0, 0, 5));
+    if (*rc::gen::inRange(0, 3) == 0) {
+      m_traits.m_lostFeeds = seconds(*rc::gen::element(1, 5, 15));
+      m_traits.m_lostNotices = *rc::gen::inRange(0U, 3U);
+    }
     m_traits.m_ordersOutliveTargets = *rc::gen::arbitrary<bool>();
     m_cell.Faults() = m_traits;
     m_cell.SetStopTime(milliseconds(*rc::gen::element(300, 900)));
@@ -176,8 +180,9 @@
     if (*rc::gen::inRange(0, 8) == 0) {
       m_cell.FailJob(job);
     }
-    if (*rc::gen::inRange(0, 8) == 0) {
-      m_cell.Run(Draw(0, 50));
+    const bool losesFeeds = m_traits.m_lostFeeds > Duration::zero();
+    if (*rc::gen::inRange(0, losesFeeds ? 2 : 8) == 0) {
+      m_cell.Run(Draw(0, losesFeeds ? 1000 : 50));
       m_cell.Cancel(job);
       m_open.pop_back();
     }
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -147,7 +147,11 @@
     m_recurringJobs.insert(id);
   }
   RefreshReady(job);
-  if (m_earlyCancels.erase(id) > 0) {
+  const auto row = m_earlyCancelRows.find(id);
+  const bool hasRow = row != m_earlyCancelRows.end() &&
+                      job.m_jobRowVersion < row->second.m_version;
+  m_earlyCancelRows.erase(id);
+  if (m_earlyCancels.erase(id) > 0 || hasRow) {
     m_effects.LogUnlimited("cancelled-before-added", "job=" + id.Text());
     OnCancel(id, aNow);
   }
@@ -190,9 +194,14 @@
                                TimePoint aNow)
 {
   const auto found = m_jobs.find(aJob);
+  if (found == m_jobs.end()) {
+    EarlyCancelRow& early = m_earlyCancelRows[aJob];
+    early.m_version = std::max(early.m_version, aRowVersion);
+    early.m_until = aNow + m_settings.m_withdrawalRetention;
+    return false;
+  }
   // A cancellation is stored only while the row of its job is there.
-  const bool isOwnRow =
-    found != m_jobs.end() && found->second.m_jobRowVersion < aRowVersion;
+  const bool isOwnRow = found->second.m_jobRowVersion < aRowVersion;
   if (!isOwnRow || found->second.IsOver()) {
     return false;
   }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -124,8 +124,10 @@
   void OnCancel(const JobId& aJob, TimePoint aNow);
 
   // Cancels a job by the row of its cancellation, which was read apart from the
-  // others and perhaps before them. Returns false and does nothing if the job
-  // was not added yet or is over, or if the row is of a former job with its id.
+  // others and perhaps before them. If the job was not added yet, it is
+  // cancelled when OnJob adds it. A row that is older than that of the job is
+  // of a former job with its id and cancels nothing. Returns true if the job
+  // ends now.
   bool OnCancelRow(const JobId& aJob,
                    std::uint64_t aRowVersion,
                    TimePoint aNow);
@@ -194,6 +196,14 @@
                  OrderStatus aStatus) override;
 
 private:
+  // The row of a cancellation without its job.
+  struct EarlyCancelRow
+  {
+    std::uint64_t m_version = 0;
+    // When it is forgotten.
+    TimePoint m_until;
+  };
+
   // A task with its job, step and progress. All pointers are null if the task
   // is unknown.
   struct TaskRef
@@ -458,6 +468,8 @@
   // Jobs that were cancelled before OnJob added them, and when the cancellation
   // is removed if none has added them by then.
   std::map<JobId, TimePoint> m_earlyCancels;
+  // The same of those that OnCancelRow was told of.
+  std::map<JobId, EarlyCancelRow> m_earlyCancelRows;
   // The jobs that do not exist but have a row, and when the row is removed.
   std::map<JobId, TimePoint> m_withdrawals;
   std::set<JobId> m_unreadableJobs;
--- a/src/standin/job_cell_loads.cpp
+++ b/src/standin/job_cell_loads.cpp
@@ -80,7 +80,7 @@
     scheduler.OnJob(id, job, 0, m_now);
   }
   RestoreStoredRows(aTerm);
-  for (const JobId& id : m_cancels) {
+  for (const auto& [id, version] : m_cancels) {
     scheduler.OnCancel(id, m_now);
   }
   aTerm.NoteLoaded();
@@ -134,7 +134,7 @@
   if (late > Duration::zero()) {
     m_feedHarmedAt = std::max(m_feedHarmedAt, m_now + late);
   }
-  return Way() + late;
+  return Way() + late + Draw(m_faults.m_lostFeeds);
 }
 
 void JobCellModel::NoteDisturbances()
--- a/src/standin/job_cell_model.cpp
+++ b/src/standin/job_cell_model.cpp
@@ -23,6 +23,11 @@
 
 constexpr Duration kWaitingCheckPeriod = std::chrono::milliseconds(100);
 
+// When a host tells the leader first of a cancellation, and how often. A host
+// looks each 100 ms what is due.
+constexpr Duration kFirstNotice = std::chrono::milliseconds(200);
+constexpr Duration kNoticePeriod = std::chrono::milliseconds(300);
+
 // The share of targets that are fit for a step of a queue that the test says
 // nothing about.
 constexpr double kUsualFitShare = 0.5;
@@ -147,11 +152,38 @@
 
 void JobCellModel::Cancel(const JobId& aJob)
 {
-  m_cancels.insert(aJob);
+  const std::uint64_t version =
+    m_cancels.try_emplace(aJob, m_version + 1).first->second;
+  m_version = std::max(m_version, version);
   m_cancelledAt.try_emplace(aJob, m_now);
   Term& term = *m_terms.back();
   term.TellRow(FeedTime(),
                [this, &term, aJob] { term.Scheduler().OnCancel(aJob, m_now); });
+  if (m_faults.m_lostFeeds > Duration::zero()) {
+    TellOfCancellation(aJob, version, kFirstNotice, 0);
+  }
+}
+
+void JobCellModel::TellOfCancellation(const JobId& aJob,
+                                      std::uint64_t aRowVersion,
+                                      Duration aDelay,
+                                      std::uint32_t aLost)
+{
+  At(aDelay, [this, aJob, aRowVersion, aLost] {
+    const auto row = m_cancels.find(aJob);
+    if (row == m_cancels.end() || row->second != aRowVersion ||
+        m_terms.back()->Scheduler().IsOver(aJob)) {
+      return;
+    }
+    const bool lost = aLost < m_faults.m_lostNotices && Chance(0.5);
+    if (!lost) {
+      Term& term = *m_terms.back();
+      term.TellRow(Way(), [this, &term, aJob, aRowVersion] {
+        term.Scheduler().OnCancelRow(aJob, aRowVersion, m_now);
+      });
+    }
+    TellOfCancellation(aJob, aRowVersion, kNoticePeriod, lost ? aLost + 1 : 0);
+  });
 }
 
 void JobCellModel::Run(Duration aTime)
--- a/src/standin/job_cell_model.h
+++ b/src/standin/job_cell_model.h
@@ -57,6 +57,12 @@
   Duration m_slowFeed = Duration::zero();
   Duration m_slowFirstList = Duration::zero();
   Duration m_slowWay = Duration::zero();
+  // The longest time for which calls for the changes of one table get no
+  // answer; each row of a job or a cancellation draws its own. It excuses
+  // nothing: the host that stored a cancellation also tells the leader.
+  Duration m_lostFeeds = Duration::zero();
+  // The most notices of a cancellation in a row that have no effect.
+  std::uint32_t m_lostNotices = 0;
 };
 
 // How the advisor of the cell answers.
@@ -258,6 +264,12 @@
   Duration Draw(Duration aLongest);
   // How long a row that is stored now takes to the leader.
   Duration FeedTime();
+  // Tells the leader of a cancellation after aDelay, and again until it knows
+  // that the job is over. aLost notices in a row have had no effect.
+  void TellOfCancellation(const JobId& aJob,
+                          std::uint64_t aRowVersion,
+                          Duration aDelay,
+                          std::uint32_t aLost);
   // Lets all leaders that live do what is due.
   void StepLeaders();
   // Loads after aDelay, or when the store is back if that is later.
@@ -323,7 +335,8 @@
   std::map<JobId, StoredJob> m_jobs;
   std::size_t m_rowBytes = kDefaultRowBytes;
   RowTableModel m_table;
-  std::set<JobId> m_cancels;
+  // The versions of the rows of cancellations.
+  std::map<JobId, std::uint64_t> m_cancels;
   std::set<JobId> m_failingJobs;
 
   std::vector<std::unique_ptr<Term>> m_terms;
