Start no task while the list of targets may be old, and hold its feed calls for 0.4 s

The same cause elsewhere: that a target drains has one way to the leader too, a feed call that the store held for 1.2 s. One of them without an answer took 1.2 s, a timeout of 0.7 s, 0.1 s and the batch of 0.15 s, longer than the 2 s after which a target that drains must get no new work; more of them, any time. leader_reads_test, NoJobStartsWhileTheListOfTargetsIsUnknown, failed before: the job was started on a target that had drained for 2 s.

Calls are held for 0.4 s, so that one without an answer holds nothing back; targets write each 1.5 s, so that calls of a fleet at work seldom wait so long.

--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -53,19 +53,16 @@
 // 3.9 s after its job's cancellation, also if two calls get no answer.
 constexpr Duration kCancelFeedWait = std::chrono::milliseconds(400);
 
+// A feed call for the list of targets is held so long by the store. Targets
+// write often, so that it seldom waits.
+constexpr Duration kTargetFeedWait = std::chrono::milliseconds(400);
+
 // Number of hosts that each heartbeat lists as relays for calls to the store.
 constexpr int kMaxRelaysInHeartbeat = 5;
 
 // Number of hosts that each heartbeat lists as successors.
 constexpr std::size_t kMaxSuccessors = 5;
 
-TableWatch::Pace ListPace()
-{
-  TableWatch::Pace pace;
-  pace.m_batchDelay = kListBatchDelay;
-  return pace;
-}
-
 std::vector<std::string> JobPartitions()
 {
   std::vector<std::string> partitions;
@@ -129,7 +126,7 @@
 
 void Leader::OnCommitted(std::uint64_t aVersion, Duration aStoreClock)
 {
-  CheckCancellations();
+  CheckFeeds();
   m_scheduler.OnCommitted(aVersion, aStoreClock, m_now);
 }
 
@@ -186,7 +183,7 @@
   }
   ReportStateIfDue();
   if (valid && CanSendOrders()) {
-    CheckCancellations();
+    CheckFeeds();
     m_scheduler.Tick(m_now);
   }
   m_orderDispatcher.Flush(m_dependencies.m_writer.OrdersValidUntil(),
@@ -227,10 +224,13 @@
                             &Leader::OnCancelsCurrent));
   m_watches.push_back(Watch(m_dependencies.m_documents.TargetTable(),
                             unpartitioned,
-                            ListPace(),
-                            &Leader::OnTargetRows));
-  m_watches.push_back(
-    Watch(kHostTable, unpartitioned, ListPace(), &Leader::OnHostRows));
+                            { kListBatchDelay, kTargetFeedWait },
+                            &Leader::OnTargetRows,
+                            &Leader::OnTargetsCurrent));
+  m_watches.push_back(Watch(kHostTable,
+                            unpartitioned,
+                            { kListBatchDelay, TableWatch::Pace().m_feedWait },
+                            &Leader::OnHostRows));
 }
 
 std::unique_ptr<TableWatch> Leader::Watch(
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -175,12 +175,17 @@
   void AddAddresses(const std::vector<Row>& aRows);
   void ApplyTargets(const TargetChanges& aChanges);
   // Lets the scheduler start tasks only while this host knows of the newest
-  // cancellations.
-  void CheckCancellations();
+  // cancellations and of the targets that drain.
+  void CheckFeeds();
   // Notes that the cancellations up to aAsOf were handled.
   void OnCancelsCurrent(TimePoint aAsOf);
-  // Returns the time until which the cancellations that were handled are new
-  // enough to start tasks. Safe from any thread.
+  // Notes that the list of targets up to aAsOf was handled.
+  void OnTargetsCurrent(TimePoint aAsOf);
+  // Return the time until which the cancellations that were handled, and the
+  // list of targets, are new enough to start tasks, and the earlier of the two.
+  // Safe from any thread.
+  TimePoint CancelsValidUntil() const;
+  TimePoint TargetsValidUntil() const;
   TimePoint StartsValidUntil() const;
   // Reads the row of a cancellation on a thread of m_cancellationReads.
   void ReadCancellation(const JobId& aJob);
@@ -238,7 +243,8 @@
   // True while the right to lead has expired and was not renewed.
   bool m_suspended = false;
 
-  // True while the cancellations that were read are too old to start tasks.
+  // True while the cancellations or the targets that were read are too old to
+  // start tasks.
   bool m_startsSuspended = false;
 
   // True once the tables of jobs, cancellations, progress and targets'
@@ -265,9 +271,11 @@
   TimePoint m_pendingCountDue;
   TimePoint m_stateReportDue;
 
-  // All cancellations up to this time were handled. Counted from the epoch of
-  // the boot clock. The threads of m_directConnections read it.
+  // All cancellations, and all changes of the list of targets, up to these
+  // times were handled. Counted from the epoch of the boot clock. The threads
+  // of m_directConnections read them.
   std::atomic<Duration::rep> m_cancelsAsOf{ 0 };
+  std::atomic<Duration::rep> m_targetsAsOf{ 0 };
   std::map<TargetId, std::unique_ptr<TargetConnection>> m_directConnections;
   // Closed connections whose threads may still run.
   std::vector<std::unique_ptr<TargetConnection>> m_closedConnections;
--- a/src/jobhost/leader_cancellations.cpp
+++ b/src/jobhost/leader_cancellations.cpp
@@ -1,5 +1,5 @@
-// The part of Leader that keeps its knowledge of cancellations new: the feed
-// tells of all of them, and other hosts tell of those that they acknowledged.
+// The part of Leader that reads cancellations of which the hosts that
+// acknowledged them tell it.
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -13,39 +13,11 @@
 
 namespace {
 
-// Tasks are started only if all cancellations up to this long ago are known. A
-// task must not start more than 3 s after its cancellation was acknowledged,
-// which leaves the rest for the way to the target. An idle feed is up to two
-// waits old.
-constexpr Duration kMaxCancelAge = std::chrono::milliseconds(2700);
-
 // Timeout of a read of one cancellation.
 constexpr Duration kCancellationReadTimeout = std::chrono::milliseconds(600);
 
 } // namespace
 
-void Leader::CheckCancellations()
-{
-  const bool current = m_loaded && m_now < StartsValidUntil();
-  m_scheduler.SetMayStart(current);
-  const bool known = m_loaded && m_cancelsAsOf != 0;
-  if (known && current == m_startsSuspended) {
-    m_startsSuspended = !current;
-    LogUnlimited(current ? "starts-resumed" : "starts-suspended",
-                 "reason=cancellations");
-  }
-}
-
-void Leader::OnCancelsCurrent(TimePoint aAsOf)
-{
-  m_cancelsAsOf = aAsOf.time_since_epoch().count();
-}
-
-TimePoint Leader::StartsValidUntil() const
-{
-  return TimePoint(Duration(m_cancelsAsOf)) + kMaxCancelAge;
-}
-
 std::vector<JobId> Leader::OnCancellationNotice(const std::vector<JobId>& aJobs)
 {
   std::vector<JobId> over;
--- a/src/jobhost/leader_reads_test.cpp
+++ b/src/jobhost/leader_reads_test.cpp
@@ -1,6 +1,7 @@
 // Tests what a leader does while the store answers its writes, but its reads
 // and feeds late or not at all.
 #include <chrono>
+#include <string>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -23,6 +24,9 @@
 // Longer than a cancelled job may be started.
 constexpr Duration kCutTime = milliseconds(3500);
 
+// A target that drains may be given work for so long after it wrote that.
+constexpr Duration kDrainTime = seconds(2);
+
 const JobId kFirst("5c0e7a21d94b36f8");
 const JobId kSecond("6c0e7a21d94b36f8");
 
@@ -56,6 +60,14 @@
     Submit(kSecond);
   }
 
+  void WriteTarget(const std::string& aState)
+  {
+    RowTransaction row;
+    row.m_writes = { RowWrite{ RowKey{ m_documents.TargetTable(), "", kTarget },
+                               aState } };
+    m_store.Transact(row, seconds(1));
+  }
+
   void Submit(const JobId& aJob)
   {
     JobSpec spec;
@@ -134,6 +146,23 @@
   EXPECT_FALSE(m_orders.HasStarted(kSecond));
 }
 
+// Guards against work for a target that drains, because the leader's feed of
+// the list of targets is cut.
+TEST_F(LeaderReadsTest, NoJobStartsWhileTheListOfTargetsIsUnknown)
+{
+  m_store.SetCut(m_documents.TargetTable());
+  WriteTarget("draining");
+  std::this_thread::sleep_for(kDrainTime);
+  m_orders.EndAll();
+  std::this_thread::sleep_for(seconds(1));
+  EXPECT_FALSE(m_orders.HasStarted(kSecond));
+  m_store.SetCut("");
+  std::this_thread::sleep_for(seconds(1));
+  EXPECT_FALSE(m_orders.HasStarted(kSecond));
+  WriteTarget("ready");
+  EXPECT_TRUE(WaitForStart(kSecond));
+}
+
 // Guards against a cancelled run that goes on while the leader waits for the
 // answer to a feed call that was lost: two such calls and the stop have to fit
 // into 3.9 s.
--- a/src/jobhost/one_queue_documents.h
+++ b/src/jobhost/one_queue_documents.h
@@ -9,7 +9,7 @@
 namespace lycheestep {
 
 // Each row of the configuration stands for one queue, each row of the targets
-// for one target with one core.
+// for one target with one core, which drains if the row says so.
 class OneQueueDocuments : public PlatformDocuments
 {
 public:
@@ -42,6 +42,7 @@
     record.m_service = Queue().m_service;
     record.m_address = NetworkAddress::ParseOrNone("10.0.0.1:1");
     record.m_capacity = Resources(1000, 1000, 0, 0, 0);
+    record.m_draining = aRow.m_value == "draining";
     return record;
   }
 };
