Read the configuration when another host has a newer one

Heartbeats of the leader and the answers to them now name the version that their sender has; a host with an older one reads the table, and still an older version never replaces a newer one. A fleet in which all feeds are answered makes no more calls to the store than before.

--- a/src/jobhost/config_holder.cpp
+++ b/src/jobhost/config_holder.cpp
@@ -19,6 +19,12 @@
   return m_config;
 }
 
+std::uint64_t ConfigHolder::Version() const
+{
+  const auto config = Get();
+  return config ? config->m_version : 0;
+}
+
 const QueueConfig* FindQueue(const ClusterConfig& aConfig,
                              const std::string& aHostHeader,
                              const std::string& aPath)
--- a/src/jobhost/config_holder.h
+++ b/src/jobhost/config_holder.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEESTEP_CONFIG_HOLDER_H
 #define LYCHEESTEP_CONFIG_HOLDER_H
 
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -21,6 +22,10 @@
   // Returns the configuration in force, or null before the first Put.
   std::shared_ptr<const ClusterConfig> Get() const;
 
+  // Returns the version of the configuration in force, zero before the first
+  // Put.
+  std::uint64_t Version() const;
+
 private:
   mutable std::mutex m_mutex;
   std::shared_ptr<const ClusterConfig> m_config;
--- a/src/jobhost/job_host.cpp
+++ b/src/jobhost/job_host.cpp
@@ -40,8 +40,8 @@
 // Number of calls to the store that are made for other hosts at the same time.
 constexpr std::size_t kRelayThreads = 16;
 
-// Number of rows of cancellations that a leader reads at the same time.
-constexpr std::size_t kCancellationReadThreads = 4;
+// Number of rows that a host reads at the same time after notices of others.
+constexpr std::size_t kRowReadThreads = 4;
 
 // A leader that stops waits at most this long for its last write.
 constexpr Duration kReleaseTimeout = std::chrono::milliseconds(1200);
@@ -120,7 +120,7 @@
                      [this](const JobId& aJob) { OnCancellationStored(aJob); })
   , m_advice(aDependencies.m_advisor, m_metrics)
   , m_storeRelayPool("relay", kRelayThreads)
-  , m_cancellationReads("cancel-read", kCancellationReadThreads)
+  , m_rowReads("row-read", kRowReadThreads)
   , m_carrier(
       aDependencies.m_orders,
       m_log,
@@ -169,7 +169,7 @@
   }
   m_configWatch.reset();
   m_storeRelayPool.Stop();
-  m_cancellationReads.Stop();
+  m_rowReads.Stop();
   m_carrier.Stop();
   if (m_leader) {
     m_leader->Retire();
@@ -397,24 +397,6 @@
     m_retiredLeaders.end());
 }
 
-void JobHost::OnConfigRows(const std::vector<Row>& aRows)
-{
-  for (const Row& row : aRows) {
-    const auto config = m_dependencies.m_documents.ReadConfig(row);
-    if (!config || !m_config.Put(*config)) {
-      continue;
-    }
-    m_log.Write("config-applied",
-                "version=" + std::to_string(config->m_version) +
-                  " queues=" + std::to_string(config->m_queues.size()));
-    m_queue.Add([this] {
-      if (m_leader) {
-        m_leader->OnConfig();
-      }
-    });
-  }
-}
-
 LeaderDependencies JobHost::MakeLeaderDependencies(std::uint64_t aTerm)
 {
   return LeaderDependencies{ m_settings,
@@ -427,7 +409,7 @@
                              m_writer,
                              m_peers,
                              m_advice,
-                             m_cancellationReads,
+                             m_rowReads,
                              [this, aTerm](std::function<void()> aTask) {
                                m_queue.Add(
                                  [this, aTerm, task = std::move(aTask)] {
--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEESTEP_JOB_HOST_H
 #define LYCHEESTEP_JOB_HOST_H
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -95,6 +96,9 @@
   // Deletes retired leaders that no longer have work in progress.
   void DeleteFinishedLeaders();
   void OnConfigRows(const std::vector<Row>& aRows);
+  // Reads the configuration from the store if another host has a newer version
+  // than this one. Safe from any thread.
+  void OnConfigVersionHeard(std::uint64_t aVersion);
   void OnPeerMessage(const proto::JobPeerMessage& aMessage);
   void OnHeartbeat(const proto::JobPeerMessage& aMessage);
   // Logs who leads, if that is news or was not logged for a while.
@@ -124,6 +128,8 @@
   MetricsRegistry m_metrics;
   EventLog m_log;
   ConfigHolder m_config;
+  // The number of reads of the configuration that have not ended.
+  std::atomic<int> m_configReads{ 0 };
   RelayedStore m_store;
   JobRequestHandler m_requestHandler;
   // Tasks for the control thread.
@@ -131,8 +137,8 @@
   AdviceWorker m_advice;
   // Threads that make other hosts' calls to the store.
   WorkerPool m_storeRelayPool;
-  // Threads that read rows of cancellations while this host leads.
-  WorkerPool m_cancellationReads;
+  // Threads that read rows of which other hosts told, apart from the watches.
+  WorkerPool m_rowReads;
   // Sends orders to targets on behalf of the leading host.
   OrderCarrier m_carrier;
   PeerMessenger m_peers;
--- a/src/jobhost/job_host_peers.cpp
+++ b/src/jobhost/job_host_peers.cpp
@@ -46,6 +46,7 @@
   } else if (aMessage.has_store_reply()) {
     m_store.OnReply(aMessage.store_reply());
   } else if (aMessage.has_host_alive()) {
+    OnConfigVersionHeard(aMessage.host_alive().config_version());
     const Duration clock =
       std::chrono::milliseconds(aMessage.host_alive().clock_ms());
     const bool reachesStore = !aMessage.host_alive().needs_relay();
@@ -74,6 +75,7 @@
 void JobHost::OnHeartbeat(const proto::JobPeerMessage& aMessage)
 {
   const proto::LeaderHeartbeat& heartbeat = aMessage.leader_heartbeat();
+  OnConfigVersionHeard(heartbeat.config_version());
   const std::vector<std::string> successors(heartbeat.successor().begin(),
                                             heartbeat.successor().end());
   const Duration renewedAgo =
@@ -131,6 +133,7 @@
   answer.mutable_host_alive()->set_needs_relay(!m_store.IsDirect());
   answer.mutable_host_alive()->set_bounds_starts(true);
   answer.mutable_host_alive()->set_checks_process(true);
+  answer.mutable_host_alive()->set_config_version(m_config.Version());
   m_peers.Send(aLeaderAddress, std::move(answer));
 }
 
--- a/src/jobhost/leader.cpp
+++ b/src/jobhost/leader.cpp
@@ -267,6 +267,7 @@
   proto::JobPeerMessage message;
   proto::LeaderHeartbeat* heartbeat = message.mutable_leader_heartbeat();
   heartbeat->set_renewed_ago_ms(ToMilliseconds(renewedAgo));
+  heartbeat->set_config_version(m_dependencies.m_config.Version());
   for (const std::string& host : Successors()) {
     heartbeat->add_successor(host);
   }
--- a/src/jobhost/leader.h
+++ b/src/jobhost/leader.h
@@ -57,8 +57,8 @@
   CommitWriter& m_writer;
   PeerMessenger& m_peers;
   AdviceWorker& m_advice;
-  // Threads that read rows of cancellations, apart from the watches.
-  WorkerPool& m_cancellationReads;
+  // Threads that read rows of which other hosts told, apart from the watches.
+  WorkerPool& m_rowReads;
   // Queues a function for the control thread, which drops the function if this
   // leader no longer leads when the function is due. Safe from any thread.
   std::function<void(std::function<void()>)> m_post;
@@ -187,7 +187,7 @@
   TimePoint CancelsValidUntil() const;
   TimePoint TargetsValidUntil() const;
   TimePoint StartsValidUntil() const;
-  // Reads the row of a cancellation on a thread of m_cancellationReads.
+  // Reads the row of a cancellation on a thread of m_rowReads.
   void ReadCancellation(const JobId& aJob);
   void OnCancellationAnswer(const JobId& aJob, const RowAnswer& aAnswer);
   // Log what the leader has loaded, what it knows every few seconds, and a
--- a/src/jobhost/leader_cancellations.cpp
+++ b/src/jobhost/leader_cancellations.cpp
@@ -51,7 +51,7 @@
   const auto post = m_dependencies.m_post;
   // The thread may outlive this leader: it uses copies, and post drops what
   // comes after the end of the term.
-  m_dependencies.m_cancellationReads.Run([this, &store, post, range, aJob] {
+  m_dependencies.m_rowReads.Run([this, &store, post, range, aJob] {
     const RowAnswer answer = store.Read(range, kCancellationReadTimeout);
     post([this, aJob, answer] { OnCancellationAnswer(aJob, answer); });
   });
