Look for due notices every 50 ms, not in each iteration of the control loop

Cause: SendCancellationNotices was called in each iteration of the control loop, which turns up to 300 times a second at a leader, and went through the notices of the last ten seconds each time, most of them confirmed already. Now the host looks each 50 ms, which is half of the delay of the first notice and a fifth of the time between two, so that a notice leaves 50 ms later at most.

The processor time that it saves was not measured.

--- a/src/jobhost/job_host.h
+++ b/src/jobhost/job_host.h
@@ -166,6 +166,8 @@
   std::string m_leaderAddress;
   LeaderSighting m_leaderSighting;
   CancellationNotifier m_cancellationNotifier;
+  // When the host looks next which notices are due.
+  TimePoint m_noticeCheckDue;
 
   std::thread m_thread;
 };
--- a/src/jobhost/job_host_cancellations.cpp
+++ b/src/jobhost/job_host_cancellations.cpp
@@ -1,6 +1,7 @@
 // The part of JobHost that tells the leader of cancellations which this host
 // has acknowledged.
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <utility>
@@ -18,6 +19,9 @@
 // The most jobs that one notice names.
 constexpr std::size_t kMaxJobsInNotice = 500;
 
+// How often the host looks which notices are due.
+constexpr Duration kNoticeCheckPeriod = std::chrono::milliseconds(50);
+
 } // namespace
 
 void JobHost::OnCancellationStored(const JobId& aJob)
@@ -29,6 +33,10 @@
 void JobHost::SendCancellationNotices()
 {
   const TimePoint now = BootClockNow();
+  if (now < m_noticeCheckDue) {
+    return;
+  }
+  m_noticeCheckDue = now + kNoticeCheckPeriod;
   for (const JobId& job : m_cancellationNotifier.TakeExpired(now)) {
     m_log.WriteUnlimited("cancellation-unconfirmed", "job=" + job.Text());
   }
