--- a/src/jobs/job_commits.cpp
+++ b/src/jobs/job_commits.cpp
@@ -295,10 +295,7 @@
     }
     it = due ? m_earlyCancels.erase(it) : std::next(it);
   }
-  for (auto it = m_earlyCancelRows.begin(); it != m_earlyCancelRows.end();) {
-    const bool due = it->second.m_until <= aNow;
-    it = due ? m_earlyCancelRows.erase(it) : std::next(it);
-  }
+  m_earlyCancelRows.RemoveOld(aNow);
 }
 
 void JobScheduler::RemoveOldAddresses(TimePoint aNow)
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -147,10 +147,7 @@
     m_recurringJobs.insert(id);
   }
   RefreshReady(job);
-  const auto row = m_earlyCancelRows.find(id);
-  const bool hasRow = row != m_earlyCancelRows.end() &&
-                      job.m_jobRowVersion < row->second.m_version;
-  m_earlyCancelRows.erase(id);
+  const bool hasRow = m_earlyCancelRows.Take(id, job.m_jobRowVersion);
   if (m_earlyCancels.erase(id) > 0 || hasRow) {
     m_effects.LogUnlimited("cancelled-before-added", "job=" + id.Text());
     OnCancel(id, aNow);
@@ -195,9 +192,8 @@
 {
   const auto found = m_jobs.find(aJob);
   if (found == m_jobs.end()) {
-    EarlyCancelRow& early = m_earlyCancelRows[aJob];
-    early.m_version = std::max(early.m_version, aRowVersion);
-    early.m_until = aNow + m_settings.m_withdrawalRetention;
+    m_earlyCancelRows.Add(
+      aJob, aRowVersion, aNow + m_settings.m_withdrawalRetention);
     return false;
   }
   // A cancellation is stored only while the row of its job is there.
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -14,9 +14,11 @@
 #include "advice_cache.h"
 #include "avoided_targets.h"
 #include "changed_rows.h"
+#include "early_cancellations.h"
 #include "gang_reservations.h"
 #include "job.h"
 #include "job_rows.h"
+#include "job_scheduler_settings.h"
 #include "lycheestep/queue_config.h"
 #include "placement.h"
 #include "placement_monitor.h"
@@ -38,21 +40,6 @@
 // of a transaction is for the leader's own rows.
 constexpr std::size_t kMaxCommitRows = kRowTransactionLimit - 15;
 
-// Settings of JobScheduler.
-struct JobSchedulerSettings
-{
-  TargetManagerSettings m_targets;
-  // The rows of a job are kept this long after its end, so that its state can
-  // be read.
-  Duration m_retention = std::chrono::seconds(180);
-  // The row that stands in place of a job which does not exist is kept this
-  // long, and so is a cancellation without its job. No write of a host is done
-  // later.
-  Duration m_withdrawalRetention = std::chrono::seconds(180);
-  // The longest value of a row, in bytes.
-  std::size_t m_valueBytes = MaxValueBytes(kDefaultRowBytes);
-};
-
 // Makes all decisions of the leader: which tasks start where and when, what
 // follows from the end of each run, and what is stored before which order is
 // sent. All calls are made on one thread. The class reads no clock; its callers
@@ -196,14 +183,6 @@
                  OrderStatus aStatus) override;
 
 private:
-  // The row of a cancellation without its job.
-  struct EarlyCancelRow
-  {
-    std::uint64_t m_version = 0;
-    // When it is forgotten.
-    TimePoint m_until;
-  };
-
   // A task with its job, step and progress. All pointers are null if the task
   // is unknown.
   struct TaskRef
@@ -468,8 +447,7 @@
   // Jobs that were cancelled before OnJob added them, and when the cancellation
   // is removed if none has added them by then.
   std::map<JobId, TimePoint> m_earlyCancels;
-  // The same of those that OnCancelRow was told of.
-  std::map<JobId, EarlyCancelRow> m_earlyCancelRows;
+  EarlyCancellations m_earlyCancelRows;
   // The jobs that do not exist but have a row, and when the row is removed.
   std::map<JobId, TimePoint> m_withdrawals;
   std::set<JobId> m_unreadableJobs;
